--- /dev/null
+++ b/src/coordination/serving_context.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "coordination/decision_log.h"
+#include "protocol/control.h"
+#include "protocol/core_time.h"
+#include "state/config_holder.h"
+#include "state/endpoint_table.h"
+#include "state/suspect_table.h"
+#include "state/table_store.h"
+#include "state/usage_ledger.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace lacewinglock
+{
+
+/// What the caller and operator interfaces need of the running daemon. All parts are thread-safe and outlive the HTTP server.
+struct serving_context
+{
+    std::string instanceId;
+    std::string incarnation; ///< Differs at every start of the process.
+    std::string cell;
+    std::string failureDomain;
+    config_holder &config;
+    endpoint_table &endpoints;
+    suspect_table &suspects;
+    usage_ledger &usage;
+    table_store &store;
+    decision_log &decisions;
+    std::function<instant()> now;
+    std::function<bool()> fresh; ///< The freshness gate: requests may be admitted.
+    std::function<bool()> draining;
+    std::function<std::vector<instance_info>()> instances; ///< Live daemons of the cell, for GET /v1/addresses.
+    std::function<double(const std::string &group)> demandShare; ///< This daemon's share of a group's capacity, 0 to 1.
+};
+
+}
--- /dev/null
+++ b/src/protocol/usage_record.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace lacewinglock
+{
+
+/// Billable figures of one organisation.
+struct usage_figures
+{
+    std::uint64_t requests = 0;
+    std::uint64_t promptTokens = 0;
+    std::uint64_t cachedTokens = 0;
+    std::uint64_t outputTokens = 0;
+    std::uint64_t serviceCalls = 0;
+
+    usage_figures &operator+=(const usage_figures &other);
+    bool operator==(const usage_figures &) const = default;
+};
+
+/// Usage of one request, billed once.
+struct usage_record
+{
+    std::string requestId;
+    std::string organisation;
+    usage_figures figures;
+};
+
+using usage_by_organisation = std::map<std::string, usage_figures>;
+
+}
--- /dev/null
+++ b/src/state/endpoint_table.cpp
@@ -0,0 +1,221 @@
+#include "state/endpoint_table.h"
+
+#include "protocol/tunables.h"
+
+#include <algorithm>
+#include <set>
+#include <xxhash.h>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+// Confidence in blocks that this daemon sent itself; eviction at the endpoint is not always announced.
+constexpr double ownPrefixWeight = 0.9;
+constexpr double gapFactor = 0.5;
+constexpr std::size_t maxTrackedBlocks = 200000; // Per endpoint, about 50 MB of prompts; bounds this daemon's memory.
+
+}
+
+std::vector<std::uint64_t> hashPromptBlocks(std::string_view prompt)
+{
+    std::vector<std::uint64_t> blocks;
+    std::uint64_t chained = 0;
+    while (prompt.size() >= tunables::prefixBlockBytes) {
+        chained = XXH3_64bits_withSeed(prompt.data(), tunables::prefixBlockBytes, chained);
+        blocks.push_back(chained);
+        prompt.remove_prefix(tunables::prefixBlockBytes);
+    }
+    return blocks;
+}
+
+endpoint_table::shard &endpoint_table::shardOf(std::string_view endpointId)
+{
+    return m_shards[XXH3_64bits(endpointId.data(), endpointId.size()) % shardCount];
+}
+
+void endpoint_table::configure(const configuration &config)
+{
+    for (const auto &[id, settings] : config.endpoints) {
+        auto &part = shardOf(id);
+        const std::lock_guard lock(part.mutex);
+        auto &known = part.entries[id];
+        known.settings = settings;
+        known.report.endpoint = id;
+    }
+    for (auto &part : m_shards) {
+        const std::lock_guard lock(part.mutex);
+        for (auto &[id, known] : part.entries) {
+            if (!config.endpoints.contains(id)) {
+                known.leaving = true;
+            }
+        }
+        std::erase_if(part.entries, [&](const auto &item) {
+            return !config.endpoints.contains(item.first) && item.second.inFlight == 0;
+        });
+    }
+}
+
+void endpoint_table::takeReport(const endpoint_report &report, instant now)
+{
+    auto &part = shardOf(report.endpoint);
+    const std::lock_guard lock(part.mutex);
+    const auto found = part.entries.find(report.endpoint);
+    if (found == part.entries.end()) {
+        return;
+    }
+    auto &known = found->second;
+    const instant takenAt = now - std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(report.ageMs));
+    if (takenAt <= known.reportTakenAt) {
+        return;
+    }
+    known.report = report;
+    known.reportTakenAt = takenAt;
+    known.reachable = report.reachable;
+    known.leaving = known.leaving || report.leaving;
+    std::erase_if(known.sentSince, [&](const auto &sent) {
+        return sent.first <= takenAt;
+    });
+}
+
+void endpoint_table::markLeaving(std::string_view endpointId)
+{
+    auto &part = shardOf(endpointId);
+    const std::lock_guard lock(part.mutex);
+    if (const auto found = part.entries.find(std::string(endpointId)); found != part.entries.end()) {
+        found->second.leaving = true;
+    }
+}
+
+void endpoint_table::markUnreachable(std::string_view endpointId, instant now)
+{
+    auto &part = shardOf(endpointId);
+    const std::lock_guard lock(part.mutex);
+    if (const auto found = part.entries.find(std::string(endpointId)); found != part.entries.end()) {
+        found->second.reachable = false;
+        found->second.reportTakenAt = now;
+        found->second.cachedBlocks.clear();
+    }
+}
+
+std::vector<endpoint_view> endpoint_table::viewGroup(std::string_view group, std::span<const std::uint64_t> promptBlocks, instant now) const
+{
+    std::vector<endpoint_view> views;
+    for (const auto &part : m_shards) {
+        const std::lock_guard lock(part.mutex);
+        for (const auto &[id, known] : part.entries) {
+            if (known.settings.group != group) {
+                continue;
+            }
+            endpoint_view view{
+                .id = id,
+                .failureDomain = known.settings.failureDomain,
+                .role = known.report.role,
+                .reclaimable = known.settings.reclaimable,
+                .leaving = known.leaving,
+                .reachable = known.reachable,
+                .changingRole = known.report.changingRole,
+                .reportAgeMs = toMs(now - known.reportTakenAt),
+                .queuedPromptTokens = known.report.queuedPromptTokens,
+                .runningStreams = known.report.runningStreams,
+                .freeKvTokens = known.report.freeKvTokens,
+                .ownStreamsSince = static_cast<int>(known.sentSince.size()),
+                .ownInFlight = known.inFlight,
+                .prefillTokensPerSecond = known.report.prefillTokensPerSecond,
+            };
+            for (const auto &[sentAt, tokens] : known.sentSince) {
+                view.ownPromptTokensSince += tokens;
+            }
+            for (const auto block : promptBlocks) {
+                const auto cached = known.cachedBlocks.find(block);
+                if (cached == known.cachedBlocks.end()) {
+                    break;
+                }
+                view.cachedPromptTokens += cached->second * static_cast<double>(tunables::prefixBlockBytes) / tunables::bytesPerToken;
+            }
+            views.push_back(std::move(view));
+        }
+    }
+    std::ranges::sort(views, {}, &endpoint_view::id);
+    return views;
+}
+
+void endpoint_table::noteSent(std::string_view endpointId, double promptTokens, instant now)
+{
+    auto &part = shardOf(endpointId);
+    const std::lock_guard lock(part.mutex);
+    if (const auto found = part.entries.find(std::string(endpointId)); found != part.entries.end()) {
+        ++found->second.inFlight;
+        found->second.sentSince.emplace_back(now, promptTokens);
+    }
+}
+
+void endpoint_table::noteFinished(std::string_view endpointId,
+                                  std::span<const std::uint64_t> promptBlocks,
+                                  double promptTokens,
+                                  double cachedTokens,
+                                  instant now)
+{
+    auto &part = shardOf(endpointId);
+    const std::lock_guard lock(part.mutex);
+    const auto found = part.entries.find(std::string(endpointId));
+    if (found == part.entries.end()) {
+        return;
+    }
+    auto &known = found->second;
+    known.inFlight = std::max(0, known.inFlight - 1);
+    if (known.settings.group.empty() || promptTokens <= 0 || now < known.reportTakenAt) {
+        return;
+    }
+    if (known.cachedBlocks.size() + promptBlocks.size() > maxTrackedBlocks) {
+        known.cachedBlocks.clear();
+    }
+    // An answer that reported no cached tokens at all shows that an expected prefix had been evicted before this prompt stored it again.
+    const double weight = cachedTokens < 0 ? ownPrefixWeight * gapFactor : ownPrefixWeight;
+    for (const auto block : promptBlocks) {
+        known.cachedBlocks[block] = weight;
+    }
+}
+
+void endpoint_table::noteCacheEvent(std::string_view endpointId, std::span<const std::uint64_t> stored, std::span<const std::uint64_t> evicted, bool gap)
+{
+    auto &part = shardOf(endpointId);
+    const std::lock_guard lock(part.mutex);
+    const auto found = part.entries.find(std::string(endpointId));
+    if (found == part.entries.end()) {
+        return;
+    }
+    auto &blocks = found->second.cachedBlocks;
+    if (gap) {
+        for (auto &[block, weight] : blocks) {
+            weight *= gapFactor;
+        }
+    }
+    for (const auto block : stored) {
+        blocks[block] = 1;
+    }
+    for (const auto block : evicted) {
+        blocks.erase(block);
+    }
+}
+
+std::vector<endpoint_report> endpoint_table::reports(instant now) const
+{
+    std::vector<endpoint_report> all;
+    for (const auto &part : m_shards) {
+        const std::lock_guard lock(part.mutex);
+        for (const auto &[id, known] : part.entries) {
+            endpoint_report report = known.report;
+            report.reachable = known.reachable;
+            report.leaving = known.leaving;
+            report.ageMs = toMs(now - known.reportTakenAt);
+            all.push_back(std::move(report));
+        }
+    }
+    std::ranges::sort(all, {}, &endpoint_report::endpoint);
+    return all;
+}
+
+}
--- /dev/null
+++ b/src/state/endpoint_table.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "protocol/configuration.h"
+#include "protocol/core_time.h"
+#include "protocol/decisions.h"
+#include "protocol/endpoint_report.h"
+
+#include <array>
+#include <mutex>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace lacewinglock
+{
+
+/// What this daemon knows of the endpoints: their reports, what it sent them since, and which prompt prefixes they cache.
+/// State is kept in shards by endpoint, each under its own lock.
+class endpoint_table
+{
+public:
+    /// Aligns the table with the configuration: adds new endpoints and marks removed ones as leaving.
+    void configure(const configuration &config);
+
+    /// Takes a load report that was `report.ageMs` old at `now`; older ones than the known one are ignored.
+    void takeReport(const endpoint_report &report, instant now);
+    void markLeaving(std::string_view endpointId);
+    void markUnreachable(std::string_view endpointId, instant now);
+
+    /// Endpoints of a group with the cache estimate for a prompt given as block hashes.
+    std::vector<endpoint_view> viewGroup(std::string_view group, std::span<const std::uint64_t> promptBlocks, instant now) const;
+
+    /// A request was sent to an endpoint; `noteFinished` must follow once.
+    void noteSent(std::string_view endpointId, double promptTokens, instant now);
+    /// `cachedTokens` is what the answer reported, negative when it reported nothing.
+    void noteFinished(std::string_view endpointId, std::span<const std::uint64_t> promptBlocks, double promptTokens, double cachedTokens, instant now);
+
+    /// Cache events of an endpoint: blocks stored or evicted. After a gap all estimates of the endpoint are halved in weight.
+    void noteCacheEvent(std::string_view endpointId, std::span<const std::uint64_t> stored, std::span<const std::uint64_t> evicted, bool gap);
+
+    std::vector<endpoint_report> reports(instant now) const;
+
+private:
+    struct entry
+    {
+        endpoint settings;
+        endpoint_report report;
+        instant reportTakenAt;
+        bool leaving = false;
+        bool reachable = true;
+        int inFlight = 0;
+        std::vector<std::pair<instant, double>> sentSince;
+        std::unordered_map<std::uint64_t, double> cachedBlocks; ///< Block hash to weight, 0 to 1.
+    };
+
+    struct shard
+    {
+        mutable std::mutex mutex;
+        std::unordered_map<std::string, entry> entries;
+    };
+
+    static constexpr std::size_t shardCount = 16;
+
+    shard &shardOf(std::string_view endpointId);
+
+    std::array<shard, shardCount> m_shards;
+};
+
+/// Hashes a prompt in blocks, each hash covering all bytes up to the end of its block, so equal hashes mean equal prefixes.
+std::vector<std::uint64_t> hashPromptBlocks(std::string_view prompt);
+
+}
