--- a/src/protocol/tunables.h
+++ b/src/protocol/tunables.h
@@ -44,7 +44,7 @@
 // Usage.
 constexpr auto usageWindow = 60s;
 constexpr auto usageGrace = 10s;
-constexpr auto usageFlushInterval = 2s;
+constexpr auto usageFlushInterval = 5s;
 
 // Prefix index: prompts are hashed in blocks of this many bytes.
 constexpr std::size_t prefixBlockBytes = 256;
--- a/src/state/usage_ledger.cpp
+++ b/src/state/usage_ledger.cpp
@@ -5,16 +5,6 @@
 namespace lacewinglock
 {
 
-usage_figures &usage_figures::operator+=(const usage_figures &other)
-{
-    requests += other.requests;
-    promptTokens += other.promptTokens;
-    cachedTokens += other.cachedTokens;
-    outputTokens += other.outputTokens;
-    serviceCalls += other.serviceCalls;
-    return *this;
-}
-
 void usage_ledger::setReplicate(replicate_function replicate)
 {
     const std::lock_guard lock(m_mutex);
