Add decision core, codecs, replay and explain

Cause: routing ignored roles, KV memory, the age of reports and reclaimable endpoints; the other decisions, their JSON form and replay did not exist. Change: decisions.h holds inputs and results of route, admit, order, role, provision and address decisions, with policies as variants; codecs, decision functions, replay and explain with tests.

--- /dev/null
+++ b/src/coordination/endpoint_cost.cpp
@@ -0,0 +1,128 @@
+#include "coordination/endpoint_cost.h"
+
+#include "coordination/routing.h"
+#include "protocol/core_time.h"
+#include "protocol/tunables.h"
+
+#include <algorithm>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+double prefillRate(const endpoint_view &view)
+{
+    return std::max(1.0, view.prefillTokensPerSecond) / 1000.0;
+}
+
+double stepMs(const endpoint_view &view, int streams)
+{
+    return view.decodeStepMs + view.decodeStepMsPerStream * streams;
+}
+
+/// Milliseconds of prefill that an engine adds to a decode step.
+double chunkMs(const endpoint_view &view)
+{
+    return tunables::mixedPrefillChunkTokens / prefillRate(view);
+}
+
+/// Time per prompt token: an engine with running streams computes one chunk per decode step.
+double msPerPromptToken(const endpoint_view &view, int streams)
+{
+    if (streams == 0 || view.role == endpoint_role::Prefill) {
+        return 1.0 / prefillRate(view);
+    }
+    return (stepMs(view, streams) + chunkMs(view)) / tunables::mixedPrefillChunkTokens;
+}
+
+/// Time within the target counts once, time beyond it `lateFactor` times.
+double withLatePenalty(double ms, double targetMs)
+{
+    return ms + std::max(0.0, ms - targetMs) * tunables::lateFactor;
+}
+
+/// The cached part of the prompt, less what the endpoint may have evicted since its report.
+double uncachedTokens(const endpoint_view &view, const route_input &input, const cost_routing &policy)
+{
+    if (!policy.useCache) {
+        return input.promptTokens;
+    }
+    const double confidence = std::max(0.5, 1.0 - tunables::evictionRiskPerSecond * view.reportAgeMs / 1000.0);
+    return std::max(0.0, input.promptTokens - view.cachedPromptTokens * confidence);
+}
+
+/// Cost of one output token at a given gap. A stream beyond the capacity makes all streams late, not only itself.
+double tokenCostMs(double gap, int streams)
+{
+    const double late = std::max(0.0, gap - toMs(tunables::tokenGapTarget));
+    return gap + late * tunables::lateFactor * (streams + 1);
+}
+
+double decodeCostMs(const endpoint_view &view, const route_input &input, int streams)
+{
+    const double gap = stepMs(view, streams + 1);
+    if (view.role == endpoint_role::Prefill || view.role == endpoint_role::Decode) {
+        return input.maxOutputTokens * tokenCostMs(gap, streams);
+    }
+    // The queued prompts are computed in chunks between the first output tokens of this stream.
+    const double slowSteps = std::min(input.maxOutputTokens, queuedPromptTokens(view) / tunables::mixedPrefillChunkTokens);
+    return (input.maxOutputTokens - slowSteps) * tokenCostMs(gap, streams) + slowSteps * tokenCostMs(gap + chunkMs(view), streams);
+}
+
+double placementCostMs(const endpoint_view &view, const route_input &input, bool reclaimablePreferred)
+{
+    double cost = view.reportAgeMs > tunables::staleReportMs ? tunables::staleReportPenaltyMs : 0.0;
+    const double needed = input.promptTokens + input.maxOutputTokens - view.cachedPromptTokens;
+    // Endpoints without a report show no free memory at all.
+    if (view.freeKvTokens > 0 && view.role != endpoint_role::Prefill) {
+        cost += std::max(0.0, needed - view.freeKvTokens) * tunables::kvShortageMsPerToken;
+    }
+    if (view.reclaimable && input.repeatable && reclaimablePreferred) {
+        cost -= tunables::reclaimableBonusMs;
+    }
+    return cost;
+}
+
+}
+
+int streamCapacity(const endpoint_view &view, double prefillMs)
+{
+    const double spare = toMs(tunables::tokenGapTarget) - view.decodeStepMs - prefillMs;
+    return std::max(0, static_cast<int>(spare / std::max(0.001, view.decodeStepMsPerStream)));
+}
+
+double queuedPromptTokens(const endpoint_view &view)
+{
+    if (view.ownPromptTokensWaiting >= 0) {
+        // Own work is known exactly; only the rest of the report is old, and drains with time.
+        const double drained = prefillRate(view) * view.reportAgeMs / 2;
+        return view.ownPromptTokensWaiting + std::max(0.0, view.queuedPromptTokens - view.ownPromptTokensWaitingAtReport - drained);
+    }
+    return std::max(0.0, view.queuedPromptTokens + view.ownPromptTokensSince - prefillRate(view) * view.reportAgeMs);
+}
+
+int runningStreams(const endpoint_view &view)
+{
+    const int ownAtReport = view.ownInFlightAtReport >= 0 ? view.ownInFlightAtReport : std::max(0, view.ownInFlight - view.ownStreamsSince);
+    return view.ownInFlight + std::max(0, view.runningStreams - ownAtReport);
+}
+
+endpoint_cost predictCost(const endpoint_view &view, const route_input &input, const cost_routing &policy, bool reclaimablePreferred)
+{
+    const int streams = runningStreams(view);
+    const double uncached = uncachedTokens(view, input, policy);
+    const double perToken = msPerPromptToken(view, streams);
+    endpoint_cost cost;
+    cost.firstTokenMs = (queuedPromptTokens(view) + uncached) * perToken;
+    cost.prefillMs = withLatePenalty(cost.firstTokenMs, toMs(tunables::firstTokenTarget));
+    if (view.role != endpoint_role::Prefill) {
+        cost.prefillMs += streams * uncached / prefillRate(view) * tunables::delayedStreamFactor;
+    }
+    cost.decodeMs = decodeCostMs(view, input, streams);
+    cost.placementMs = placementCostMs(view, input, reclaimablePreferred);
+    return cost;
+}
+
+}
--- a/src/coordination/routing.h
+++ b/src/coordination/routing.h
@@ -5,8 +5,15 @@
 namespace lacewinglock
 {
 
-/// Chooses the endpoint with the lowest predicted cost: queueing, prefill of the uncached prompt part and decode time.
-/// The same input always gives the same result.
+/// Chooses the endpoint, or the pair of a prefill and a decode endpoint, with the lowest predicted cost: queueing, prefill of the uncached
+/// prompt part, transfer, decode time and delay of the streams already running. It chooses the best one even when none can meet the
+/// service targets; refusing is the business of admission. The same input always gives the same result.
 route_result decideRoute(const route_input &input);
 
+/// Prompt tokens believed to wait at an endpoint now, from a lagging report and the daemon's own work since.
+double queuedPromptTokens(const endpoint_view &view);
+
+/// Streams believed to run at an endpoint now.
+int runningStreams(const endpoint_view &view);
+
 }
--- a/src/protocol/tunables.h
+++ b/src/protocol/tunables.h
@@ -41,6 +41,42 @@
 constexpr auto longDemandHorizon = 600s;
 constexpr auto leavingNoticeLimit = 2s;
 
+// Routing.
+constexpr double mixedPrefillChunkTokens = 128; // Prompt tokens that a decoding engine computes per step; larger chunks alone exceed the token gap target.
+constexpr double kvTransferTokensPerMs = 200; // Export, network and import of the KV cache between two engines.
+constexpr double lateFactor = 8; // Cost of a millisecond beyond a service target, in milliseconds within it.
+constexpr double delayedStreamFactor = 0.05; // Cost of delaying one running stream by a millisecond of prefill, in milliseconds.
+constexpr double equalCostMs = 6; // Costs this close are equal, and the seed spreads them; otherwise daemons with the same reports herd.
+constexpr double reclaimableBonusMs = 40; // Cost that repeatable work saves on a reclaimable endpoint.
+constexpr double staleReportMs = 10000; // A report this old says little: nine reports in a row are missing.
+constexpr double staleReportPenaltyMs = 300;
+constexpr double kvShortageMsPerToken = 0.2; // Wait for running streams to free a token of KV memory.
+constexpr double evictionRiskPerSecond = 0.01; // Loss of confidence in a cached prefix per second of report age.
+
+// Admission. An output token occupies an engine about three times as long as a prompt token.
+constexpr double promptTokenWeight = 1;
+constexpr double outputTokenWeight = 3;
+constexpr double lendingReserve = 0.1; // Part of a group's share that is never lent, so that an organisation returning to its share starts at once.
+constexpr double minRetryAfterMs = 100;
+constexpr double waitRetryAfterMs = 500;
+
+// Role planning.
+constexpr double roleDemandHeadroom = 1.15; // Engines above 87% load miss the first-token target through queueing.
+constexpr double mixedEfficiency = 0.65; // Work of a mixed engine against separate ones, as its prefill slows its decode.
+constexpr double breakEvenMargin = 1.5; // Demand estimates err by up to half over the short horizon.
+constexpr auto roleChangeSpacing = 15s; // Half the short horizon: the effect of a change must show before the next.
+constexpr int minEnginesPerRole = 1;
+
+// Provisioning.
+constexpr double provisionHeadroom = 1.1; // Covers demand growth while an order is on its way.
+constexpr int maxProvisionSteps = 1000;
+constexpr double releaseCostRatio = 2; // Reacquiring pays for the endpoint while it starts and for the requests it misses.
+
+// Addresses.
+constexpr std::size_t addressSubset = 3; // Daemons per organisation; more would dilute its prefix cache estimates.
+constexpr double overloadedDaemon = 0.9;
+constexpr auto addressLifetime = 30s;
+
 // Usage.
 constexpr auto usageWindow = 60s;
 constexpr auto usageGrace = 10s;
--- /dev/null
+++ b/tests/admission_test.cpp
@@ -0,0 +1,118 @@
+#include "coordination/admission.h"
+
+#include <gtest/gtest.h>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+/// A request of 1,000 weighted tokens, of one organisation out of eight with equal weights.
+admit_input request()
+{
+    return {.requestId = "r1",
+            .organisation = "o1",
+            .promptTokens = 700,
+            .maxOutputTokens = 100,
+            .groupTokenShare = 80000,
+            .activeWeight = 8,
+            .remainingMs = 10000};
+}
+
+}
+
+// Guards against an organisation or key that holds more requests than its limit.
+TEST(admission, enforces_concurrency_limits)
+{
+    auto input = request();
+    input.limits.concurrentRequests = 3;
+    input.organisationInFlight = 3;
+    EXPECT_EQ(decideAdmission(input).verdict, admit_verdict::Refuse);
+    input.organisationInFlight = 2;
+    EXPECT_EQ(decideAdmission(input).verdict, admit_verdict::Admit);
+    input.keyLimit = 2;
+    input.keyInFlight = 2;
+    EXPECT_EQ(decideAdmission(input).verdict, admit_verdict::Refuse);
+}
+
+// Guards against a token limit that lets too much through, or tells the caller to come back too early.
+TEST(admission, enforces_the_token_bucket)
+{
+    auto input = request();
+    input.limits = {.tokensPerSecond = 500, .burstTokens = 2000};
+    input.bucketTokens = 250;
+    const auto refused = decideAdmission(input);
+    EXPECT_EQ(refused.verdict, admit_verdict::Refuse);
+    EXPECT_DOUBLE_EQ(refused.retryAfterMs, 1500);
+    input.bucketTokens = 1000;
+    EXPECT_EQ(decideAdmission(input).verdict, admit_verdict::Admit);
+}
+
+// Guards against a request that is larger than the bucket and would be refused for ever.
+TEST(admission, a_full_bucket_passes_any_request)
+{
+    auto input = request();
+    input.limits = {.tokensPerSecond = 500, .burstTokens = 600};
+    input.bucketTokens = 600;
+    EXPECT_EQ(decideAdmission(input).verdict, admit_verdict::Admit);
+}
+
+// Guards against work that is certain to be thrown away, and against refusing work that can be in time.
+TEST(admission, refuses_early_when_the_first_token_would_be_late)
+{
+    auto input = request();
+    input.remainingMs = 1000;
+    input.predictedFirstTokenMs = 1001;
+    EXPECT_EQ(decideAdmission(input).verdict, admit_verdict::Refuse);
+    input.predictedFirstTokenMs = 1000;
+    EXPECT_EQ(decideAdmission(input).verdict, admit_verdict::Admit);
+}
+
+// Guards against a burst of one organisation that displaces the others.
+TEST(admission, a_burst_waits_for_organisations_below_their_share)
+{
+    auto input = request();
+    input.organisationTokensInFlight = 40000;
+    input.groupTokensInFlight = 60000;
+    input.waitingBelowShare = 1;
+    EXPECT_EQ(decideAdmission(input).verdict, admit_verdict::Wait);
+    input.organisationTokensInFlight = 2000;
+    EXPECT_EQ(decideAdmission(input).verdict, admit_verdict::Admit);
+}
+
+// Guards against capacity that stands idle because only one organisation has work.
+TEST(admission, unused_share_may_be_borrowed_up_to_the_reserve)
+{
+    auto input = request();
+    input.organisationTokensInFlight = 60000;
+    input.groupTokensInFlight = 60000;
+    EXPECT_EQ(decideAdmission(input).verdict, admit_verdict::Admit);
+    input.groupTokensInFlight = 72000;
+    EXPECT_EQ(decideAdmission(input).verdict, admit_verdict::Wait);
+}
+
+// Guards against an order by arrival, which lets the burst of one organisation run before the single request of another.
+TEST(admission, order_interleaves_organisations_by_weight)
+{
+    order_input input;
+    for (std::uint64_t arrival = 0; arrival < 4; ++arrival) {
+        input.waiting.push_back({.id = "big" + std::to_string(arrival), .organisation = "big", .costTokens = 100, .arrival = arrival});
+    }
+    input.waiting.push_back({.id = "small0", .organisation = "small", .weight = 2, .costTokens = 100, .arrival = 4});
+    input.waiting.push_back({.id = "small1", .organisation = "small", .weight = 2, .costTokens = 100, .arrival = 5});
+    EXPECT_EQ(orderWaiting(input).requests, (std::vector<std::string>{"small0", "big0", "small1", "big1", "big2", "big3"}));
+    input.policy = first_come_admission{};
+    EXPECT_EQ(orderWaiting(input).requests.front(), "big0");
+}
+
+// Guards against an organisation that has been served much and still goes first.
+TEST(admission, order_counts_work_already_served)
+{
+    order_input input;
+    input.waiting = {{.id = "a", .organisation = "a", .costTokens = 10, .arrival = 0}, {.id = "b", .organisation = "b", .costTokens = 100, .arrival = 1}};
+    input.served = {{.organisation = "a", .servedPerWeight = 1000}};
+    EXPECT_EQ(orderWaiting(input).requests.front(), "b");
+}
+
+}
