--- /dev/null
+++ b/src/protocol/api_keys.cpp
@@ -0,0 +1,83 @@
+#include "protocol/api_keys.h"
+
+#include <absl/strings/escaping.h>
+#include <array>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/rand.h>
+#include <stdexcept>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+constexpr std::string_view keyPrefix = "lw_";
+constexpr std::size_t secretBytes = 32;
+constexpr std::size_t saltBytes = 16;
+
+/// Identifiers may contain '_', the secret is hex, so the last '_' separates them.
+std::string_view keyIdOf(std::string_view key)
+{
+    const auto separator = key.rfind('_');
+    if (!key.starts_with(keyPrefix) || separator <= keyPrefix.size()) {
+        return {};
+    }
+    return key.substr(keyPrefix.size(), separator - keyPrefix.size());
+}
+
+std::string hashKey(std::string_view salt, std::string_view key)
+{
+    return sha256Hex(std::string(salt).append(key));
+}
+
+}
+
+std::string sha256Hex(std::string_view text)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned int size = 0;
+    if (EVP_Digest(text.data(), text.size(), digest.data(), &size, EVP_sha256(), nullptr) != 1) {
+        throw std::runtime_error("SHA-256 is not available in OpenSSL");
+    }
+    return absl::BytesToHexString({reinterpret_cast<const char *>(digest.data()), size});
+}
+
+std::string randomHex(std::size_t bytes)
+{
+    std::string buffer(bytes, '\0');
+    if (RAND_bytes(reinterpret_cast<unsigned char *>(buffer.data()), static_cast<int>(bytes)) != 1) {
+        throw std::runtime_error("the random generator of OpenSSL has no entropy");
+    }
+    return absl::BytesToHexString(buffer);
+}
+
+bool equalConstantTime(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+created_key createKey(std::string_view keyId, std::string_view organisation)
+{
+    created_key result;
+    result.text.append(keyPrefix).append(keyId).append("_").append(randomHex(secretBytes));
+    result.entry = {.organisation = std::string(organisation), .salt = randomHex(saltBytes)};
+    result.entry.hash = hashKey(result.entry.salt, result.text);
+    return result;
+}
+
+std::optional<key_match> findKey(const configuration &config, std::string_view presentedKey)
+{
+    // An unknown identifier is hashed and compared too, so that timing does not tell which identifiers exist.
+    static const api_key unknownKey{.salt = std::string(saltBytes * 2, '0'), .hash = std::string(64, '0'), .withdrawn = true};
+    const auto found = config.keys.find(std::string(keyIdOf(presentedKey)));
+    const api_key &entry = found == config.keys.end() ? unknownKey : found->second;
+    const bool matches = equalConstantTime(hashKey(entry.salt, presentedKey), entry.hash);
+    if (!matches || entry.withdrawn) {
+        return std::nullopt;
+    }
+    return key_match{.keyId = found->first, .organisation = entry.organisation};
+}
+
+}
