Add stand-ins for the platform, engines and plain services

Cause: tests, the load generator and the demo need the outside systems with faults that can be injected.

--- /dev/null
+++ b/src/standin/service.cpp
@@ -0,0 +1,108 @@
+#include "standin/service.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+constexpr int defaultCrashMs = 3000;
+constexpr int slotCount = 20;
+
+nlohmann::json slots()
+{
+    auto list = nlohmann::json::array();
+    for (int slot = 0; slot < slotCount; ++slot) {
+        list.push_back({{"slot", slot}, {"bench", "bench-" + std::to_string(slot % 4)}});
+    }
+    return {{"slots", list}};
+}
+
+}
+
+plain_service::plain_service(service_settings settings)
+    : m_settings(std::move(settings))
+    , m_server(m_settings.host, m_settings.port, [this](httplib::Server &server) {
+        addRoutes(server);
+    })
+{
+}
+
+void plain_service::addRoutes(httplib::Server &server)
+{
+    const std::map<std::string, nlohmann::json> pages
+        = {{"/catalogue", {{"items", {"pulley", "braid", "cord"}}}}, {"/stock", {{"pulley", 40}, {"braid", 12}, {"cord", 7}}}, {"/slots", slots()}};
+    for (const auto &[path, page] : pages) {
+        server.Get(path, [this, page = page](const httplib::Request &, httplib::Response &response) {
+            if (delay()) {
+                answerJson(response, 200, page);
+            }
+        });
+    }
+    for (const char *path : {"/bookings", "/orders"}) {
+        server.Post(path, withJson([this](const auto &body, const auto &, auto &response) {
+                        execute(body, response);
+                    }));
+    }
+    server.Get("/executions", [this](const httplib::Request &, httplib::Response &response) {
+        answerJson(response, 200, executions());
+    });
+    server.Get("/load", [this](const httplib::Request &, httplib::Response &response) {
+        answerJson(response, 200, {{"age_ms", 0}, {"role", "mixed"}, {"leaving", m_leaving.load()}, {"running_streams", m_running.load()}});
+    });
+    server.Post("/faults", withJson([this](const auto &body, const auto &, auto &response) {
+                    answerJson(response, 200, nlohmann::json::object());
+                    setFault(body);
+                }));
+}
+
+void plain_service::setFault(const nlohmann::json &body)
+{
+    const std::string name = body.at("name");
+    if (name == "crash") {
+        m_server.crash(std::chrono::milliseconds(body.value("duration_ms", defaultCrashMs)));
+    } else if (name == "revive") {
+        m_server.revive();
+    } else if (name == "leaving") {
+        m_leaving = body.value("value", true);
+    } else {
+        m_faults.set(body);
+    }
+}
+
+// Waits as long as the fault `slow` says; false when the caller left meanwhile.
+bool plain_service::delay()
+{
+    const auto slow = m_faults.use("slow");
+    return !slow || sleepWhileOpen(fake_clock::now() + std::chrono::milliseconds(slow->get<int>()));
+}
+
+// The execution is counted before the answer can be lost, and even when the caller has left, as in a real service.
+void plain_service::execute(const nlohmann::json &body, httplib::Response &response)
+{
+    const std::string id = body.at("idempotency_id");
+    ++m_running;
+    delay();
+    int confirmation = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_executions[id];
+        confirmation = ++m_lastConfirmation;
+    }
+    --m_running;
+    if (m_faults.use("answer_lost")) {
+        dropConnection();
+        return;
+    }
+    answerJson(response, 201, {{"confirmation", confirmation}, {"idempotency_id", id}, {"service", m_settings.id}});
+}
+
+nlohmann::json plain_service::executions() const
+{
+    const std::lock_guard lock(m_mutex);
+    return {{"executions", m_executions}};
+}
+
+}
--- /dev/null
+++ b/src/standin/usage_desk.cpp
@@ -0,0 +1,33 @@
+#include "standin/usage_desk.h"
+
+namespace lacewinglock
+{
+
+nlohmann::json usage_desk::take(const nlohmann::json &body)
+{
+    const std::uint64_t window = body.at("window");
+    const std::uint64_t epoch = body.at("epoch");
+    const auto name = body.at("cell").get<std::string>() + "/" + std::to_string(window);
+    const std::lock_guard lock(m_mutex);
+    const auto [known, isNew] = m_first.try_emplace(name, body.at("figures"), epoch);
+    auto &[figures, highestEpoch] = known->second;
+    const bool differs = figures != body.at("figures");
+    const bool stale = epoch < highestEpoch;
+    highestEpoch = std::max(highestEpoch, epoch);
+    m_conflicts += differs ? 1 : 0;
+    m_stale += stale ? 1 : 0;
+    auto record = body;
+    record["repeated"] = !isNew;
+    record["differs"] = differs;
+    record["stale"] = stale;
+    m_reports.push_back(std::move(record));
+    return {{"repeated", !isNew}, {"differs", differs}};
+}
+
+nlohmann::json usage_desk::report() const
+{
+    const std::lock_guard lock(m_mutex);
+    return {{"reports", m_reports}, {"conflicts", m_conflicts}, {"stale", m_stale}};
+}
+
+}
