--- /dev/null
+++ b/src/coordination/caller_request.cpp
@@ -0,0 +1,426 @@
+#include "coordination/caller_request.h"
+
+#include "protocol/tunables.h"
+
+#include <absl/strings/ascii.h>
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <iomanip>
+#include <openssl/evp.h>
+#include <random>
+#include <set>
+#include <sstream>
+#include <string_view>
+#include <utility>
+#include <xxhash.h>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+constexpr double defaultOutputTokens = 512; // Estimate for requests without `max_tokens`.
+constexpr std::int64_t maxOutputTokens = 1'000'000;
+constexpr std::int64_t maxDeadlineMs = 3'600'000;
+constexpr std::size_t maxIdempotencyKeyBytes = 255;
+constexpr double retryAfterNotFreshMs = 1000;
+
+bool hasControlCharacter(std::string_view text)
+{
+    return std::ranges::any_of(text, [](char c) {
+        const auto byte = static_cast<unsigned char>(c);
+        return (byte < 0x20 && c != '\t') || byte == 0x7f;
+    });
+}
+
+std::string lower(std::string text)
+{
+    std::ranges::transform(text, text.begin(), [](unsigned char c) {
+        return static_cast<char>(std::tolower(c));
+    });
+    return text;
+}
+
+// Names under which callers send keys by mistake.
+bool isKeyName(const std::string &name)
+{
+    static const std::set<std::string, std::less<>> names = {"key", "api_key", "apikey", "api-key", "access_token", "token", "authorization"};
+    return names.contains(lower(name));
+}
+
+std::string toHex(const unsigned char *bytes, std::size_t size)
+{
+    std::ostringstream text;
+    text << std::hex << std::setfill('0');
+    for (std::size_t i = 0; i < size; ++i) {
+        text << std::setw(2) << static_cast<int>(bytes[i]);
+    }
+    return text.str();
+}
+
+std::string sha256(std::string_view text)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned int size = 0;
+    EVP_Digest(text.data(), text.size(), digest.data(), &size, EVP_sha256(), nullptr);
+    return toHex(digest.data(), size);
+}
+
+std::string hash128(std::string_view text)
+{
+    XXH128_canonical_t bytes;
+    XXH128_canonicalFromHash(&bytes, XXH3_128bits(text.data(), text.size()));
+    return toHex(bytes.digest, sizeof(bytes.digest));
+}
+
+std::string makeRequestId()
+{
+    thread_local std::mt19937_64 generator{(std::uint64_t{std::random_device{}()} << 32U) ^ std::random_device{}()};
+    std::ostringstream text;
+    text << "req-" << std::hex << std::setfill('0') << std::setw(16) << generator() << std::setw(16) << generator();
+    return text.str();
+}
+
+// Checks that hold for every request: no control characters, and the single headers are single.
+std::optional<refuse_effect> checkHeaders(const httplib::Request &request)
+{
+    for (const auto &[name, value] : request.headers) {
+        if (hasControlCharacter(name) || hasControlCharacter(value)) {
+            return makeRefusal(400, "bad_header", "a header contains control characters");
+        }
+    }
+    for (const char *single : {"Authorization", "Idempotency-Key", "X-Deadline-Ms", "Host"}) {
+        if (request.get_header_value_count(single) > 1) {
+            return makeRefusal(400, "repeated_header", std::string(single) + " may appear only once");
+        }
+    }
+    const auto key = request.get_header_value("Idempotency-Key");
+    if (key.size() > maxIdempotencyKeyBytes || (request.has_header("Idempotency-Key") && key.empty())) {
+        return makeRefusal(400, "bad_idempotency_key", "Idempotency-Key must have 1 to 255 characters");
+    }
+    return std::nullopt;
+}
+
+// The key may be in the Authorization header only, so that it never reaches an endpoint or a log of addresses.
+std::optional<refuse_effect> checkKeyPlace(const httplib::Request &request, std::string_view key)
+{
+    const auto misplaced = makeRefusal(400, "key_in_wrong_place", "send the key in the Authorization header only");
+    for (const auto &[name, value] : request.params) {
+        if (isKeyName(name) || (!key.empty() && value.find(key) != std::string::npos)) {
+            return misplaced;
+        }
+    }
+    if (key.empty()) {
+        return std::nullopt;
+    }
+    if (request.body.find(key) != std::string::npos || request.target.find(key) != std::string::npos) {
+        return misplaced;
+    }
+    for (const auto &[name, value] : request.headers) {
+        if (lower(name) != "authorization" && value.find(key) != std::string::npos) {
+            return misplaced;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::int64_t> parseNumber(std::string_view text)
+{
+    std::int64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+std::optional<refuse_effect> takeDeadline(const httplib::Request &request, const route &target, instant now, session_request &session)
+{
+    std::int64_t limitMs = target.deadlineMs;
+    if (request.has_header("X-Deadline-Ms")) {
+        const auto asked = parseNumber(request.get_header_value("X-Deadline-Ms"));
+        if (!asked || *asked < 1 || *asked > maxDeadlineMs) {
+            return makeRefusal(400, "bad_deadline", "X-Deadline-Ms must be a whole number from 1 to 3600000");
+        }
+        limitMs = std::min(limitMs, *asked);
+    }
+    session.deadline = now + std::chrono::milliseconds(limitMs);
+    return std::nullopt;
+}
+
+// Fills in what the route and the caller say about the session. On keyed routes only the key decides the organisation.
+std::optional<refuse_effect>
+fillSession(const httplib::Request &request, const serving_context &context, const configuration &config, const route &target, session_request &session)
+{
+    const auto caller = identifyCaller(request, config);
+    if (const auto *refused = std::get_if<refuse_effect>(&caller)) {
+        return *refused;
+    }
+    const auto &match = std::get<caller_identity>(caller).match;
+    if (!target.open && !match) {
+        return makeRefusal(401, "missing_key", "this route needs a key in the Authorization header");
+    }
+    if (match && !target.open) {
+        session.organisation = match->organisation;
+        session.keyId = match->keyId;
+        session.keyLimit = config.keys.at(match->keyId).concurrentRequests;
+        const auto &organisation = config.organisations.at(match->organisation);
+        session.weight = organisation.weight;
+        session.limits = organisation.limits;
+    }
+    session.requestId = makeRequestId();
+    session.group = target.group;
+    session.kind = target.kind;
+    session.repeatable = target.repeatable;
+    session.configVersion = config.version;
+    session.daemon = context.instanceId;
+    session.incarnation = context.incarnation;
+    if (const auto key = request.get_header_value("Idempotency-Key"); !key.empty()) {
+        session.idempotencyKeyHash = sha256(key);
+    }
+    session.fingerprint = hash128(session.organisation + '\n' + request.method + '\n' + request.target + '\n' + request.body);
+    return takeDeadline(request, target, context.now(), session);
+}
+
+std::optional<refuse_effect> checkFresh(const serving_context &context)
+{
+    if (context.fresh()) {
+        return std::nullopt;
+    }
+    return makeRefusal(503, "not_fresh", "this daemon is not certain of the current configuration", retryAfterNotFreshMs);
+}
+
+refuse_effect badField(const std::string &field, const std::string &expected)
+{
+    return makeRefusal(400, "bad_field", field + " must be " + expected);
+}
+
+// Checks the messages of a chat and joins them to the prompt text that prefix estimates are made from.
+std::optional<refuse_effect> takeMessages(const nlohmann::json &fields, std::string &prompt)
+{
+    const auto messages = fields.find("messages");
+    if (messages == fields.end() || !messages->is_array() || messages->empty()) {
+        return badField("messages", "a non-empty list");
+    }
+    for (const auto &message : *messages) {
+        if (!message.is_object() || !message.contains("role") || !message["role"].is_string() || !message.contains("content")
+            || !message["content"].is_string()) {
+            return badField("messages", "a list of objects with the strings role and content");
+        }
+        prompt += message["role"].get_ref<const std::string &>() + '\n' + message["content"].get_ref<const std::string &>() + '\n';
+    }
+    return std::nullopt;
+}
+
+std::optional<refuse_effect> takePrompt(const nlohmann::json &fields, bool chat, std::string &prompt)
+{
+    if (chat) {
+        return takeMessages(fields, prompt);
+    }
+    const auto found = fields.find("prompt");
+    if (found == fields.end() || !found->is_string()) {
+        return badField("prompt", "a string");
+    }
+    prompt = found->get<std::string>();
+    return std::nullopt;
+}
+
+std::optional<refuse_effect> takeOptions(const nlohmann::json &fields, routed_request &routed)
+{
+    if (const auto stream = fields.find("stream"); stream != fields.end()) {
+        if (!stream->is_boolean()) {
+            return badField("stream", "true or false");
+        }
+        routed.stream = stream->get<bool>();
+    }
+    routed.session.maxOutputTokens = defaultOutputTokens;
+    if (const auto limit = fields.find("max_tokens"); limit != fields.end()) {
+        if (!limit->is_number_integer() || *limit < 1 || *limit > maxOutputTokens) {
+            return badField("max_tokens", "a whole number from 1 to 1000000");
+        }
+        routed.session.maxOutputTokens = limit->get<double>();
+    }
+    if (const auto choices = fields.find("n"); choices != fields.end() && *choices != 1) {
+        return badField("n", "1");
+    }
+    return std::nullopt;
+}
+
+// Takes the body of a completion apart.
+std::optional<refuse_effect> takeFields(const httplib::Request &request, bool chat, routed_request &routed)
+{
+    routed.fields = nlohmann::json::parse(request.body, nullptr, false);
+    if (routed.fields.is_discarded() || !routed.fields.is_object()) {
+        return makeRefusal(400, "malformed_json", "the body must be a JSON object");
+    }
+    for (const auto &[name, value] : routed.fields.items()) {
+        if (isKeyName(name)) {
+            return makeRefusal(400, "key_in_wrong_place", "send the key in the Authorization header only");
+        }
+    }
+    if (const auto model = routed.fields.find("model"); model == routed.fields.end() || !model->is_string()) {
+        return badField("model", "a string");
+    }
+    if (auto refused = takePrompt(routed.fields, chat, routed.prompt)) {
+        return refused;
+    }
+    return takeOptions(routed.fields, routed);
+}
+
+const route *findModelRoute(const configuration &config, const std::string &model)
+{
+    const auto found = std::ranges::find_if(config.routes, [&](const auto &item) {
+        return item.second.kind == route_kind::Model && item.second.model == model;
+    });
+    return found == config.routes.end() ? nullptr : &found->second;
+}
+
+bool hasPrefix(std::string_view path, std::string_view prefix)
+{
+    return !prefix.empty() && path.starts_with(prefix) && (path.size() == prefix.size() || prefix.ends_with('/') || path[prefix.size()] == '/');
+}
+
+bool allows(const route &candidate, const std::string &method)
+{
+    return candidate.methods.empty() || std::ranges::find(candidate.methods, method) != candidate.methods.end();
+}
+
+// The longest matching prefix decides; among equal ones, the one that allows the method.
+const route *findServiceRoute(const configuration &config, const std::string &path, const std::string &method)
+{
+    const route *best = nullptr;
+    for (const auto &[id, candidate] : config.routes) {
+        if (candidate.kind != route_kind::Service || !hasPrefix(path, candidate.pathPrefix)) {
+            continue;
+        }
+        const bool longer = best == nullptr || candidate.pathPrefix.size() > best->pathPrefix.size();
+        if (longer || (candidate.pathPrefix.size() == best->pathPrefix.size() && !allows(*best, method))) {
+            best = &candidate;
+        }
+    }
+    return best;
+}
+
+// A path that the service could resolve to another one than the route was chosen for.
+bool isAmbiguousPath(std::string_view path)
+{
+    const std::string closed = std::string(path) + '/';
+    return !path.starts_with('/') || hasControlCharacter(path) || path.find('\\') != std::string_view::npos || closed.find("//") < path.size() - 1
+        || closed.find("/./") != std::string::npos || closed.find("/../") != std::string::npos;
+}
+
+// Headers that end at this hop, carry keys, or are set by the daemon itself.
+bool isForwarded(const std::string &name, const std::set<std::string, std::less<>> &namedByConnection)
+{
+    static const std::set<std::string, std::less<>> stopped = {
+        "connection", "keep-alive",     "proxy-connection", "te",           "trailer",     "transfer-encoding", "upgrade",    "host",
+        "expect",     "content-length", "accept-encoding",  "x-attempt-id", "remote_addr", "remote_port",       "local_addr", "local_port",
+        "cookie",     "x-deadline-ms",  "idempotency-key",
+    };
+    constexpr std::array<std::string_view, 7> keyParts = {"auth", "api-key", "apikey", "api_key", "token", "secret", "credential"};
+    return !stopped.contains(name) && !namedByConnection.contains(name) && std::ranges::none_of(keyParts, [&](std::string_view part) {
+        return name.find(part) != std::string::npos;
+    });
+}
+
+httplib::Headers forwardedHeaders(const httplib::Request &request)
+{
+    std::set<std::string, std::less<>> namedByConnection;
+    std::istringstream names(lower(request.get_header_value("Connection")));
+    for (std::string name; std::getline(names, name, ',');) {
+        namedByConnection.insert(std::string(absl::StripAsciiWhitespace(name)));
+    }
+    httplib::Headers kept;
+    for (const auto &[name, value] : request.headers) {
+        if (isForwarded(lower(name), namedByConnection)) {
+            kept.emplace(name, value);
+        }
+    }
+    return kept;
+}
+
+}
+
+refuse_effect makeRefusal(int status, std::string code, std::string message, double retryAfterMs)
+{
+    return {.status = status, .code = std::move(code), .message = std::move(message), .state = run_state::NotRun, .retryAfterMs = retryAfterMs};
+}
+
+identified_caller identifyCaller(const httplib::Request &request, const configuration &config)
+{
+    if (const auto refused = checkHeaders(request)) {
+        return *refused;
+    }
+    constexpr std::string_view scheme = "bearer ";
+    const auto header = request.get_header_value("Authorization");
+    const bool bearer = lower(header.substr(0, scheme.size())) == scheme && header.size() > scheme.size();
+    const std::string_view key = bearer ? std::string_view(header).substr(scheme.size()) : std::string_view();
+    if (const auto refused = checkKeyPlace(request, key)) {
+        return *refused;
+    }
+    if (header.empty()) {
+        return caller_identity{};
+    }
+    auto match = bearer ? findKey(config, key) : std::nullopt;
+    if (!match) {
+        return makeRefusal(401, "wrong_key", "the key is not valid");
+    }
+    return caller_identity{.match = std::move(match)};
+}
+
+parsed_request parseCompletion(const httplib::Request &request, const serving_context &context, bool chat)
+{
+    if (const auto refused = checkFresh(context)) {
+        return *refused;
+    }
+    const auto config = context.config.current();
+    routed_request routed;
+    if (const auto refused = takeFields(request, chat, routed)) {
+        return *refused;
+    }
+    const route *target = findModelRoute(config->parsed, routed.fields["model"].get<std::string>());
+    if (target == nullptr) {
+        return makeRefusal(404, "model_not_found", "no route serves this model");
+    }
+    if (const auto refused = fillSession(request, context, config->parsed, *target, routed.session)) {
+        return *refused;
+    }
+    routed.method = "POST";
+    routed.path = chat ? "/v1/chat/completions" : "/v1/completions";
+    routed.headers = {{"Content-Type", "application/json"}};
+    routed.chat = chat;
+    routed.session.promptHash = hash128(routed.prompt);
+    routed.session.promptTokens = static_cast<double>(routed.prompt.size()) / tunables::bytesPerToken;
+    return routed;
+}
+
+parsed_request parseServiceCall(const httplib::Request &request, const serving_context &context)
+{
+    if (const auto refused = checkFresh(context)) {
+        return *refused;
+    }
+    if (isAmbiguousPath(request.path)) {
+        return makeRefusal(400, "bad_path", "the path must not contain control characters, empty segments, '.' or '..'");
+    }
+    const auto config = context.config.current();
+    const route *target = findServiceRoute(config->parsed, request.path, request.method);
+    if (target == nullptr) {
+        return makeRefusal(404, "route_not_found", "no route serves this path");
+    }
+    if (!allows(*target, request.method)) {
+        return makeRefusal(405, "method_not_allowed", "the route does not allow this method");
+    }
+    routed_request routed;
+    if (const auto refused = fillSession(request, context, config->parsed, *target, routed.session)) {
+        return *refused;
+    }
+    routed.method = request.method;
+    routed.path = request.target;
+    routed.headers = forwardedHeaders(request);
+    routed.body = request.body;
+    return routed;
+}
+
+}
--- /dev/null
+++ b/src/coordination/request_session.h
@@ -0,0 +1,342 @@
+#pragma once
+
+#include "protocol/control.h"
+#include "protocol/core_time.h"
+#include "protocol/decisions.h"
+#include "protocol/usage_record.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lacewinglock
+{
+
+/// What is known of the execution of a refused request.
+enum class run_state {
+    NotRun, ///< No endpoint ran any part of it and none will.
+    Unknown, ///< An endpoint may have run it.
+    Partial, ///< A part of the answer was delivered.
+};
+
+/// One caller request after it was parsed, authenticated and routed.
+struct session_request
+{
+    std::string requestId;
+    std::string organisation; ///< Empty on open routes.
+    std::string keyId;
+    double weight = 1;
+    organisation_limits limits;
+    int keyLimit = 0;
+    std::string group;
+    route_kind kind = route_kind::Model;
+    bool repeatable = true;
+    std::string idempotencyKeyHash; ///< Empty without an idempotency key.
+    std::string fingerprint; ///< Hash of the request content, which identifies a poison request across retries by its caller.
+    std::string promptHash;
+    double promptTokens = 0;
+    double maxOutputTokens = 0;
+    instant deadline;
+    std::uint64_t configVersion = 0;
+    std::string daemon;
+    std::string incarnation;
+};
+
+// Events.
+
+struct start_event
+{
+};
+
+/// Answers view_endpoints_effect.
+struct endpoints_viewed_event
+{
+    op_id op = 0;
+    std::vector<endpoint_view> endpoints;
+    int crashes = 0; ///< Of the request's fingerprint, in the suspect table.
+};
+
+/// Answers admit_effect, after any waiting.
+struct admission_event
+{
+    op_id op = 0;
+    admit_result result;
+};
+
+struct token_event
+{
+    std::string attemptId;
+    std::uint64_t index = 0;
+    std::string text;
+};
+
+/// The endpoint ended its stream with a finish reason, its usage and the end mark.
+struct stream_finished_event
+{
+    std::string attemptId;
+    std::string finishReason;
+    std::uint64_t promptTokens = 0;
+    std::uint64_t completionTokens = 0;
+    std::uint64_t cachedTokens = 0;
+};
+
+/// A whole answer of a plain service.
+struct service_answer
+{
+    int status = 0;
+    std::string contentType;
+    std::string body;
+
+    bool operator==(const service_answer &) const = default;
+};
+
+struct service_answer_event
+{
+    std::string attemptId;
+    service_answer answer;
+};
+
+enum class attempt_failure {
+    NotSent, ///< Certainly no byte reached the endpoint.
+    Refused, ///< The endpoint answered 503 or 429: not run.
+    Rejected, ///< The endpoint found the request itself wrong (4xx).
+    ConnectionLost, ///< After sending; the endpoint may have crashed.
+    TimedOut, ///< After sending.
+    BadAnswer, ///< Mismatched attempt id, malformed, truncated, a gap, or a server error.
+};
+
+struct attempt_failed_event
+{
+    std::string attemptId;
+    attempt_failure failure = attempt_failure::ConnectionLost;
+    std::string detail;
+};
+
+struct caller_gone_event
+{
+};
+
+/// Answers keep_usage_effect.
+struct usage_kept_event
+{
+    op_id op = 0;
+};
+
+using session_event = std::variant<start_event,
+                                   tick_event,
+                                   endpoints_viewed_event,
+                                   admission_event,
+                                   row_read_event,
+                                   commit_event,
+                                   token_event,
+                                   stream_finished_event,
+                                   service_answer_event,
+                                   attempt_failed_event,
+                                   caller_gone_event,
+                                   usage_kept_event>;
+
+// Effects.
+
+struct view_endpoints_effect
+{
+    op_id op = 0;
+};
+
+/// Passes the request to the admission gate, which fills in the counters and calls decideAdmission under its lock.
+struct admit_effect
+{
+    op_id op = 0;
+    admit_input input;
+};
+
+struct start_attempt_effect
+{
+    std::string attemptId;
+    std::string endpoint;
+    std::uint64_t resumeFrom = 0;
+    instant deadline;
+};
+
+struct cancel_attempt_effect
+{
+    std::string attemptId;
+};
+
+/// The next token of the answer, for the caller.
+struct deliver_token_effect
+{
+    std::string text;
+};
+
+/// The answer is whole; its last byte may be sent.
+struct finish_effect
+{
+    std::string finishReason;
+    usage_figures figures;
+};
+
+struct deliver_answer_effect
+{
+    service_answer answer;
+};
+
+struct refuse_effect
+{
+    int status = 500;
+    std::string code;
+    std::string message;
+    run_state state = run_state::Unknown;
+    double retryAfterMs = 0;
+};
+
+/// Ends a session whose caller has gone.
+struct abandon_effect
+{
+};
+
+struct keep_usage_effect
+{
+    op_id op = 0;
+    usage_record record;
+};
+
+struct note_crash_effect
+{
+    std::string endpoint;
+    bool suspect = false; ///< The request's fingerprint counts as suspect.
+};
+
+struct clear_suspect_effect
+{
+};
+
+struct record_decision_effect
+{
+    decision_record record;
+};
+
+using session_effect = std::variant<view_endpoints_effect,
+                                    admit_effect,
+                                    read_row_effect,
+                                    commit_effect,
+                                    start_attempt_effect,
+                                    cancel_attempt_effect,
+                                    deliver_token_effect,
+                                    finish_effect,
+                                    deliver_answer_effect,
+                                    refuse_effect,
+                                    abandon_effect,
+                                    keep_usage_effect,
+                                    note_crash_effect,
+                                    clear_suspect_effect,
+                                    record_decision_effect>;
+
+/// State machine of one caller request, from routing to the last byte. It does no I/O and reads no clock.
+class request_session
+{
+public:
+    explicit request_session(session_request request);
+
+    void handle(const session_event &event, instant now, std::vector<session_effect> &out);
+
+    bool finished() const;
+
+private:
+    enum class phase {
+        New,
+        Viewing,
+        WaitingForEndpoint,
+        Admitting,
+        Claiming,
+        ReadingClaim,
+        Running,
+        ReadingOutcomeRow,
+        StoringOutcome,
+        KeepingUsage,
+        Done,
+    };
+
+    using effects = std::vector<session_effect>;
+
+    void on(const start_event &event, instant now, effects &out);
+    void on(const tick_event &event, instant now, effects &out);
+    void on(const endpoints_viewed_event &event, instant now, effects &out);
+    void on(const admission_event &event, instant now, effects &out);
+    void on(const row_read_event &event, instant now, effects &out);
+    void on(const commit_event &event, instant now, effects &out);
+    void on(const token_event &event, instant now, effects &out);
+    void on(const stream_finished_event &event, instant now, effects &out);
+    void on(const service_answer_event &event, instant now, effects &out);
+    void on(const attempt_failed_event &event, instant now, effects &out);
+    void on(const caller_gone_event &event, instant now, effects &out);
+    void on(const usage_kept_event &event, instant now, effects &out);
+
+    enum class cancel_reason {
+        CallerGone,
+        Deadline,
+        BadAnswer,
+    };
+
+    void requestView(effects &out);
+    void route(const endpoints_viewed_event &event, instant now, effects &out);
+    route_input makeRouteInput(const endpoints_viewed_event &event, instant now);
+    void waitForEndpoint(const route_result &routed, instant now, effects &out);
+    void admit(const route_result &routed, instant now, effects &out);
+    void proceed(instant now, effects &out);
+    void sendClaim(effects &out);
+    void readClaim(effects &out);
+    void judgeClaimRow(const std::optional<row> &found, instant now, effects &out);
+    void judgeForeignClaim(const row &found, effects &out);
+    void replayOutcome(service_answer answer, effects &out);
+    void startAttempt(instant now, effects &out);
+    void failAttempt(attempt_failure failure, const std::string &detail, effects &out);
+    void noteConnectionLost(effects &out);
+    void retryOrRefuse(attempt_failure failure, const std::string &detail, effects &out);
+    void cancelAttempt(cancel_reason reason, effects &out);
+    void complete(session_effect final, service_answer outcome, effects &out);
+    void readOutcomeRow(effects &out);
+    void judgeOutcomeRow(const row_read_event &event, effects &out);
+    void keepUsage(effects &out);
+    void releaseFinal(effects &out);
+    void refuse(int status, std::string_view code, std::string message, effects &out, double retryAfterMs = 0);
+    void endWith(session_effect final, effects &out);
+    run_state runState() const;
+    bool isCurrent(const std::string &attemptId) const;
+    bool mayRetry(attempt_failure failure) const;
+    bool needsClaim() const;
+    std::string claimKey() const;
+    std::string claimValue(std::string_view state) const;
+    op_id nextOp();
+
+    session_request m_request;
+    phase m_phase = phase::New;
+    op_id m_lastOp = 0;
+    op_id m_pendingOp = 0; ///< The only operation whose answer is awaited; others are late and dropped.
+    bool m_admitted = false;
+    bool m_claimHeld = false;
+    bool m_foreignClaim = false; ///< Another session's open claim may run this request.
+    bool m_callerGone = false;
+    std::string m_nonce;
+    std::uint64_t m_claimVersion = 0; ///< Version of the row that the claim replaces; 0 for none.
+    int m_claimTries = 0;
+    int m_outcomeTries = 0;
+    int m_started = 0; ///< Attempts started.
+    int m_certainlyNotRun = 0; ///< Attempts that ended without having run.
+    int m_connectionsLost = 0;
+    bool m_suspect = false;
+    std::string m_attemptId; ///< Of the running attempt; empty when none runs.
+    std::string m_endpoint; ///< Chosen for the next or running attempt.
+    instant m_routedAt;
+    std::optional<instant> m_waitingSince;
+    std::uint64_t m_delivered = 0; ///< Tokens.
+    std::uint64_t m_resumedAt = 0;
+    std::string m_text; ///< Delivered text, kept only for the stored outcome of a claimed request.
+    std::vector<std::string> m_excluded;
+    usage_figures m_figures;
+    std::optional<session_effect> m_final; ///< What the caller gets once the outcome and the usage are kept.
+    std::optional<service_answer> m_outcome; ///< Outcome to store in the claim row; without one the claim is withdrawn.
+};
+
+}
--- a/src/coordination/serving_context.h
+++ b/src/coordination/serving_context.h
@@ -9,7 +9,9 @@
 #include "state/table_store.h"
 #include "state/usage_ledger.h"
 
+#include <atomic>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -34,6 +36,7 @@
     std::function<bool()> draining;
     std::function<std::vector<instance_info>()> instances; ///< Live daemons of the cell, for GET /v1/addresses.
     std::function<double(const std::string &group)> demandShare; ///< This daemon's share of a group's capacity, 0 to 1.
+    std::shared_ptr<std::atomic<int>> callerRequests = std::make_shared<std::atomic<int>>(0); ///< Requests of callers that are not yet answered.
 };
 
 }
--- a/src/protocol/tunables.h
+++ b/src/protocol/tunables.h
@@ -35,6 +35,9 @@
 constexpr auto suspectRefusalTime = 10min;
 constexpr std::size_t maxBodyBytes = 4U << 20U;
 constexpr auto claimBatchDelay = 10ms;
+constexpr auto noEndpointWait = 2s; // A request that has not started waits this long for an endpoint; a started or suspect one until its deadline.
+constexpr auto routeValidity = 100ms; // An older choice of an endpoint is made again before sending.
+constexpr int maxClaimTries = 3; // Commits of a claim row whose effect is in doubt, and writes of its outcome.
 
 // Fleet.
 constexpr auto shortDemandHorizon = 30s;
