--- a/src/coordination/decision_log.cpp
+++ b/src/coordination/decision_log.cpp
@@ -5,7 +5,8 @@
 namespace lacewinglock
 {
 
-decision_log::decision_log(const std::string &path)
+decision_log::decision_log(const std::string &path, decision_ring *recent)
+    : m_recent(recent)
 {
     if (!path.empty()) {
         m_file = std::fopen(path.c_str(), "ae");
@@ -25,6 +26,9 @@
 
 void decision_log::write(const decision_record &record)
 {
+    if (m_recent != nullptr) {
+        m_recent->add(record);
+    }
     const nlohmann::json line = {
         {"decision", record.id},
         {"kind", record.kind},
--- a/src/coordination/decision_log.h
+++ b/src/coordination/decision_log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/decision_ring.h"
 #include "protocol/decisions.h"
 
 #include <cstdio>
@@ -13,8 +14,8 @@
 class decision_log
 {
 public:
-    /// An empty path writes to standard error.
-    explicit decision_log(const std::string &path);
+    /// An empty path writes to standard error. Records also go to the ring of recent ones, if there is one; it must outlive the log.
+    explicit decision_log(const std::string &path, decision_ring *recent = nullptr);
     ~decision_log();
     decision_log(const decision_log &) = delete;
     decision_log &operator=(const decision_log &) = delete;
@@ -25,6 +26,7 @@
     std::mutex m_mutex;
     std::FILE *m_file = nullptr;
     bool m_owned = false;
+    decision_ring *m_recent = nullptr;
 };
 
 }
--- /dev/null
+++ b/src/coordination/operator_interface.cpp
@@ -0,0 +1,184 @@
+#include "coordination/operator_interface.h"
+
+#include "coordination/operator_edits.h"
+#include "protocol/api_keys.h"
+
+#include <algorithm>
+#include <httplib.h>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+using httplib::Request;
+using httplib::Response;
+using nlohmann::json;
+
+constexpr std::string_view bearerPrefix = "Bearer ";
+constexpr const char *endpointRoleNames[] = {"mixed", "prefill", "decode"};
+
+bool authorised(const Request &request, const operator_context &context)
+{
+    const std::string header = request.get_header_value("Authorization");
+    if (!std::string_view(header).starts_with(bearerPrefix)) {
+        return false;
+    }
+    return equalConstantTime(sha256Hex(std::string_view(header).substr(bearerPrefix.size())), context.operatorTokenHash);
+}
+
+/// Name of the operator for the record in the patch row; it grants nothing.
+std::string authorOf(const Request &request)
+{
+    const std::string name = request.get_header_value("X-Operator-Name");
+    return name.empty() ? "operator" : name;
+}
+
+void send(Response &response, const operator_answer &answer)
+{
+    response.status = answer.status;
+    response.set_content(answer.body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n", "application/json");
+}
+
+operator_answer getConfig(operator_context &context)
+{
+    if (const auto stored = context.editor.load(); stored.ok()) {
+        return {200, {{"version", stored->version}, {"in_force", context.inForce(stored->version)}, {"source", "store"}, {"document", stored->document}}};
+    }
+    const auto held = context.serving.config.current();
+    const json document = held->document.is_object() ? held->document : json::object();
+    return {200, {{"version", held->parsed.version}, {"in_force", context.inForce(held->parsed.version)}, {"source", "daemon"}, {"document", document}}};
+}
+
+operator_answer postPatch(operator_context &context, const Request &request)
+{
+    const json body = json::parse(request.body, nullptr, false);
+    if (!body.is_object() || body.size() != 2 || !body.contains("patch") || !body.contains("base_version") || !body["base_version"].is_number_unsigned()) {
+        return operatorError(400, "invalid", "the body must be {\"base_version\": N, \"patch\": {...}}");
+    }
+    return answerPatch(context, {.baseVersion = body["base_version"], .patch = body["patch"], .author = authorOf(request)});
+}
+
+operator_answer postKey(operator_context &context, const Request &request)
+{
+    const json body = json::parse(request.body, nullptr, false);
+    if (!body.is_object()) {
+        return operatorError(400, "invalid", "the body must be a JSON object");
+    }
+    return answerKeyCreate(context, body, authorOf(request));
+}
+
+json describeEndpoints(const operator_context &context)
+{
+    json list = json::array();
+    for (const auto &report : context.serving.endpoints.reports(context.serving.now())) {
+        list.push_back({{"id", report.endpoint},
+                        {"reachable", report.reachable},
+                        {"leaving", report.leaving},
+                        {"role", endpointRoleNames[static_cast<std::size_t>(report.role)]},
+                        {"changing_role", report.changingRole},
+                        {"running_streams", report.runningStreams},
+                        {"queued_prompt_tokens", report.queuedPromptTokens},
+                        {"report_age_ms", report.ageMs}});
+    }
+    return list;
+}
+
+operator_answer getStatus(operator_context &context)
+{
+    const auto &serving = context.serving;
+    const std::uint64_t version = serving.config.current()->parsed.version;
+    json instances = json::array();
+    for (const auto &each : serving.instances()) {
+        instances.push_back({{"id", each.id}, {"address", each.callerAddress}, {"failure_domain", each.failureDomain}, {"leaving", each.leaving}});
+    }
+    json leases = json::array();
+    for (const auto &each : context.leases()) {
+        leases.push_back({{"duty", each.duty}, {"holder", each.holder}, {"epoch", each.epoch}, {"held_here", each.heldHere}});
+    }
+    return {200,
+            {{"instance", serving.instanceId},
+             {"incarnation", serving.incarnation},
+             {"cell", serving.cell},
+             {"failure_domain", serving.failureDomain},
+             {"version", version},
+             {"in_force", context.inForce(version)},
+             {"fresh", serving.fresh()},
+             {"draining", serving.draining()},
+             {"roster", context.roster()},
+             {"instances", std::move(instances)},
+             {"leases", std::move(leases)},
+             {"endpoints", describeEndpoints(context)}}};
+}
+
+operator_answer getUsage(operator_context &context, const Request &request)
+{
+    const std::string window = request.get_param_value("window");
+    if (window.empty() || window.size() > 19 || !std::ranges::all_of(window, [](char each) {
+            return each >= '0' && each <= '9';
+        })) {
+        return operatorError(400, "invalid", "window must be a number");
+    }
+    const auto found = context.serving.store.read("window/" + context.serving.cell + "/" + window);
+    if (!found.ok()) {
+        return operatorError(503, "store_unavailable", std::string(found.status().message()));
+    }
+    if (!*found) {
+        return operatorError(404, "not_found", "window " + window + " is not closed yet or does not exist");
+    }
+    return {200, {{"cell", context.serving.cell}, {"window", std::stoull(window)}, {"row", json::parse((*found)->value, nullptr, false)}}};
+}
+
+operator_answer getDecisions(operator_context &context, const Request &request)
+{
+    json list = json::array();
+    for (const auto &record : context.recentDecisions.find(request.get_param_value("request"))) {
+        list.push_back({{"decision", record.id},
+                        {"kind", record.kind},
+                        {"request", record.requestId},
+                        {"config_version", record.configVersion},
+                        {"input", json::parse(record.input, nullptr, false)},
+                        {"result", json::parse(record.result, nullptr, false)}});
+    }
+    return {200, {{"decisions", std::move(list)}}};
+}
+
+/// Wraps a handler so that nothing runs without the operator token.
+template <typename Handler>
+httplib::Server::Handler guarded(operator_context &context, Handler handler)
+{
+    return [&context, handler](const Request &request, Response &response) {
+        if (!authorised(request, context)) {
+            response.set_header("WWW-Authenticate", "Bearer");
+            send(response, operatorError(401, "unauthorised", "a valid operator token is required"));
+            return;
+        }
+        send(response, handler(context, request));
+    };
+}
+
+}
+
+void registerOperatorRoutes(httplib::Server &server, operator_context &context)
+{
+    const auto withoutRequest = [](operator_answer (*handler)(operator_context &)) {
+        return [handler](operator_context &target, const Request &) {
+            return handler(target);
+        };
+    };
+    server.Get("/operator/v1/config", guarded(context, withoutRequest(getConfig)));
+    server.Get("/operator/v1/status", guarded(context, withoutRequest(getStatus)));
+    server.Get("/operator/v1/usage", guarded(context, getUsage));
+    server.Get("/operator/v1/decisions", guarded(context, getDecisions));
+    server.Post("/operator/v1/patch", guarded(context, postPatch));
+    server.Post("/operator/v1/keys", guarded(context, postKey));
+    server.Post(R"(/operator/v1/keys/([A-Za-z0-9._-]+)/withdraw)", guarded(context, [](operator_context &target, const Request &request) {
+                    return answerKeyWithdraw(target, request.matches[1], authorOf(request));
+                }));
+    server.Get(R"(/operator/v1/patch/([0-9]+-[0-9a-f]+))", guarded(context, [](operator_context &target, const Request &request) {
+                   return answerLookUp(target, request.matches[1]);
+               }));
+}
+
+}
