--- /dev/null
+++ b/src/coordination/address_book.cpp
@@ -0,0 +1,85 @@
+#include "coordination/address_book.h"
+
+#include <algorithm>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+constexpr auto askTimeout = std::chrono::milliseconds(1000);
+constexpr int defaultLifetimeMs = 5000;
+constexpr auto retryPause = std::chrono::milliseconds(500); // When no daemon answered.
+
+// Takes a list of strings or of objects with the field `address`.
+std::vector<std::string> parseAddresses(const nlohmann::json &list)
+{
+    std::vector<std::string> addresses;
+    for (const auto &item : list) {
+        addresses.push_back(item.is_string() ? item.get<std::string>() : item.value("address", ""));
+    }
+    std::erase(addresses, "");
+    return addresses;
+}
+
+}
+
+std::pair<std::string, int> splitAddress(const std::string &address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos) {
+        return {address, 0};
+    }
+    return {address.substr(0, colon), std::atoi(address.c_str() + colon + 1)};
+}
+
+address_book::address_book(std::vector<std::string> servers)
+    : m_servers(std::move(servers))
+{
+}
+
+std::vector<std::string> address_book::addressesFor(const std::string &organisation, const std::string &key)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (const auto found = m_entries.find(organisation); found != m_entries.end() && std::chrono::steady_clock::now() < found->second.until) {
+            return found->second.addresses;
+        }
+    }
+    auto fresh = ask(key);
+    const std::lock_guard lock(m_mutex);
+    return (m_entries[organisation] = std::move(fresh)).addresses;
+}
+
+address_book::entry address_book::ask(const std::string &key) const
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (const auto &server : m_servers) {
+        const auto [host, port] = splitAddress(server);
+        httplib::Client client(host, port);
+        client.set_connection_timeout(askTimeout);
+        client.set_read_timeout(askTimeout);
+        const auto answer = client.Get("/v1/addresses", httplib::Headers{{"Authorization", "Bearer " + key}});
+        const auto body = answer && answer->status == 200 ? nlohmann::json::parse(answer->body, nullptr, false) : nlohmann::json();
+        if (body.is_object() && body.contains("addresses")) {
+            if (auto addresses = parseAddresses(body.at("addresses")); !addresses.empty()) {
+                return {.addresses = std::move(addresses), .until = now + std::chrono::milliseconds(body.value("lifetime_ms", defaultLifetimeMs))};
+            }
+        }
+    }
+    return {.addresses = m_servers, .until = now + retryPause};
+}
+
+void address_book::noteFailure(const std::string &organisation, const std::string &address)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &addresses = m_entries[organisation].addresses;
+    if (const auto found = std::ranges::find(addresses, address); found != addresses.end()) {
+        std::rotate(found, found + 1, addresses.end());
+    }
+}
+
+}
--- a/src/standin/service.cpp
+++ b/src/standin/service.cpp
@@ -30,18 +30,19 @@
 {
 }
 
+// Takes paths with one leading segment too, as a route may pass its prefix on.
 void plain_service::addRoutes(httplib::Server &server)
 {
     const std::map<std::string, nlohmann::json> pages
         = {{"/catalogue", {{"items", {"pulley", "braid", "cord"}}}}, {"/stock", {{"pulley", 40}, {"braid", 12}, {"cord", 7}}}, {"/slots", slots()}};
     for (const auto &[path, page] : pages) {
-        server.Get(path, [this, page = page](const httplib::Request &, httplib::Response &response) {
+        server.Get("(?:/[^/]+)?" + path, [this, page = page](const httplib::Request &, httplib::Response &response) {
             if (delay()) {
                 answerJson(response, 200, page);
             }
         });
     }
-    for (const char *path : {"/bookings", "/orders"}) {
+    for (const char *path : {"(?:/[^/]+)?/bookings", "(?:/[^/]+)?/orders"}) {
         server.Post(path, withJson([this](const auto &body, const auto &, auto &response) {
                         execute(body, response);
                     }));
