--- a/src/coordination/load_generator.cpp
+++ b/src/coordination/load_generator.cpp
@@ -80,6 +80,7 @@
 {
     const auto start = clock::now();
     std::vector<std::thread> threads;
+    threads.reserve(m_settings.workers);
     for (int index = 0; index < m_settings.workers; ++index) {
         threads.emplace_back([this, start] {
             work(start);
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -21,7 +21,7 @@
 /// A fake of the platform: table service, object store, instance list, endpoint orders and usage reports. Faults (POST /faults
 /// {name, value, duration_ms, count}): `store_outage`, `store_hang`, `store_slow` (ms), `answer_lost` (a commit takes effect, the
 /// connection closes without an answer), `frozen_instances`, `no_endpoints` ({failure_domain, reclaimable}), `reclaim`
-/// ({failure_domain, notice_ms}), `endpoint` ({id, fault} passes a fault on to an endpoint, also to a crashed one).
+/// ({failure_domain, notice_ms}), `usage_answer_lost`, `endpoint` ({id, fault} passes a fault on to an endpoint, also to a crashed one).
 class platform
 {
 public:
