Add leases, membership and the peer RPC

Cause: daemons need to agree on who holds a duty and who is a member, and to exchange heartbeats, patches and usage copies. Change: lease_keeper and roster_keeper machines, the Cap'n Proto peer interface with login by HMAC, the RPC loop, peer links with a connection and timeouts each, the runner of control effects, and held usage copies in the ledger.

--- /dev/null
+++ b/src/coordination/effect_runner.cpp
@@ -0,0 +1,259 @@
+#include "coordination/effect_runner.h"
+
+#include "protocol/errors.h"
+#include "protocol/tunables.h"
+#include "transport/guarded_post.h"
+
+#include <algorithm>
+#include <charconv>
+#include <glog/logging.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+std::string_view roleName(endpoint_role role)
+{
+    switch (role) {
+    case endpoint_role::Prefill:
+        return "prefill";
+    case endpoint_role::Decode:
+        return "decode";
+    case endpoint_role::Mixed:
+        break;
+    }
+    return "mixed";
+}
+
+nlohmann::json orderBody(const endpoint_order &order)
+{
+    nlohmann::json content;
+    if (order.kind == order_kind::SetRole) {
+        content = {{"kind", "set_role"}, {"role", roleName(order.role)}};
+    } else {
+        content = {{"kind", "load_model"}, {"model", order.model}};
+    }
+    return {{"fencing", order.epoch}, {"revision", order.revision}, {"order", content}};
+}
+
+nlohmann::json provisionBody(const provision_order &order)
+{
+    return {
+        {"token", order.token},
+        {"epoch", order.epoch},
+        {"group", order.group},
+        {"domain", order.failureDomain},
+        {"kind", order.reclaimable ? "reclaimable" : "ordinary"},
+        {"count", order.count},
+        {"release", order.release},
+    };
+}
+
+nlohmann::json usageBody(const usage_report &report)
+{
+    nlohmann::json figures = nlohmann::json::object();
+    for (const auto &[organisation, sum] : report.figures) {
+        figures[organisation] = {
+            {"requests", sum.requests},
+            {"prompt_tokens", sum.promptTokens},
+            {"cached_tokens", sum.cachedTokens},
+            {"output_tokens", sum.outputTokens},
+            {"service_calls", sum.serviceCalls},
+        };
+    }
+    return {{"cell", report.cell}, {"window", report.window}, {"epoch", report.epoch}, {"figures", figures}};
+}
+
+delivery outcomeOf(const post_result &result)
+{
+    if (result.progress == post_progress::NotSent) {
+        return delivery::NotSent;
+    }
+    if (result.progress == post_progress::Unknown || result.status >= 500) {
+        return delivery::Unknown;
+    }
+    if (result.status == 409) {
+        return delivery::Fenced;
+    }
+    return result.status >= 200 && result.status < 300 ? delivery::Accepted : delivery::Refused;
+}
+
+std::vector<std::string> grantedEndpoints(const std::string &body)
+{
+    std::vector<std::string> granted;
+    const auto json = nlohmann::json::parse(body, nullptr, false);
+    if (!json.is_object() || !json.contains("endpoints") || !json["endpoints"].is_array()) {
+        return granted;
+    }
+    for (const auto &item : json["endpoints"]) {
+        if (item.is_string()) {
+            granted.push_back(item.get<std::string>());
+        } else if (item.is_object() && item.contains("id") && item["id"].is_string()) {
+            granted.push_back(item["id"].get<std::string>());
+        }
+    }
+    return granted;
+}
+
+std::optional<socket_address> parseAddress(const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    socket_address result;
+    if (colon == std::string::npos || std::from_chars(text.data() + colon + 1, text.data() + text.size(), result.port).ec != std::errc()) {
+        return std::nullopt;
+    }
+    result.host = text.substr(0, colon);
+    return result;
+}
+
+/// Sends an order while its sender's lease is valid.
+post_result
+sendWhileValid(const socket_address &target, const std::string &path, const nlohmann::json &body, instant validUntil, const std::function<instant()> &now)
+{
+    return guardedPost(target.host, target.port, path, body.dump(), tunables::orderSendDeadline, [&] {
+        return now() < validUntil;
+    });
+}
+
+control_event failed(const read_row_effect &effect, const char *cause)
+{
+    return row_read_event{.op = effect.op, .result = makeError(absl::StatusCode::kInternal, "read row", "table service", cause)};
+}
+
+control_event failed(const scan_rows_effect &effect, const char *cause)
+{
+    return rows_scanned_event{.op = effect.op, .result = makeError(absl::StatusCode::kInternal, "scan rows", "table service", cause)};
+}
+
+control_event failed(const commit_effect &effect, const char * /*cause*/)
+{
+    return commit_event{.op = effect.op, .outcome = commit_outcome::Unknown};
+}
+
+control_event failed(const list_instances_effect &effect, const char *cause)
+{
+    return instances_event{.op = effect.op, .result = makeError(absl::StatusCode::kInternal, "list instances", "platform", cause)};
+}
+
+template <typename Order>
+control_event failed(const Order &effect, const char * /*cause*/)
+{
+    return delivery_event{.op = effect.op, .outcome = delivery::Unknown};
+}
+
+instance_info parseInstance(const nlohmann::json &item)
+{
+    return {
+        .id = item.value("id", ""),
+        .address = item.value("address", ""),
+        .callerAddress = item.value("caller_address", ""),
+        .failureDomain = item.value("failure_domain", ""),
+        .leaving = item.value("leaving", false),
+    };
+}
+
+absl::StatusOr<std::vector<instance_info>> parseInstances(const std::string &body, std::string_view peer)
+{
+    const auto json = nlohmann::json::parse(body, nullptr, false);
+    const auto &list = json.is_object() && json.contains("instances") ? json["instances"] : json;
+    if (!list.is_array() || !std::ranges::all_of(list, &nlohmann::json::is_object)) {
+        return makeError(absl::StatusCode::kInvalidArgument, "list instances", peer, "not a list of instances");
+    }
+    std::vector<instance_info> result;
+    try {
+        std::ranges::transform(list, std::back_inserter(result), parseInstance);
+    } catch (const nlohmann::json::exception &error) {
+        return makeError(absl::StatusCode::kInvalidArgument, "list instances", peer, error.what());
+    }
+    return result;
+}
+
+}
+
+effect_runner::effect_runner(environment around, int threads)
+    : m_around(std::move(around))
+    , m_pool(threads)
+{
+}
+
+void effect_runner::submit(control_effect effect, std::function<void(control_event)> done)
+{
+    m_pool.submit([this, effect = std::move(effect), done = std::move(done)] {
+        done(perform(effect));
+    });
+}
+
+// A malformed answer must not leave the machine without its event, so an exception becomes a failure of the operation.
+control_event effect_runner::perform(const control_effect &effect)
+{
+    return std::visit(
+        [this](const auto &typed) {
+            try {
+                return run(typed);
+            } catch (const std::exception &error) {
+                LOG(WARNING) << "perform control effect [local]: " << error.what();
+                return failed(typed, error.what());
+            }
+        },
+        effect);
+}
+
+control_event effect_runner::run(const read_row_effect &effect)
+{
+    return row_read_event{.op = effect.op, .result = m_around.store.read(effect.key)};
+}
+
+control_event effect_runner::run(const scan_rows_effect &effect)
+{
+    return rows_scanned_event{.op = effect.op, .result = m_around.store.scan(effect.prefix)};
+}
+
+control_event effect_runner::run(const commit_effect &effect)
+{
+    return commit_event{.op = effect.op, .outcome = m_around.store.commit(effect.change)};
+}
+
+control_event effect_runner::run(const send_order_effect &effect)
+{
+    const auto address = m_around.addressOf(effect.order.endpoint);
+    const auto target = address ? parseAddress(*address) : std::nullopt;
+    if (!target) {
+        LOG(WARNING) << "send order [" << effect.order.endpoint << "]: no address";
+        return delivery_event{.op = effect.op, .outcome = delivery::NotSent};
+    }
+    const auto result = sendWhileValid(*target, "/orders", orderBody(effect.order), effect.validUntil, m_around.now);
+    return delivery_event{.op = effect.op, .outcome = outcomeOf(result)};
+}
+
+control_event effect_runner::run(const send_provision_effect &effect)
+{
+    const auto result = sendWhileValid(m_around.platform, "/endpoints/orders", provisionBody(effect.order), effect.validUntil, m_around.now);
+    return delivery_event{.op = effect.op, .outcome = outcomeOf(result), .endpoints = grantedEndpoints(result.body)};
+}
+
+control_event effect_runner::run(const send_usage_effect &effect)
+{
+    const auto result = sendWhileValid(m_around.platform, "/usage/reports", usageBody(effect.report), effect.validUntil, m_around.now);
+    return delivery_event{.op = effect.op, .outcome = outcomeOf(result)};
+}
+
+control_event effect_runner::run(const list_instances_effect &effect)
+{
+    httplib::Client client(m_around.platform.host, m_around.platform.port);
+    client.set_connection_timeout(tunables::storeTimeout);
+    client.set_read_timeout(tunables::storeTimeout);
+    const std::string peer = "platform " + m_around.platform.host + ":" + std::to_string(m_around.platform.port);
+    const auto answer = client.Get("/instances");
+    if (!answer || answer->status != 200) {
+        const std::string cause = answer ? "status " + std::to_string(answer->status) : httplib::to_string(answer.error());
+        return instances_event{.op = effect.op, .result = makeError(absl::StatusCode::kUnavailable, "list instances", peer, cause)};
+    }
+    return instances_event{.op = effect.op, .result = parseInstances(answer->body, peer)};
+}
+
+}
--- /dev/null
+++ b/src/coordination/lease_keeper.cpp
@@ -0,0 +1,222 @@
+#include "coordination/lease_keeper.h"
+
+#include "protocol/tunables.h"
+
+#include <nlohmann/json.hpp>
+#include <type_traits>
+#include <utility>
+
+namespace lacewinglock
+{
+
+lease_keeper::lease_keeper(const std::string &cell, std::string duty, std::string holderId)
+    : m_key("lease/" + cell + "/" + duty)
+    , m_duty(std::move(duty))
+    , m_holderId(std::move(holderId))
+{
+}
+
+void lease_keeper::handle(const control_event &event, instant now, std::vector<control_effect> &out)
+{
+    std::visit(
+        [&](const auto &typed) {
+            using type = std::decay_t<decltype(typed)>;
+            if constexpr (std::is_same_v<type, tick_event>) {
+                onTick(now, out);
+            } else if constexpr (std::is_same_v<type, row_read_event>) {
+                onRead(typed, now, out);
+            } else if constexpr (std::is_same_v<type, commit_event>) {
+                onCommit(typed, now, out);
+            }
+        },
+        event);
+}
+
+std::optional<lease_grant> lease_keeper::grant(instant now) const
+{
+    if (!m_held || m_draining || now >= m_grant.validUntil) {
+        return std::nullopt;
+    }
+    return m_grant;
+}
+
+void lease_keeper::release(instant now, std::vector<control_effect> &out)
+{
+    m_draining = true;
+    m_nextCommitAt = now;
+    // A commit in flight may still win the lease, so the hand-over waits for its answer.
+    if (!m_pendingOp && m_ownCommits.empty()) {
+        m_released = true;
+    }
+    if (!m_released && !m_pendingOp) {
+        sendRead(now, out);
+    }
+}
+
+bool lease_keeper::released() const
+{
+    return m_released;
+}
+
+void lease_keeper::setRank(std::size_t rank)
+{
+    m_rank = rank;
+}
+
+const std::string &lease_keeper::duty() const
+{
+    return m_duty;
+}
+
+void lease_keeper::onTick(instant now, std::vector<control_effect> &out)
+{
+    if (!m_pendingOp && !m_released && now >= m_nextReadAt) {
+        sendRead(now, out);
+    }
+}
+
+void lease_keeper::sendRead(instant now, std::vector<control_effect> &out)
+{
+    m_pendingOp = m_nextOp++;
+    m_readSentAt = now;
+    m_nextReadAt = now + (m_held ? tunables::leaseRenewInterval : tunables::leaseReadInterval);
+    out.emplace_back(read_row_effect{.op = *m_pendingOp, .key = m_key});
+}
+
+void lease_keeper::onRead(const row_read_event &event, instant now, std::vector<control_effect> &out)
+{
+    if (m_pendingOp != event.op) {
+        return;
+    }
+    m_pendingOp.reset();
+    if (!event.result.ok()) {
+        m_nextReadAt = now + tunables::leaseReadInterval;
+        return;
+    }
+    observe(*event.result, now);
+    decide(now, out);
+}
+
+// Records what the row holds, and takes over a commit of this process whose answer was lost.
+void lease_keeper::observe(const std::optional<row> &seen, instant now)
+{
+    const std::uint64_t version = seen ? seen->version : 0;
+    if (!m_unchangedSince || version != m_rowVersion) {
+        m_unchangedSince = now;
+    }
+    m_rowVersion = version;
+    m_row = {};
+    if (seen) {
+        if (const auto json = nlohmann::json::parse(seen->value, nullptr, false); json.is_object()) {
+            m_row.holder = json.value("holder", "");
+            m_row.epoch = json.value("epoch", std::uint64_t{0});
+            m_row.renewals = json.value("renewals", std::uint64_t{0});
+            m_row.nonce = json.value("nonce", "");
+        }
+    }
+    if (const auto own = m_ownCommits.find(m_row.nonce); own != m_ownCommits.end()) {
+        adopt(own->second, now);
+    } else {
+        m_held = false;
+    }
+    // Commits that were conditional on an older version can no longer take effect.
+    std::erase_if(m_ownCommits, [&](const auto &item) {
+        return item.first != m_row.nonce && item.second.rowVersion < m_rowVersion;
+    });
+}
+
+// Commits are paced, because a read-back of a lost answer would otherwise lead to the next commit at once.
+// Step 1: hand over when draining. Step 2: renew an own lease. Step 3: succeed a holder that has let its lease lapse.
+void lease_keeper::decide(instant now, std::vector<control_effect> &out)
+{
+    if (now < m_nextCommitAt) {
+        return;
+    }
+    content next{.holder = m_holderId, .epoch = m_row.epoch, .renewals = m_row.renewals + 1};
+    if (m_draining) {
+        if (!m_held) {
+            // An unanswered commit on this very version may still land; the lease then lapses at the successors' clocks.
+            m_released = true;
+            return;
+        }
+        next.holder.clear();
+        sendCommit(next, m_rowVersion, now, out);
+        return;
+    }
+    if (m_held) {
+        sendCommit(next, m_rowVersion, now, out);
+        return;
+    }
+    if (maySucceed()) {
+        next.epoch = m_row.epoch + 1;
+        next.renewals = 0;
+        sendCommit(next, m_rowVersion, now, out);
+    }
+}
+
+// The time is measured up to the moment the latest read was sent, not answered: a slow answer proves nothing about the row's age.
+bool lease_keeper::maySucceed() const
+{
+    const duration rankDelay = tunables::leaseRankDelay * static_cast<int>(m_rank);
+    const duration wait = m_row.holder.empty() ? rankDelay : tunables::leaseTerm + rankDelay;
+    return m_unchangedSince && (wait == duration::zero() || m_readSentAt >= *m_unchangedSince + wait);
+}
+
+void lease_keeper::sendCommit(const content &next, std::uint64_t rowVersion, instant now, std::vector<control_effect> &out)
+{
+    m_pendingOp = m_nextOp++;
+    m_nextCommitAt = now + (m_held && !m_draining ? tunables::leaseRenewInterval : tunables::leaseReadInterval);
+    m_sentNonce = m_holderId + "#" + std::to_string(++m_commitCount);
+    m_ownCommits[m_sentNonce] = {.sentAt = now, .epoch = next.epoch, .rowVersion = rowVersion, .release = next.holder.empty()};
+    const nlohmann::json value = {{"holder", next.holder}, {"epoch", next.epoch}, {"renewals", next.renewals}, {"nonce", m_sentNonce}};
+    out.emplace_back(commit_effect{
+        .op = *m_pendingOp,
+        .change = {.conditions = {{.key = m_key, .version = rowVersion}}, .writes = {{.key = m_key, .value = value.dump()}}},
+    });
+}
+
+void lease_keeper::onCommit(const commit_event &event, instant now, std::vector<control_effect> &out)
+{
+    if (m_pendingOp != event.op) {
+        return;
+    }
+    m_pendingOp.reset();
+    switch (event.outcome) {
+    case commit_outcome::Committed:
+        adopt(m_ownCommits.at(m_sentNonce), now);
+        if (m_draining && !m_released) {
+            sendRead(now, out);
+        }
+        break;
+    case commit_outcome::Conflict:
+        m_ownCommits.erase(m_sentNonce);
+        sendRead(now, out);
+        break;
+    case commit_outcome::Unavailable:
+        m_ownCommits.erase(m_sentNonce);
+        m_nextReadAt = now + tunables::leaseReadInterval;
+        m_nextCommitAt = m_nextReadAt;
+        break;
+    case commit_outcome::Unknown:
+        sendRead(now, out);
+        break;
+    }
+}
+
+void lease_keeper::adopt(const own_commit &commit, instant now)
+{
+    if (commit.release) {
+        m_held = false;
+        m_released = true;
+        return;
+    }
+    if (!m_held || m_grant.epoch != commit.epoch) {
+        m_grant.acquiredAt = m_grant.epoch == commit.epoch ? m_grant.acquiredAt : now;
+    }
+    m_held = true;
+    m_grant.epoch = commit.epoch;
+    m_grant.validUntil = commit.sentAt + tunables::leaseTerm - tunables::leaseDriftMargin;
+    m_nextReadAt = commit.sentAt + duration(tunables::leaseRenewInterval);
+}
+
+}
--- /dev/null
+++ b/src/coordination/peer_messages.cpp
@@ -0,0 +1,141 @@
+#include "coordination/peer_messages.h"
+
+#include <algorithm>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+std::string text(capnp::Text::Reader source)
+{
+    return {source.cStr(), source.size()};
+}
+
+void writeReport(rpc::EndpointReport::Builder target, const endpoint_report &report)
+{
+    target.setEndpoint(report.endpoint);
+    target.setReachable(report.reachable);
+    target.setLeaving(report.leaving);
+    target.setRole(static_cast<std::uint8_t>(report.role));
+    target.setChangingRole(report.changingRole);
+    target.setOrderRevision(report.orderRevision);
+    target.setOrderEpoch(report.orderEpoch);
+    target.setQueuedPromptTokens(static_cast<float>(report.queuedPromptTokens));
+    target.setRunningStreams(static_cast<std::uint32_t>(std::max(0, report.runningStreams)));
+    target.setFreeKvTokens(static_cast<float>(report.freeKvTokens));
+    target.setPrefillTokensPerSecond(static_cast<float>(report.prefillTokensPerSecond));
+    target.setAgeMs(static_cast<float>(report.ageMs));
+}
+
+endpoint_report readReport(rpc::EndpointReport::Reader source)
+{
+    const bool knownRole = source.getRole() <= static_cast<std::uint8_t>(endpoint_role::Decode);
+    return {
+        .endpoint = text(source.getEndpoint()),
+        .reachable = source.getReachable(),
+        .leaving = source.getLeaving(),
+        .role = knownRole ? static_cast<endpoint_role>(source.getRole()) : endpoint_role::Mixed,
+        .changingRole = source.getChangingRole(),
+        .orderRevision = source.getOrderRevision(),
+        .orderEpoch = source.getOrderEpoch(),
+        .queuedPromptTokens = source.getQueuedPromptTokens(),
+        .runningStreams = static_cast<int>(source.getRunningStreams()),
+        .freeKvTokens = source.getFreeKvTokens(),
+        .prefillTokensPerSecond = source.getPrefillTokensPerSecond(),
+        .ageMs = source.getAgeMs(),
+    };
+}
+
+}
+
+void write(rpc::Heartbeat::Builder target, const heartbeat &message)
+{
+    target.setSequence(message.sequence);
+    target.setSender(message.sender);
+    target.setAddress(message.address);
+    target.setCallerAddress(message.callerAddress);
+    target.setFailureDomain(message.failureDomain);
+    target.setConfigVersion(message.configVersion);
+    target.setRosterVersion(message.rosterVersion);
+    target.setDraining(message.draining);
+    auto reports = target.initReports(static_cast<unsigned>(message.reports.size()));
+    for (unsigned i = 0; i < reports.size(); ++i) {
+        writeReport(reports[i], message.reports[i]);
+    }
+    auto suspects = target.initSuspects(static_cast<unsigned>(message.suspects.size()));
+    for (unsigned i = 0; i < suspects.size(); ++i) {
+        suspects[i].setFingerprint(message.suspects[i].fingerprint);
+        suspects[i].setCrashes(static_cast<std::uint32_t>(message.suspects[i].crashes));
+    }
+    auto demand = target.initDemand(static_cast<unsigned>(message.demand.size()));
+    for (unsigned i = 0; i < demand.size(); ++i) {
+        demand[i].setGroup(message.demand[i].group);
+        demand[i].setWeightedTokens(static_cast<float>(message.demand[i].weightedTokens));
+    }
+}
+
+heartbeat read(rpc::Heartbeat::Reader source)
+{
+    heartbeat message{
+        .sequence = source.getSequence(),
+        .sender = text(source.getSender()),
+        .address = text(source.getAddress()),
+        .callerAddress = text(source.getCallerAddress()),
+        .failureDomain = text(source.getFailureDomain()),
+        .configVersion = source.getConfigVersion(),
+        .rosterVersion = source.getRosterVersion(),
+        .draining = source.getDraining(),
+    };
+    for (const auto report : source.getReports()) {
+        message.reports.push_back(readReport(report));
+    }
+    for (const auto suspect : source.getSuspects()) {
+        message.suspects.push_back({.fingerprint = text(suspect.getFingerprint()), .crashes = static_cast<int>(suspect.getCrashes())});
+    }
+    for (const auto demand : source.getDemand()) {
+        message.demand.push_back({.group = text(demand.getGroup()), .weightedTokens = demand.getWeightedTokens()});
+    }
+    return message;
+}
+
+void write(rpc::HeartbeatReply::Builder target, const heartbeat_reply &reply)
+{
+    target.setConfigVersion(reply.configVersion);
+    target.setRosterVersion(reply.rosterVersion);
+    target.setDraining(reply.draining);
+}
+
+heartbeat_reply read(rpc::HeartbeatReply::Reader source)
+{
+    return {.configVersion = source.getConfigVersion(), .rosterVersion = source.getRosterVersion(), .draining = source.getDraining()};
+}
+
+void write(rpc::UsageRecord::Builder target, const usage_record &record)
+{
+    target.setRequestId(record.requestId);
+    target.setOrganisation(record.organisation);
+    target.setRequests(record.figures.requests);
+    target.setPromptTokens(record.figures.promptTokens);
+    target.setCachedTokens(record.figures.cachedTokens);
+    target.setOutputTokens(record.figures.outputTokens);
+    target.setServiceCalls(record.figures.serviceCalls);
+}
+
+usage_record read(rpc::UsageRecord::Reader source)
+{
+    return {
+        .requestId = text(source.getRequestId()),
+        .organisation = text(source.getOrganisation()),
+        .figures = {
+            .requests = source.getRequests(),
+            .promptTokens = source.getPromptTokens(),
+            .cachedTokens = source.getCachedTokens(),
+            .outputTokens = source.getOutputTokens(),
+            .serviceCalls = source.getServiceCalls(),
+        },
+    };
+}
+
+}
--- /dev/null
+++ b/src/coordination/peer_messages.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "protocol/endpoint_report.h"
+#include "protocol/peer.capnp.h"
+#include "protocol/usage_record.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace lacewinglock
+{
+
+struct suspect_count
+{
+    std::string fingerprint;
+    int crashes = 0;
+};
+
+struct group_demand
+{
+    std::string group;
+    double weightedTokens = 0;
+};
+
+/// What a daemon tells each peer every second.
+struct heartbeat
+{
+    std::uint64_t sequence = 0;
+    std::string sender;
+    std::string address;
+    std::string callerAddress;
+    std::string failureDomain;
+    std::uint64_t configVersion = 0;
+    std::uint64_t rosterVersion = 0;
+    bool draining = false;
+    std::vector<endpoint_report> reports; ///< Of the endpoints that the sender polls.
+    std::vector<suspect_count> suspects;
+    std::vector<group_demand> demand;
+};
+
+struct heartbeat_reply
+{
+    std::uint64_t configVersion = 0;
+    std::uint64_t rosterVersion = 0;
+    bool draining = false;
+};
+
+/// A configuration change: the version that it makes, and the JSON merge patch.
+struct config_patch
+{
+    std::uint64_t version = 0;
+    std::string mergePatch;
+};
+
+void write(rpc::Heartbeat::Builder target, const heartbeat &message);
+heartbeat read(rpc::Heartbeat::Reader source);
+void write(rpc::HeartbeatReply::Builder target, const heartbeat_reply &reply);
+heartbeat_reply read(rpc::HeartbeatReply::Reader source);
+void write(rpc::UsageRecord::Builder target, const usage_record &record);
+usage_record read(rpc::UsageRecord::Reader source);
+
+}
--- /dev/null
+++ b/src/coordination/peer_server.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "coordination/peer_messages.h"
+#include "transport/rpc_loop.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace lacewinglock
+{
+
+/// What this daemon does with messages of its peers. All functions run on the RPC loop's thread and must not block.
+struct peer_handlers
+{
+    std::function<heartbeat_reply(heartbeat)> onHeartbeat;
+    std::function<void(const std::string &sender, config_patch)> onPatch;
+    std::function<std::vector<config_patch>(std::uint64_t after, std::uint32_t limit)> fetchPatches;
+    std::function<void(const std::string &sender, std::vector<usage_record>)> holdUsage;
+    std::function<void(const std::string &sender, std::vector<std::string> requestIds)> releaseUsage;
+};
+
+/// The bootstrap capability for connections to this daemon: login first, then the Peer interface.
+rpc_loop::bootstrap_factory makePeerServer(std::string ownId, std::string clusterSecret, peer_handlers handlers);
+
+}
--- /dev/null
+++ b/src/coordination/roster_keeper.cpp
@@ -0,0 +1,177 @@
+#include "coordination/roster_keeper.h"
+
+#include "protocol/tunables.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace lacewinglock
+{
+
+bool cell_roster::contains(std::string_view member) const
+{
+    return std::ranges::find(members, member) != members.end();
+}
+
+roster_keeper::roster_keeper(const std::string &cell, std::string instanceId)
+    : m_key("roster/" + cell)
+    , m_instanceId(std::move(instanceId))
+{
+}
+
+void roster_keeper::handle(const control_event &event, instant now, std::vector<control_effect> &out)
+{
+    if (std::holds_alternative<tick_event>(event)) {
+        onTick(now, out);
+    } else if (const auto *read = std::get_if<row_read_event>(&event)) {
+        onRead(*read, now, out);
+    } else if (const auto *commit = std::get_if<commit_event>(&event); commit != nullptr && m_pendingOp == commit->op) {
+        // Whatever the outcome, the row says what holds; an unknown commit is resolved by its version.
+        m_pendingOp.reset();
+        sendRead(now, out);
+    }
+}
+
+void roster_keeper::setGrant(std::optional<lease_grant> grant)
+{
+    m_grant = grant;
+}
+
+void roster_keeper::noteHeard(std::string_view instanceId, instant now)
+{
+    m_heard[std::string(instanceId)] = now;
+}
+
+void roster_keeper::noteVersion(std::string_view instanceId, std::uint64_t version)
+{
+    m_versions[std::string(instanceId)] = version;
+}
+
+void roster_keeper::setInstances(std::vector<instance_info> instances)
+{
+    m_instances = std::move(instances);
+    std::ranges::sort(m_instances, {}, &instance_info::id);
+}
+
+const cell_roster &roster_keeper::roster() const
+{
+    return m_roster;
+}
+
+void roster_keeper::onTick(instant now, std::vector<control_effect> &out)
+{
+    if (!m_pendingOp && now >= m_nextReadAt) {
+        sendRead(now, out);
+    }
+}
+
+void roster_keeper::sendRead(instant now, std::vector<control_effect> &out)
+{
+    m_pendingOp = m_nextOp++;
+    m_nextReadAt = now + tunables::rosterReadInterval;
+    out.emplace_back(read_row_effect{.op = *m_pendingOp, .key = m_key});
+}
+
+void roster_keeper::onRead(const row_read_event &event, instant now, std::vector<control_effect> &out)
+{
+    if (m_pendingOp != event.op) {
+        return;
+    }
+    m_pendingOp.reset();
+    if (!event.result.ok()) {
+        return;
+    }
+    takeRow(*event.result, now);
+    if (m_grant && now < m_grant->validUntil && membersCaughtUp(now)) {
+        proposeStep(now, out);
+    }
+}
+
+void roster_keeper::takeRow(const std::optional<row> &seen, instant now)
+{
+    m_rowVersion = seen ? seen->version : 0;
+    if (!seen) {
+        return;
+    }
+    const auto json = nlohmann::json::parse(seen->value, nullptr, false);
+    if (!json.is_object() || json.value("version", std::uint64_t{0}) <= m_roster.version) {
+        return;
+    }
+    m_roster.version = json.value("version", std::uint64_t{0});
+    m_roster.members = json.value("members", std::vector<std::string>{});
+    m_roster.domains = json.value("domains", std::map<std::string, std::string>{});
+    m_versionSeenAt = now;
+}
+
+// Two roster versions that are one step apart have intersecting majorities, two that are further apart may not. So the next
+// step waits until every member that is heard holds the current version, or none can admit by an older one any more.
+bool roster_keeper::membersCaughtUp(instant now) const
+{
+    if (!m_versionSeenAt || now >= *m_versionSeenAt + tunables::rosterStepWait) {
+        return true;
+    }
+    return std::ranges::all_of(m_roster.members, [&](const std::string &member) {
+        const auto version = m_versions.find(member);
+        return member == m_instanceId || (version != m_versions.end() && version->second >= m_roster.version);
+    });
+}
+
+bool roster_keeper::mustLeave(const std::string &member, instant now) const
+{
+    if (member == m_instanceId) {
+        return false;
+    }
+    if (find(m_instanceId) != nullptr && find(member) == nullptr) {
+        return true;
+    }
+    // A new holder has not listened for long, so silence counts from when it got the lease at the earliest.
+    const auto heard = m_heard.find(member);
+    const instant last = heard == m_heard.end() ? m_grant->acquiredAt : std::max(heard->second, m_grant->acquiredAt);
+    return now - last > tunables::memberSilenceLimit;
+}
+
+bool roster_keeper::mayJoin(const instance_info &candidate, instant now) const
+{
+    if (m_roster.contains(candidate.id) || candidate.leaving) {
+        return false;
+    }
+    const auto heard = m_heard.find(candidate.id);
+    return candidate.id == m_instanceId || (heard != m_heard.end() && now - heard->second <= tunables::candidateHeardLimit);
+}
+
+const instance_info *roster_keeper::find(std::string_view instanceId) const
+{
+    const auto found = std::ranges::find(m_instances, instanceId, &instance_info::id);
+    return found == m_instances.end() ? nullptr : &*found;
+}
+
+// Removals come first: a dead member makes majorities harder to reach, a missing one only admits nothing yet.
+void roster_keeper::proposeStep(instant now, std::vector<control_effect> &out)
+{
+    cell_roster next = m_roster;
+    const auto leaver = std::ranges::find_if(next.members, [&](const std::string &member) {
+        return mustLeave(member, now);
+    });
+    const auto joiner = std::ranges::find_if(m_instances, [&](const instance_info &candidate) {
+        return mayJoin(candidate, now);
+    });
+    if (leaver != next.members.end()) {
+        next.domains.erase(*leaver);
+        next.members.erase(leaver);
+    } else if (joiner != m_instances.end()) {
+        next.domains[joiner->id] = joiner->failureDomain;
+        next.members.push_back(joiner->id);
+        std::ranges::sort(next.members);
+    } else {
+        return;
+    }
+    const nlohmann::json value = {{"version", m_roster.version + 1}, {"members", next.members}, {"domains", next.domains}, {"epoch", m_grant->epoch}};
+    m_pendingOp = m_nextOp++;
+    out.emplace_back(commit_effect{
+        .op = *m_pendingOp,
+        .change = {.conditions = {{.key = m_key, .version = m_rowVersion}}, .writes = {{.key = m_key, .value = value.dump()}}},
+    });
+}
+
+}
--- /dev/null
+++ b/src/protocol/peer.capnp
@@ -0,0 +1,84 @@
+@0xb6f0a3c1d2e45978;
+# Messages between the daemons of a cell (docs/design.md, section 13).
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("lacewinglock::rpc");
+
+# The bootstrap capability of every connection. Both sides prove that they know the cluster secret with HMAC-SHA256 over the
+# role, both nonces and both instance identifiers. The fresh nonce of each side makes a recorded login useless.
+interface Login {
+  begin @0 (clientId :Text, clientNonce :Data) -> (serverId :Text, serverNonce :Data, serverProof :Data, proof :LoginProof);
+}
+
+interface LoginProof {
+  prove @0 (clientProof :Data) -> (peer :Peer);
+}
+
+interface Peer {
+  heartbeat @0 (message :Heartbeat) -> (reply :HeartbeatReply);
+  pushPatch @1 (patch :Patch) -> ();
+  fetchPatches @2 (after :UInt64, limit :UInt32) -> (patches :List(Patch));
+  holdUsage @3 (records :List(UsageRecord)) -> ();
+  releaseUsage @4 (requestIds :List(Text)) -> ();
+}
+
+struct Heartbeat {
+  sequence @0 :UInt64;  # Rises within a session; a repeated or older one is refused.
+  sender @1 :Text;
+  address @2 :Text;
+  callerAddress @3 :Text;
+  failureDomain @4 :Text;
+  configVersion @5 :UInt64;
+  rosterVersion @6 :UInt64;
+  draining @7 :Bool;
+  reports @8 :List(EndpointReport);
+  suspects @9 :List(Suspect);
+  demand @10 :List(GroupDemand);
+}
+
+# State of the receiver, read after the heartbeat arrived, so the sender may count it from the time it sent the heartbeat.
+struct HeartbeatReply {
+  configVersion @0 :UInt64;
+  rosterVersion @1 :UInt64;
+  draining @2 :Bool;
+}
+
+struct EndpointReport {
+  endpoint @0 :Text;
+  reachable @1 :Bool;
+  leaving @2 :Bool;
+  role @3 :UInt8;
+  changingRole @4 :Bool;
+  orderRevision @5 :UInt64;
+  orderEpoch @6 :UInt64;
+  queuedPromptTokens @7 :Float32;
+  runningStreams @8 :UInt32;
+  freeKvTokens @9 :Float32;
+  prefillTokensPerSecond @10 :Float32;
+  ageMs @11 :Float32;
+}
+
+struct Suspect {
+  fingerprint @0 :Text;
+  crashes @1 :UInt32;
+}
+
+struct GroupDemand {
+  group @0 :Text;
+  weightedTokens @1 :Float32;
+}
+
+struct Patch {
+  version @0 :UInt64;
+  mergePatch @1 :Text;
+}
+
+struct UsageRecord {
+  requestId @0 :Text;
+  organisation @1 :Text;
+  requests @2 :UInt64;
+  promptTokens @3 :UInt64;
+  cachedTokens @4 :UInt64;
+  outputTokens @5 :UInt64;
+  serviceCalls @6 :UInt64;
+}
--- a/src/protocol/tunables.h
+++ b/src/protocol/tunables.h
@@ -15,12 +15,28 @@
 constexpr auto leaseRenewInterval = 2s;
 constexpr auto leaseDriftMargin = 500ms;
 constexpr auto orderSendDeadline = 1s;
+constexpr auto leaseReadInterval = 1s; // A daemon without the lease watches the row this often.
+constexpr auto leaseRankDelay = 300ms; // Per place in the rendezvous order, so that contenders rarely meet.
 
 // Membership.
 constexpr auto heartbeatInterval = 1s;
 constexpr auto memberSilenceLimit = 10s;
 constexpr auto instanceListInterval = 2s;
 constexpr auto loadPollInterval = 1s;
+constexpr auto rosterReadInterval = 1s;
+constexpr auto rosterStepWait = 3500ms; // Freshness window plus one roster read: by then no daemon admits by an older roster.
+constexpr auto candidateHeardLimit = 3s; // A daemon joins the roster only while its heartbeats arrive.
+constexpr auto peerCallTimeout = 1s;
+constexpr auto usageHoldTimeout = 300ms; // A request waits at most this long for a peer to hold its usage.
+
+// Control.
+constexpr auto controlTick = 100ms;
+constexpr auto storeTimeout = 2s;
+constexpr auto pollTimeout = 800ms; // Below the poll interval, so that a hanging endpoint is polled again on time.
+constexpr int effectThreads = 8;
+constexpr int pollThreads = 8;
+constexpr auto drainGrace = 2s; // Callers and peers learn of the draining before requests are refused.
+constexpr auto drainLimit = 120s; // Longest wait for running requests.
 
 // Configuration.
 constexpr auto configPollInterval = 1s;
--- a/src/state/usage_ledger.cpp
+++ b/src/state/usage_ledger.cpp
@@ -50,4 +50,80 @@
     return m_records.size();
 }
 
+void usage_ledger::setRelease(release_function release)
+{
+    const std::lock_guard lock(m_mutex);
+    m_release = std::move(release);
+}
+
+void usage_ledger::noteCommitted(std::span<const usage_record> records) const
+{
+    release_function release;
+    {
+        const std::lock_guard lock(m_mutex);
+        release = m_release;
+    }
+    if (!release || records.empty()) {
+        return;
+    }
+    std::vector<std::string> ids;
+    for (const auto &record : records) {
+        ids.push_back(record.requestId);
+    }
+    release(ids);
+}
+
+void usage_ledger::hold(std::string_view owner, std::vector<usage_record> records)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &held = m_held[std::string(owner)];
+    for (auto &record : records) {
+        const std::string id = record.requestId;
+        held[id] = std::move(record);
+    }
+}
+
+void usage_ledger::releaseHeld(std::string_view owner, std::span<const std::string> requestIds)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto held = m_held.find(owner);
+    if (held == m_held.end()) {
+        return;
+    }
+    for (const auto &id : requestIds) {
+        held->second.erase(id);
+    }
+    if (held->second.empty()) {
+        m_held.erase(held);
+    }
+}
+
+std::size_t usage_ledger::heldCount() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::size_t count = 0;
+    for (const auto &[owner, records] : m_held) {
+        count += records.size();
+    }
+    return count;
+}
+
+std::size_t usage_ledger::adoptOrphans(const std::function<bool(std::string_view owner)> &isMember)
+{
+    const std::lock_guard lock(m_mutex);
+    std::size_t adopted = 0;
+    for (auto held = m_held.begin(); held != m_held.end();) {
+        if (isMember(held->first)) {
+            ++held;
+            continue;
+        }
+        for (auto &[id, record] : held->second) {
+            m_records.push_back(std::move(record));
+            ++adopted;
+        }
+        held = m_held.erase(held);
+    }
+    return adopted;
+}
+
 }
--- a/src/state/usage_ledger.h
+++ b/src/state/usage_ledger.h
@@ -3,8 +3,11 @@
 #include "protocol/usage_record.h"
 
 #include <functional>
+#include <map>
 #include <mutex>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lacewinglock
@@ -27,10 +30,27 @@
     void restore(std::vector<usage_record> records);
     std::size_t size() const;
 
+    /// Tells the peers that these records are in the table service. Called after their batch certainly committed.
+    using release_function = std::function<void(const std::vector<std::string> &requestIds)>;
+    void setRelease(release_function release);
+    void noteCommitted(std::span<const usage_record> records) const;
+
+    /// Copies held for a peer, until it releases them or leaves the roster.
+    void hold(std::string_view owner, std::vector<usage_record> records);
+    void releaseHeld(std::string_view owner, std::span<const std::string> requestIds);
+    std::size_t heldCount() const;
+    /// Makes the copies of owners that `isMember` does not know records of this daemon, to be written with its next batch.
+    /// Returns their number.
+    std::size_t adoptOrphans(const std::function<bool(std::string_view owner)> &isMember);
+
 private:
+    using held_records = std::map<std::string, usage_record, std::less<>>; // By request.
+
     mutable std::mutex m_mutex;
     std::vector<usage_record> m_records;
+    std::map<std::string, held_records, std::less<>> m_held; // By owner.
     replicate_function m_replicate;
+    release_function m_release;
 };
 
 }
--- /dev/null
+++ b/src/transport/worker_pool.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace lacewinglock
+{
+
+/// A fixed number of threads that run tasks in the order given.
+class worker_pool
+{
+public:
+    explicit worker_pool(int threads);
+    /// Finishes the running tasks and drops the waiting ones.
+    ~worker_pool();
+    worker_pool(const worker_pool &) = delete;
+    worker_pool &operator=(const worker_pool &) = delete;
+
+    void submit(std::function<void()> task);
+
+private:
+    void work();
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::deque<std::function<void()>> m_tasks;
+    bool m_stopping = false;
+    std::vector<std::thread> m_threads;
+};
+
+}
