Complete the caller side and test it against its failures

The tests found three faults: a service call ended with status 500, such a 500 claimed "not_run", and every answer on a reused connection counted as a lost connection because cpp-httplib leaves the error value unset on success.

--- a/src/coordination/caller_request.cpp
+++ b/src/coordination/caller_request.cpp
@@ -26,6 +26,7 @@
 constexpr std::int64_t maxDeadlineMs = 3'600'000;
 constexpr std::size_t maxIdempotencyKeyBytes = 255;
 constexpr double retryAfterNotFreshMs = 1000;
+constexpr int maxJsonDepth = 32; // Copying and printing JSON is recursive, so deep nesting would exhaust the stack.
 
 bool hasControlCharacter(std::string_view text)
 {
@@ -251,7 +252,15 @@
 // Takes the body of a completion apart.
 std::optional<refuse_effect> takeFields(const httplib::Request &request, bool chat, routed_request &routed)
 {
-    routed.fields = nlohmann::json::parse(request.body, nullptr, false);
+    bool tooDeep = false;
+    const auto watchDepth = [&tooDeep](int depth, nlohmann::json::parse_event_t, const nlohmann::json &) {
+        tooDeep = tooDeep || depth > maxJsonDepth;
+        return !tooDeep;
+    };
+    routed.fields = nlohmann::json::parse(request.body, watchDepth, false);
+    if (tooDeep) {
+        return makeRefusal(400, "malformed_json", "the body is nested too deeply");
+    }
     if (routed.fields.is_discarded() || !routed.fields.is_object()) {
         return makeRefusal(400, "malformed_json", "the body must be a JSON object");
     }
--- a/src/coordination/endpoint_client.cpp
+++ b/src/coordination/endpoint_client.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::size_t maxLineBytes = 1U << 20U; // A chunk carries one token; a longer line is malformed.
 constexpr std::size_t maxIdlePerEndpoint = 32;
+constexpr auto maxIdleTime = std::chrono::seconds(1); // Well below the keep-alive time of servers; a connection that one closes looks like a crash.
 constexpr auto connectTimeout = std::chrono::seconds(1); // Endpoints are a few milliseconds away.
 constexpr auto minReadTimeout = std::chrono::milliseconds(1);
 
@@ -21,7 +22,7 @@
 struct exchange
 {
     httplib::Response response;
-    httplib::Error error = httplib::Error::Unknown;
+    httplib::Error error = httplib::Error::Success; ///< cpp-httplib leaves it unchanged when a kept connection succeeds.
     bool echoed = false; ///< The answer carried the attempt's id.
 };
 
@@ -66,7 +67,7 @@
     if (elapsed >= limit) {
         return makeFailure(call, attempt_failure::TimedOut, "no answer in time");
     }
-    return makeFailure(call, attempt_failure::ConnectionLost, "connection lost after sending");
+    return makeFailure(call, attempt_failure::ConnectionLost, "connection lost after sending: " + httplib::to_string(done.error));
 }
 
 attempt_failed_event classifyStatus(const endpoint_call &call, const exchange &done)
@@ -97,7 +98,9 @@
     request.content_receiver = [&](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
         return !control.cancelled() && receive(status, std::string_view(data, size));
     };
-    connection.send(request, done.response, done.error);
+    if (!connection.send(request, done.response, done.error) && done.error == httplib::Error::Success) {
+        done.error = httplib::Error::Unknown;
+    }
     if (status != 0) {
         done.response.status = status;
     }
@@ -306,8 +309,13 @@
     if (!call.freshConnection) {
         const std::lock_guard lock(m_mutex);
         if (auto &idle = m_idle[call.address]; !idle.empty()) {
-            link = std::move(idle.back());
-            idle.pop_back();
+            // The last one was used most recently; when it is too old, so are all others.
+            if (std::chrono::steady_clock::now() - idle.back().since < maxIdleTime) {
+                link = std::move(idle.back().link);
+                idle.pop_back();
+            } else {
+                idle.clear();
+            }
         }
     }
     if (!link) {
@@ -327,7 +335,7 @@
 {
     const std::lock_guard lock(m_mutex);
     if (auto &idle = m_idle[address]; idle.size() < maxIdlePerEndpoint) {
-        idle.push_back(std::move(kept));
+        idle.push_back({.link = std::move(kept), .since = std::chrono::steady_clock::now()});
     }
 }
 
--- a/src/coordination/endpoint_client.h
+++ b/src/coordination/endpoint_client.h
@@ -3,6 +3,7 @@
 #include "coordination/request_session.h"
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <httplib.h>
 #include <map>
@@ -96,7 +97,13 @@
     void release(const std::string &address, connection kept);
 
     std::mutex m_mutex;
-    std::map<std::string, std::vector<connection>, std::less<>> m_idle;
+    struct idle_connection
+    {
+        connection link;
+        std::chrono::steady_clock::time_point since;
+    };
+
+    std::map<std::string, std::vector<idle_connection>, std::less<>> m_idle;
 };
 
 }
--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <cmath>
 #include <ctime>
+#include <exception>
+#include <glog/logging.h>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -29,6 +31,7 @@
     serving_context &context;
     admission_gate gate;
     endpoint_client client;
+    commit_batcher commits{context.store};
 };
 
 /// Counts a request until it is wholly answered.
@@ -59,9 +62,9 @@
         , count(front->context.callerRequests)
         , connection(request)
         , id(routed.session.requestId)
-        , model(routed.fields.value("model", std::string()))
+        , model(routed.session.kind == route_kind::Model ? routed.fields.value("model", std::string()) : std::string())
         , chat(routed.chat)
-        , runner(front->context, front->gate, front->client, std::move(routed), [this] {
+        , runner(front->context, front->gate, front->client, front->commits, std::move(routed), [this] {
             return connection.gone();
         })
     {
@@ -309,8 +312,14 @@
         return; // An answer of a service is passed on as it is, also without a body.
     }
     const int status = response.status;
-    const char *code = status == 413 ? "body_too_large" : status >= 500 ? "internal_error" : "bad_request";
-    answerRefusal(response, makeRefusal(status, code, status == 413 ? "the body is too large" : "the request could not be read"));
+    refuse_effect refused = makeRefusal(status, "bad_request", "the request could not be read");
+    if (status == 413) {
+        refused = makeRefusal(status, "body_too_large", "the body is too large");
+    } else if (status >= 500) {
+        refused = makeRefusal(status, "internal_error", "the daemon could not answer the request");
+        refused.state = run_state::Unknown; // Only the session knows what ran.
+    }
+    answerRefusal(response, refused);
 }
 
 void registerServiceRoutes(httplib::Server &server, const std::shared_ptr<front_state> &state)
@@ -330,10 +339,16 @@
 void registerCallerRoutes(httplib::Server &server, serving_context &context)
 {
     auto state = std::shared_ptr<front_state>(new front_state{.context = context});
+    server.set_tcp_nodelay(true); // Tokens are small writes, which would otherwise wait for acknowledgements.
     server.set_payload_max_length(tunables::maxBodyBytes);
     server.set_error_handler([](const httplib::Request &, httplib::Response &response) {
         completeError(response);
     });
+    // Replaces the handler of cpp-httplib, which puts the text of the exception into a header.
+    server.set_exception_handler([](const httplib::Request &request, httplib::Response &response, const std::exception_ptr &) {
+        LOG(ERROR) << "serve " << request.method << " [" << request.remote_addr << "]: unexpected exception";
+        response.status = 500;
+    });
     server.Get("/healthz", [](const httplib::Request &, httplib::Response &response) {
         response.set_content(R"({"ok":true})", "application/json");
     });
--- a/src/coordination/session_runner.cpp
+++ b/src/coordination/session_runner.cpp
@@ -3,6 +3,7 @@
 #include "protocol/decision_codec.h"
 #include "protocol/tunables.h"
 
+#include <glog/logging.h>
 #include <utility>
 
 namespace lacewinglock
@@ -22,11 +23,13 @@
 session_runner::session_runner(const serving_context &context,
                                admission_gate &gate,
                                endpoint_client &client,
+                               commit_batcher &commits,
                                routed_request request,
                                std::function<bool()> callerGone)
     : m_context(context)
     , m_gate(gate)
     , m_client(client)
+    , m_commits(commits)
     , m_request(std::move(request))
     , m_callerGone(std::move(callerGone))
     , m_promptBlocks(hashPromptBlocks(m_request.prompt))
@@ -188,7 +191,7 @@
 
 void session_runner::perform(const commit_effect &effect)
 {
-    push(commit_event{.op = effect.op, .outcome = m_context.store.commit(effect.change)});
+    push(commit_event{.op = effect.op, .outcome = m_commits.commit(effect.change)});
 }
 
 endpoint_call session_runner::makeCall(const start_attempt_effect &effect) const
@@ -248,9 +251,11 @@
     const auto *finished = std::get_if<stream_finished_event>(&*last);
     const double cached = finished != nullptr ? static_cast<double>(finished->cachedTokens) : -1;
     m_context.endpoints.noteFinished(endpointId, m_promptBlocks, finished != nullptr ? m_request.session.promptTokens : 0, cached, now);
-    if (const auto *failed = std::get_if<attempt_failed_event>(&*last);
-        failed != nullptr && failed->failure == attempt_failure::NotSent && !running.control.cancelled()) {
-        m_context.endpoints.markUnreachable(endpointId, now);
+    if (const auto *failed = std::get_if<attempt_failed_event>(&*last); failed != nullptr && !running.control.cancelled()) {
+        LOG(WARNING) << "attempt " << call.attemptId << " at endpoint " << endpointId << " failed: " << failed->detail;
+        if (failed->failure == attempt_failure::NotSent) {
+            m_context.endpoints.markUnreachable(endpointId, now);
+        }
     }
     push(std::move(*last));
     running.done = true;
--- a/src/coordination/session_runner.h
+++ b/src/coordination/session_runner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/admission_gate.h"
+#include "coordination/commit_batcher.h"
 #include "coordination/endpoint_client.h"
 #include "coordination/request_session.h"
 #include "coordination/serving_context.h"
@@ -42,7 +43,12 @@
 public:
     using output = std::variant<deliver_token_effect, finish_effect, deliver_answer_effect, refuse_effect, abandon_effect>;
 
-    session_runner(const serving_context &context, admission_gate &gate, endpoint_client &client, routed_request request, std::function<bool()> callerGone);
+    session_runner(const serving_context &context,
+                   admission_gate &gate,
+                   endpoint_client &client,
+                   commit_batcher &commits,
+                   routed_request request,
+                   std::function<bool()> callerGone);
     /// Cancels what still runs.
     ~session_runner();
     session_runner(const session_runner &) = delete;
@@ -84,6 +90,7 @@
     const serving_context &m_context;
     admission_gate &m_gate;
     endpoint_client &m_client;
+    commit_batcher &m_commits;
     routed_request m_request;
     std::function<bool()> m_callerGone;
     std::vector<std::uint64_t> m_promptBlocks;
