Add the daemon with its control thread, load polling and metrics

Cause: the control machines need a process that runs them with real I/O and serves callers. Places for the machines and routes of other parts are marked WIRING.

--- /dev/null
+++ b/src/coordination/load_poller.cpp
@@ -0,0 +1,148 @@
+#include "coordination/load_poller.h"
+
+#include "protocol/errors.h"
+#include "protocol/tunables.h"
+#include "state/rendezvous.h"
+
+#include <charconv>
+#include <glog/logging.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+endpoint_role parseRole(const std::string &name)
+{
+    if (name == "prefill") {
+        return endpoint_role::Prefill;
+    }
+    return name == "decode" ? endpoint_role::Decode : endpoint_role::Mixed;
+}
+
+std::vector<std::uint64_t> parseHashes(const nlohmann::json &list)
+{
+    std::vector<std::uint64_t> hashes;
+    for (const auto &item : list) {
+        const auto text = item.get<std::string>();
+        std::uint64_t hash = 0;
+        if (std::from_chars(text.data(), text.data() + text.size(), hash, 16).ec == std::errc()) {
+            hashes.push_back(hash);
+        }
+    }
+    return hashes;
+}
+
+/// Reads the cache events since `next` into the table and returns where to go on. A failure leaves the position as it was.
+std::uint64_t visitCacheEvents(httplib::Client &client, const std::string &id, std::uint64_t next, endpoint_table &endpoints)
+{
+    const auto answer = client.Get("/cache-events?since=" + std::to_string(next));
+    if (!answer || answer->status != 200) {
+        return next;
+    }
+    try {
+        const auto json = nlohmann::json::parse(answer->body);
+        const auto stored = parseHashes(json.value("stored", nlohmann::json::array()));
+        const auto evicted = parseHashes(json.value("evicted", nlohmann::json::array()));
+        endpoints.noteCacheEvent(id, stored, evicted, json.value("gap", false));
+        return json.value("next", next);
+    } catch (const nlohmann::json::exception &error) {
+        LOG(WARNING) << "read cache events [" << id << "]: " << error.what();
+        return next;
+    }
+}
+
+}
+
+absl::StatusOr<endpoint_report> parseLoad(const std::string &id, const std::string &body)
+{
+    try {
+        const auto json = nlohmann::json::parse(body);
+        return endpoint_report{
+            .endpoint = id,
+            .leaving = json.value("leaving", false),
+            .role = parseRole(json.value("role", "mixed")),
+            .changingRole = json.value("changing_role", false),
+            .orderRevision = json.value("order_revision", std::uint64_t{0}),
+            .orderEpoch = json.value("order_epoch", std::uint64_t{0}),
+            .queuedPromptTokens = json.value("queued_prompt_tokens", 0.0),
+            .runningStreams = json.value("running_streams", json.value("running", 0)),
+            .freeKvTokens = json.value("free_kv_tokens", 0.0),
+            .prefillTokensPerSecond = json.value("prefill_tokens_per_second", 8000.0),
+            .ageMs = json.value("age_ms", 0.0),
+        };
+    } catch (const nlohmann::json::exception &error) {
+        return makeError(absl::StatusCode::kInvalidArgument, "read load report", id, error.what());
+    }
+}
+
+load_poller::load_poller(std::string instanceId, endpoint_table &endpoints, std::function<instant()> now, int threads)
+    : m_instanceId(std::move(instanceId))
+    , m_endpoints(endpoints)
+    , m_now(std::move(now))
+    , m_pool(threads)
+{
+}
+
+void load_poller::poll(const configuration &config, const std::vector<std::string> &members)
+{
+    const std::lock_guard lock(m_mutex);
+    std::erase_if(m_visits, [&](const auto &item) {
+        return !item.second.running && (!config.endpoints.contains(item.first) || rendezvousRank(item.first, m_instanceId, members) != 0);
+    });
+    for (const auto &[id, target] : config.endpoints) {
+        // Without a roster the daemon polls everything, so that it can serve as soon as it is admitted.
+        if (rendezvousRank(id, m_instanceId, members) != 0) {
+            continue;
+        }
+        auto &known = m_visits[id];
+        if (std::exchange(known.running, true)) {
+            continue;
+        }
+        const auto group = config.groups.find(target.group);
+        const route_kind kind = group == config.groups.end() ? route_kind::Service : group->second.kind;
+        m_pool.submit([this, id = id, target = target, kind, next = known.nextCacheEvent] {
+            pollOne(id, target, kind, next);
+        });
+    }
+}
+
+void load_poller::pollOne(const std::string &id, const endpoint &target, route_kind kind, std::uint64_t nextCacheEvent)
+{
+    httplib::Client client("http://" + target.address);
+    client.set_connection_timeout(tunables::pollTimeout);
+    client.set_read_timeout(tunables::pollTimeout);
+    // From before the request was sent: work sent while the answer travels must count as sent since the report.
+    const instant takenAt = m_now();
+    const auto answer = client.Get("/load");
+    auto report = answer && answer->status == 200 ? parseLoad(id, answer->body) : endpoint_report{.endpoint = id, .reachable = false};
+    if (!report.ok()) {
+        LOG(WARNING) << report.status().message();
+        report = endpoint_report{.endpoint = id, .reachable = false};
+    }
+    m_endpoints.takeReport(*report, takenAt);
+    if (report->reachable && kind == route_kind::Model) {
+        nextCacheEvent = visitCacheEvents(client, id, nextCacheEvent, m_endpoints);
+    }
+    const std::lock_guard lock(m_mutex);
+    m_visits[id] = {.running = false, .nextCacheEvent = nextCacheEvent, .report = *report, .takenAt = takenAt, .polled = true};
+}
+
+std::vector<endpoint_report> load_poller::reports(instant now) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<endpoint_report> all;
+    for (const auto &[id, known] : m_visits) {
+        if (known.polled) {
+            all.push_back(known.report);
+            all.back().ageMs += toMs(now - known.takenAt);
+        }
+    }
+    return all;
+}
+
+}
--- /dev/null
+++ b/src/coordination/node.cpp
@@ -0,0 +1,303 @@
+#include "coordination/node.h"
+
+#include "coordination/peer_login.h"
+#include "protocol/errors.h"
+#include "protocol/tunables.h"
+#include "state/rendezvous.h"
+
+#include <algorithm>
+#include <glog/logging.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+constexpr auto usageFlushLimit = std::chrono::seconds(15); // A few flush intervals; a peer holds the copies in any case.
+constexpr auto handOverLimit = std::chrono::seconds(8); // Longer than a lease term: after it the leases have lapsed anyway.
+constexpr auto refusalTime = std::chrono::seconds(1); // Callers on open connections get a clear refusal before the listener closes.
+
+instant steadyNow()
+{
+    return instant(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+std::string makeIncarnation()
+{
+    std::string text;
+    for (const auto byte : makeLoginNonce()) {
+        text.push_back("0123456789abcdef"[byte % 16]);
+    }
+    return text.substr(0, 16);
+}
+
+std::string joinAddress(const socket_address &address, int port)
+{
+    return address.host + ":" + std::to_string(port);
+}
+
+}
+
+node::node(daemon_settings settings)
+    : m_settings(std::move(settings))
+    , m_incarnation(makeIncarnation())
+    , m_now(steadyNow)
+    , m_store(std::make_shared<http_table>(m_settings.platform.host, m_settings.platform.port))
+    , m_decisions(m_settings.decisionLog)
+    , m_rosterKeeper(m_settings.cell, m_settings.instanceId)
+    , m_link(std::make_unique<peer_link>(m_loop, m_settings.instanceId, m_settings.clusterSecret, m_now, makeLinkCallbacks()))
+    , m_poller(std::make_unique<load_poller>(m_settings.instanceId, m_endpoints, m_now, tunables::pollThreads))
+    , m_runner(std::make_unique<effect_runner>(effect_runner::environment{.store = m_store,
+                                                                          .platform = m_settings.platform,
+                                                                          .now = m_now,
+                                                                          .addressOf =
+                                                                              [this](const std::string &id) {
+                                                                                  return addressOf(id);
+                                                                              }},
+                                               tunables::effectThreads))
+    , m_serving(makeServingContext())
+{
+    m_usage.setReplicate([this](const usage_record &record) {
+        return replicateUsage(record);
+    });
+    m_usage.setRelease([this](const std::vector<std::string> &ids) {
+        releaseUsage(ids);
+    });
+    registerMachines();
+}
+
+node::~node()
+{
+    if (m_server) {
+        m_server->stop();
+    }
+    if (m_serverThread.joinable()) {
+        m_serverThread.join();
+    }
+    stopControl();
+    m_runner.reset();
+    m_poller.reset();
+    m_link.reset();
+}
+
+// The list of all control machines. A new one is one line here.
+void node::registerMachines()
+{
+    const lease_keeper &rosterLease = addLease("roster");
+    addLease("orders"); // WIRING: addMachine("orders", m_orderKeeper, &lease).
+    addLease("provision"); // WIRING: addMachine("provision", m_provisionKeeper, &lease).
+    addLease("usage"); // WIRING: addMachine("usage", m_usageKeeper, &lease).
+    addMachine("roster", m_rosterKeeper, &rosterLease);
+    // WIRING: addMachine("configuration", m_configFollower).
+    m_machines.push_back({.name = "instances", .handle = [this](const auto &event, instant now, auto &out) {
+                              handleInstances(event, now, out);
+                          }});
+}
+
+template <typename Machine>
+void node::addMachine(const std::string &name, Machine &target, const lease_keeper *lease)
+{
+    m_machines.push_back({.name = name, .handle = [this, &target, lease](const auto &event, instant now, auto &out) {
+                              if constexpr (requires { target.setGrant(std::optional<lease_grant>()); }) {
+                                  target.setGrant(lease == nullptr || m_handingOver ? std::nullopt : lease->grant(now));
+                              }
+                              target.handle(event, now, out);
+                          }});
+}
+
+lease_keeper &node::addLease(const std::string &duty)
+{
+    auto &lease = *m_leases.emplace_back(std::make_unique<lease_keeper>(m_settings.cell, duty, m_settings.instanceId + "/" + m_incarnation));
+    m_machines.push_back({
+        .name = "lease " + duty,
+        .handle =
+            [&lease](const auto &event, instant now, auto &out) {
+                lease.handle(event, now, out);
+            },
+        .release =
+            [&lease](instant now, auto &out) {
+                lease.release(now, out);
+            },
+    });
+    return lease;
+}
+
+// Reads the platform's instance list every few seconds and connects to the daemons on it.
+void node::handleInstances(const control_event &event, instant now, std::vector<control_effect> &out)
+{
+    if (std::holds_alternative<tick_event>(event) && now >= m_nextListAt) {
+        m_nextListAt = now + tunables::instanceListInterval;
+        out.emplace_back(list_instances_effect{.op = ++m_listOp});
+    }
+    const auto *listed = std::get_if<instances_event>(&event);
+    if (listed == nullptr) {
+        return;
+    }
+    if (!listed->result.ok()) {
+        m_metrics.count(metric_counter::StoreErrors);
+        LOG_EVERY_N(WARNING, 10) << listed->result.status().message();
+        return;
+    }
+    m_listed = *listed->result;
+    m_rosterKeeper.setInstances(m_listed);
+    std::vector<peer_address> peers;
+    for (const auto &instance : m_listed) {
+        if (instance.id != m_settings.instanceId) {
+            peers.push_back({.id = instance.id, .address = instance.address});
+        }
+    }
+    m_link->setPeers(peers);
+}
+
+absl::Status node::start()
+{
+    try {
+        m_peerPort
+            = m_loop.listen(m_settings.peer.host, m_settings.peer.port, makePeerServer(m_settings.instanceId, m_settings.clusterSecret, makePeerHandlers()));
+    } catch (const kj::Exception &error) {
+        return makeError(absl::StatusCode::kUnavailable, "open peer interface", "local", error.getDescription().cStr());
+    }
+    if (auto opened = startCallerInterface(); !opened.ok()) {
+        return opened;
+    }
+    m_controlThread = std::thread([this] {
+        runControl();
+    });
+    return absl::OkStatus();
+}
+
+absl::Status node::startCallerInterface()
+{
+    const auto &tls = m_settings.tls;
+    if (tls.certificateFile.empty()) {
+        m_server = std::make_unique<httplib::Server>();
+    } else {
+        m_server = std::make_unique<httplib::SSLServer>(tls.certificateFile.c_str(), tls.keyFile.c_str());
+    }
+    if (!m_server->is_valid()) {
+        return makeError(absl::StatusCode::kInvalidArgument, "open caller interface", "local", "certificate or key can't be used");
+    }
+    m_server->new_task_queue = [threads = m_settings.callerThreads] {
+        return new httplib::ThreadPool(static_cast<std::size_t>(threads));
+    };
+    m_server->set_payload_max_length(tunables::maxBodyBytes);
+    registerRoutes();
+    const auto &address = m_settings.caller;
+    m_callerPort = address.port == 0 ? m_server->bind_to_any_port(address.host) : address.port;
+    if (m_callerPort <= 0 || (address.port != 0 && !m_server->bind_to_port(address.host, address.port))) {
+        return makeError(absl::StatusCode::kUnavailable, "open caller interface", "local", "can't listen on " + joinAddress(address, address.port));
+    }
+    m_serverThread = std::thread([this] {
+        m_server->listen_after_bind();
+    });
+    // Connections are queued by the system from the bind on; only stop() needs the server to be running.
+    while (!m_server->is_running()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return absl::OkStatus();
+}
+
+void node::registerRoutes()
+{
+    m_server->set_pre_routing_handler([this](const httplib::Request &, httplib::Response &response) {
+        if (!m_refusing) {
+            return httplib::Server::HandlerResponse::Unhandled;
+        }
+        const nlohmann::json error = {{"code", "draining"}, {"message", "this daemon is shutting down"}, {"run_state", "not_run"}, {"retry_after_ms", 0}};
+        response.status = 503;
+        response.set_header("Connection", "close");
+        response.set_content(nlohmann::json{{"error", error}}.dump(), "application/json");
+        return httplib::Server::HandlerResponse::Handled;
+    });
+    m_server->Get("/metrics", [this](const httplib::Request &, httplib::Response &response) {
+        response.set_content(m_metrics.text(), "text/plain; version=0.0.4");
+    });
+    // WIRING: registerCallerRoutes(*m_server, m_serving) and registerOperatorRoutes(*m_server, operator context).
+}
+
+serving_context node::makeServingContext()
+{
+    return {
+        .instanceId = m_settings.instanceId,
+        .incarnation = m_incarnation,
+        .cell = m_settings.cell,
+        .failureDomain = m_settings.failureDomain,
+        .config = m_config,
+        .endpoints = m_endpoints,
+        .suspects = m_suspects,
+        .usage = m_usage,
+        .store = m_store,
+        .decisions = m_decisions,
+        .now = m_now,
+        // WIRING: the freshness gate of config_follower. Until then nothing is admitted.
+        .fresh =
+            [] {
+                return false;
+            },
+        .draining =
+            [this] {
+                return m_draining.load();
+            },
+        .instances =
+            [this] {
+                return liveInstances();
+            },
+        .demandShare =
+            [this](const std::string &group) {
+                return demandShare(group);
+            },
+    };
+}
+
+void node::drain()
+{
+    LOG(INFO) << "draining: announced to callers and peers";
+    m_draining = true;
+    std::this_thread::sleep_for(tunables::drainGrace);
+    m_refusing = true;
+    std::this_thread::sleep_for(refusalTime);
+    // The listener closes; stop() lets running handlers finish, and the join waits for them.
+    m_server->stop();
+    m_serverThread.join();
+    LOG(INFO) << "draining: no request is running any more";
+    for (const instant end = m_now() + usageFlushLimit; m_usage.size() > 0 && m_now() < end;) {
+        std::this_thread::sleep_for(tunables::controlTick);
+    }
+    m_handingOver = true;
+    {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait_for(lock, handOverLimit, [this] {
+            return m_handedOver;
+        });
+    }
+    stopControl();
+    LOG(INFO) << "draining: finished, usage records left here: " << m_usage.size();
+}
+
+int node::callerPort() const
+{
+    return m_callerPort;
+}
+
+int node::peerPort() const
+{
+    return m_peerPort;
+}
+
+cell_roster node::roster() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_roster;
+}
+
+std::vector<std::string> node::duties() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_duties;
+}
+
+}
--- /dev/null
+++ b/src/coordination/node.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "coordination/decision_log.h"
+#include "coordination/effect_runner.h"
+#include "coordination/lease_keeper.h"
+#include "coordination/load_poller.h"
+#include "coordination/peer_link.h"
+#include "coordination/peer_server.h"
+#include "coordination/roster_keeper.h"
+#include "coordination/serving_context.h"
+#include "protocol/settings.h"
+#include "state/metrics.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace httplib
+{
+class Server;
+}
+
+namespace lacewinglock
+{
+
+/// One daemon: owns all state, runs the control machines on one thread and serves callers.
+class node
+{
+public:
+    explicit node(daemon_settings settings);
+    /// Stops without draining.
+    ~node();
+    node(const node &) = delete;
+    node &operator=(const node &) = delete;
+
+    /// Opens the peer and caller interfaces and starts the control thread.
+    absl::Status start();
+
+    /// Graceful shutdown: announces the draining, refuses new requests after a while, waits for running ones, flushes usage and
+    /// hands the leases over. Returns when all of it is done.
+    void drain();
+
+    int callerPort() const;
+    int peerPort() const;
+    cell_roster roster() const;
+    /// Duties whose lease this daemon holds.
+    std::vector<std::string> duties() const;
+
+private:
+    /// A control machine as the control thread sees it.
+    struct machine
+    {
+        std::string name;
+        std::function<void(const control_event &, instant, std::vector<control_effect> &)> handle;
+        std::function<void(instant, std::vector<control_effect> &)> release; ///< Leases only.
+    };
+
+    struct peer_state
+    {
+        instance_info info;
+        instant heardAt;
+        bool draining = false;
+        std::vector<group_demand> demand;
+    };
+
+    struct answer
+    {
+        std::size_t machine = 0;
+        control_event event;
+    };
+
+    void registerMachines();
+    template <typename Machine>
+    void addMachine(const std::string &name, Machine &target, const lease_keeper *lease = nullptr);
+    lease_keeper &addLease(const std::string &duty);
+    void handleInstances(const control_event &event, instant now, std::vector<control_effect> &out);
+
+    absl::Status startCallerInterface();
+    void registerRoutes();
+    serving_context makeServingContext();
+    void runControl();
+    void deliver(std::size_t index, const control_event &event, instant now);
+    void submit(std::size_t index, std::vector<control_effect> effects);
+    void takeAnswers(std::unique_lock<std::mutex> &lock);
+    void tickMachines(instant now);
+    void everySecond(instant now);
+    void publish(instant now);
+    void handOverLeases(instant now);
+    void post(std::function<void(instant)> task);
+    void stopControl();
+
+    peer_handlers makePeerHandlers();
+    peer_link::callbacks makeLinkCallbacks();
+    heartbeat_reply takeHeartbeat(const heartbeat &message);
+    heartbeat makeHeartbeat(instant now) const;
+    bool replicateUsage(const usage_record &record);
+    void releaseUsage(const std::vector<std::string> &requestIds);
+    std::vector<std::string> usageHolders(const std::string &requestId) const;
+    std::vector<instance_info> liveInstances() const;
+    double demandShare(const std::string &group) const;
+    std::optional<std::string> addressOf(const std::string &endpointId) const;
+    instance_info self() const;
+
+    daemon_settings m_settings;
+    std::string m_incarnation;
+    std::function<instant()> m_now;
+
+    config_holder m_config;
+    endpoint_table m_endpoints;
+    suspect_table m_suspects;
+    usage_ledger m_usage;
+    metrics m_metrics;
+    table_store m_store;
+    decision_log m_decisions;
+
+    // Control thread only.
+    roster_keeper m_rosterKeeper;
+    std::vector<std::unique_ptr<lease_keeper>> m_leases;
+    std::vector<machine> m_machines;
+    std::vector<instance_info> m_listed;
+    instant m_nextListAt;
+    op_id m_listOp = 0;
+    bool m_released = false;
+
+    mutable std::mutex m_mutex; ///< Guards the members below. Never held during a call to m_link, whose loop takes it too.
+    std::condition_variable m_changed;
+    std::vector<answer> m_answers;
+    std::vector<std::function<void(instant)>> m_tasks;
+    std::map<std::string, peer_state> m_peers;
+    std::map<std::string, std::string> m_usageHolders; ///< Request to the peer that holds its copy.
+    cell_roster m_roster;
+    std::vector<std::string> m_duties;
+    bool m_stopping = false;
+    bool m_handedOver = false;
+
+    std::atomic<bool> m_draining = false;
+    std::atomic<bool> m_refusing = false;
+    std::atomic<bool> m_handingOver = false;
+    std::atomic<int> m_effectsInFlight = 0; ///< Of machines other than leases.
+    int m_callerPort = 0;
+    int m_peerPort = 0;
+
+    rpc_loop m_loop;
+    std::unique_ptr<peer_link> m_link;
+    std::unique_ptr<load_poller> m_poller;
+    std::unique_ptr<effect_runner> m_runner;
+    serving_context m_serving;
+    std::unique_ptr<httplib::Server> m_server;
+    std::thread m_serverThread;
+    std::thread m_controlThread;
+};
+
+}
--- a/src/protocol/tunables.h
+++ b/src/protocol/tunables.h
@@ -36,7 +36,6 @@
 constexpr int effectThreads = 8;
 constexpr int pollThreads = 8;
 constexpr auto drainGrace = 2s; // Callers and peers learn of the draining before requests are refused.
-constexpr auto drainLimit = 120s; // Longest wait for running requests.
 
 // Configuration.
 constexpr auto configPollInterval = 1s;
--- /dev/null
+++ b/src/state/metrics.cpp
@@ -0,0 +1,101 @@
+#include "state/metrics.h"
+
+#include <boost/histogram.hpp>
+#include <mutex>
+#include <sstream>
+#include <string_view>
+#include <vector>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+// Upper bounds in milliseconds; 42 and 740 are the targets of the token gap and the first token.
+const std::vector<double> bucketEdges{0, 1, 2, 5, 10, 20, 42, 80, 150, 300, 500, 740, 1000, 2000, 5000, 10000, 30000, 60000};
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(metric_histogram::Count)> histogramNames{
+    "lacewinglock_first_token_ms",
+    "lacewinglock_token_gap_ms",
+    "lacewinglock_request_ms",
+};
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(metric_counter::Count)> counterNames{
+    "lacewinglock_requests_total",
+    "lacewinglock_refusals_total",
+    "lacewinglock_control_bytes_total",
+    "lacewinglock_store_errors_total",
+    "lacewinglock_peer_failures_total",
+    "lacewinglock_poll_failures_total",
+};
+
+auto makeHistogram()
+{
+    return boost::histogram::make_histogram(boost::histogram::axis::variable<>(bucketEdges));
+}
+
+using time_histogram = decltype(makeHistogram());
+
+struct series
+{
+    std::mutex mutex;
+    time_histogram histogram = makeHistogram();
+    double sum = 0;
+};
+
+void writeSeries(std::ostringstream &out, std::string_view name, series &data)
+{
+    const std::lock_guard lock(data.mutex);
+    out << "# TYPE " << name << " histogram\n";
+    double total = 0;
+    for (auto &&bucket : boost::histogram::indexed(data.histogram)) {
+        total += *bucket;
+        out << name << "_bucket{le=\"" << bucket.bin().upper() << "\"} " << total << "\n";
+    }
+    total += data.histogram.at(data.histogram.axis().size());
+    out << name << "_bucket{le=\"+Inf\"} " << total << "\n" << name << "_sum " << data.sum << "\n" << name << "_count " << total << "\n";
+}
+
+}
+
+struct metrics::histogram_state
+{
+    std::array<series, static_cast<std::size_t>(metric_histogram::Count)> all;
+};
+
+metrics::metrics()
+    : m_histograms(std::make_unique<histogram_state>())
+{
+}
+
+metrics::~metrics() = default;
+
+void metrics::observe(metric_histogram which, double milliseconds)
+{
+    auto &data = m_histograms->all[static_cast<std::size_t>(which)];
+    const double value = milliseconds < 0 ? 0 : milliseconds;
+    const std::lock_guard lock(data.mutex);
+    data.histogram(value);
+    data.sum += value;
+}
+
+void metrics::count(metric_counter which, std::uint64_t amount)
+{
+    m_counters[static_cast<std::size_t>(which)] += amount;
+}
+
+std::string metrics::text() const
+{
+    std::ostringstream out;
+    out.precision(15);
+    for (std::size_t i = 0; i < m_counters.size(); ++i) {
+        out << "# TYPE " << counterNames[i] << " counter\n" << counterNames[i] << " " << m_counters[i].load() << "\n";
+    }
+    for (std::size_t i = 0; i < histogramNames.size(); ++i) {
+        writeSeries(out, histogramNames[i], m_histograms->all[i]);
+    }
+    return out.str();
+}
+
+}
--- /dev/null
+++ b/src/state/metrics.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace lacewinglock
+{
+
+enum class metric_histogram {
+    FirstTokenMs,
+    TokenGapMs,
+    RequestMs,
+    Count
+};
+
+enum class metric_counter {
+    Requests,
+    Refusals,
+    ControlBytes,
+    StoreErrors,
+    PeerFailures,
+    PollFailures,
+    Count
+};
+
+/// Counters and histograms of this daemon. Thread-safe.
+class metrics
+{
+public:
+    metrics();
+    ~metrics();
+    metrics(const metrics &) = delete;
+    metrics &operator=(const metrics &) = delete;
+
+    void observe(metric_histogram which, double milliseconds);
+    void count(metric_counter which, std::uint64_t amount = 1);
+
+    /// Prometheus text format.
+    std::string text() const;
+
+private:
+    struct histogram_state;
+    std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(metric_counter::Count)> m_counters{};
+    std::unique_ptr<histogram_state> m_histograms;
+};
+
+}
--- /dev/null
+++ b/tests/node_test.cpp
@@ -0,0 +1,197 @@
+#include "coordination/effect_runner.h"
+#include "coordination/load_poller.h"
+#include "coordination/node.h"
+#include "protocol/tunables.h"
+#include "state/metrics.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// The platform's tables and instance list on loopback.
+class platform_fixture
+{
+public:
+    platform_fixture()
+    {
+        m_server.Post("/tables/commit", [this](const httplib::Request &request, httplib::Response &response) {
+            transaction change;
+            const auto body = json::parse(request.body);
+            for (const auto &item : body["conditions"]) {
+                change.conditions.push_back({.key = item["key"], .version = item["version"]});
+            }
+            for (const auto &item : body["writes"]) {
+                change.writes.push_back({.key = item["key"], .value = item["value"].get<std::string>()});
+            }
+            response.status = m_table.commit(change) == commit_outcome::Committed ? 200 : 409;
+        });
+        m_server.Get("/tables/row", [this](const httplib::Request &request, httplib::Response &response) {
+            const auto found = *m_table.read(request.get_param_value("key"));
+            response.status = found ? 200 : 404;
+            if (found) {
+                response.set_content(json{{"key", found->key}, {"value", found->value}, {"version", found->version}}.dump(), "application/json");
+            }
+        });
+        m_server.Get("/instances", [this](const httplib::Request &, httplib::Response &response) {
+            const std::lock_guard lock(m_mutex);
+            response.set_content(json{{"instances", m_instances}}.dump(), "application/json");
+        });
+        m_server.Post("/endpoints/orders", [this](const httplib::Request &, httplib::Response &response) {
+            ++orders;
+            response.set_content(R"({"endpoints":["e1"]})", "application/json");
+        });
+        port = m_server.bind_to_any_port("127.0.0.1");
+        m_thread = std::thread([this] {
+            m_server.listen_after_bind();
+        });
+        while (!m_server.is_running()) {
+            std::this_thread::yield();
+        }
+    }
+
+    ~platform_fixture()
+    {
+        m_server.stop();
+        m_thread.join();
+    }
+
+    void list(const std::string &id, int peerPort)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_instances.push_back({{"id", id}, {"address", "127.0.0.1:" + std::to_string(peerPort)}, {"failure_domain", "f-" + id}});
+    }
+
+    int port = 0;
+    std::atomic<int> orders = 0;
+
+private:
+    memory_table m_table;
+    std::mutex m_mutex;
+    json m_instances = json::array();
+    httplib::Server m_server;
+    std::thread m_thread;
+};
+
+daemon_settings settingsOf(const std::string &id, const platform_fixture &platform)
+{
+    return {
+        .instanceId = id,
+        .failureDomain = "f-" + id,
+        .platform = {.port = platform.port},
+        .clusterSecret = "secret",
+        .callerThreads = 4,
+    };
+}
+
+template <typename Condition>
+bool eventually(Condition condition, std::chrono::seconds limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!condition() && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return condition();
+}
+
+// Guards against daemons that do not find each other, against two holders of one duty, and against a drain that keeps its leases.
+TEST(node_test, two_daemons_form_a_roster_and_hand_duties_over)
+{
+    platform_fixture platform;
+    node one(settingsOf("d1", platform));
+    node two(settingsOf("d2", platform));
+    ASSERT_TRUE(one.start().ok());
+    ASSERT_TRUE(two.start().ok());
+    platform.list("d1", one.peerPort());
+    platform.list("d2", two.peerPort());
+    ASSERT_TRUE(eventually(
+        [&] {
+            return one.roster().members.size() == 2 && two.roster().members.size() == 2 && one.duties().size() + two.duties().size() == 4;
+        },
+        std::chrono::seconds(20)));
+    httplib::Client client("127.0.0.1", one.callerPort());
+    EXPECT_NE(client.Get("/metrics")->body.find("lacewinglock_first_token_ms_count"), std::string::npos);
+    one.drain();
+    // Well below a lease term: the successor need not wait for the lease to lapse.
+    EXPECT_TRUE(eventually(
+        [&] {
+            return two.duties().size() == 4;
+        },
+        std::chrono::seconds(4)));
+}
+
+// Guards against an order that leaves after its sender's lease has lapsed: the platform must not see it.
+TEST(effect_runner_test, a_lapsed_sender_sends_nothing)
+{
+    platform_fixture platform;
+    table_store store(std::make_shared<memory_table>());
+    instant now = instant() + duration(std::chrono::seconds(10));
+    effect_runner runner({.store = store,
+                          .platform = {.port = platform.port},
+                          .now =
+                              [&] {
+                                  return now;
+                              },
+                          .addressOf =
+                              [](const std::string &) {
+                                  return std::optional<std::string>();
+                              }},
+                         1);
+    const send_provision_effect lapsed{.op = 1, .order = {.token = "t", .count = 1}, .validUntil = now};
+    EXPECT_EQ(std::get<delivery_event>(runner.perform(lapsed)).outcome, delivery::NotSent);
+    EXPECT_EQ(platform.orders, 0);
+    const send_provision_effect valid{.op = 2, .order = {.token = "t", .count = 1}, .validUntil = now + duration(1)};
+    const auto accepted = std::get<delivery_event>(runner.perform(valid));
+    EXPECT_EQ(accepted.outcome, delivery::Accepted);
+    EXPECT_EQ(accepted.endpoints, std::vector<std::string>{"e1"});
+    EXPECT_EQ(platform.orders, 1);
+}
+
+// Guards against a malformed load report that stops the daemon or counts as an idle endpoint.
+TEST(load_poller_test, rejects_fields_of_the_wrong_type)
+{
+    EXPECT_FALSE(parseLoad("e1", R"({"running_streams":"many"})").ok());
+    EXPECT_FALSE(parseLoad("e1", "[]").ok());
+    EXPECT_FALSE(parseLoad("e1", "not json").ok());
+    EXPECT_EQ(parseLoad("e1", R"({"age_ms":5,"running":3})")->runningStreams, 3);
+}
+
+// Guards against usage of a dead daemon that is lost, and against usage that is billed again after its owner released it.
+TEST(usage_ledger_test, adopts_only_unreleased_records_of_owners_that_left)
+{
+    usage_ledger ledger;
+    ledger.hold("d2", {{.requestId = "r1"}, {.requestId = "r2"}});
+    ledger.hold("d3", {{.requestId = "r3"}});
+    const std::vector<std::string> written{"r1"};
+    ledger.releaseHeld("d2", written);
+    EXPECT_EQ(ledger.adoptOrphans([](std::string_view owner) {
+        return owner == "d3";
+    }),
+              1U);
+    EXPECT_EQ(ledger.take().front().requestId, "r2");
+    EXPECT_EQ(ledger.heldCount(), 1U);
+}
+
+// Guards against buckets that are not cumulative, which Prometheus would read as wrong percentiles.
+TEST(metrics_test, buckets_are_cumulative)
+{
+    metrics all;
+    all.observe(metric_histogram::TokenGapMs, 30);
+    all.observe(metric_histogram::TokenGapMs, 1e9);
+    const auto text = all.text();
+    EXPECT_NE(text.find("lacewinglock_token_gap_ms_bucket{le=\"42\"} 1\n"), std::string::npos);
+    EXPECT_NE(text.find("lacewinglock_token_gap_ms_bucket{le=\"+Inf\"} 2\n"), std::string::npos);
+    EXPECT_NE(text.find("lacewinglock_token_gap_ms_count 2\n"), std::string::npos);
+}
+
+}
+
+}
