Wire the daemon: configuration, callers, operators and control machines

Cause: the parts were built side by side and nothing ran end to end. Change: node owns the follower, editor and keepers; heartbeats carry the advertised configuration version; whole documents travel between peers; batches release the copies that peers hold; a drain waits for running requests.

--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -1,7 +1,9 @@
 #include "coordination/node.h"
 
+#include "coordination/front.h"
 #include "coordination/peer_login.h"
 #include "protocol/errors.h"
+#include "protocol/invariant.h"
 #include "protocol/tunables.h"
 #include "state/rendezvous.h"
 
@@ -19,6 +21,7 @@
 
 constexpr auto usageFlushLimit = std::chrono::seconds(15); // A few flush intervals; a peer holds the copies in any case.
 constexpr auto handOverLimit = std::chrono::seconds(8); // Longer than a lease term: after it the leases have lapsed anyway.
+constexpr std::size_t recentDecisionBytes = 8U << 20U;
 constexpr auto refusalTime = std::chrono::seconds(1); // Callers on open connections get a clear refusal before the listener closes.
 
 instant steadyNow()
@@ -47,8 +50,15 @@
     , m_incarnation(makeIncarnation())
     , m_now(steadyNow)
     , m_store(std::make_shared<http_table>(m_settings.platform.host, m_settings.platform.port))
-    , m_decisions(m_settings.decisionLog)
+    , m_recentDecisions(recentDecisionBytes)
+    , m_decisions(m_settings.decisionLog, &m_recentDecisions)
+    , m_editor(storeCalls(m_store), m_config)
     , m_rosterKeeper(m_settings.cell, m_settings.instanceId)
+    , m_orderKeeper(m_settings.cell)
+    , m_provisionKeeper(m_settings.cell)
+    , m_usageKeeper(m_settings.cell)
+    , m_usageBatcher(m_settings.cell, m_settings.instanceId, m_incarnation, m_usage)
+    , m_follower(m_config)
     , m_link(std::make_unique<peer_link>(m_loop, m_settings.instanceId, m_settings.clusterSecret, m_now, makeLinkCallbacks()))
     , m_poller(std::make_unique<load_poller>(m_settings.instanceId, m_endpoints, m_now, tunables::pollThreads))
     , m_runner(std::make_unique<effect_runner>(effect_runner::environment{.store = m_store,
@@ -60,6 +70,7 @@
                                                                               }},
                                                tunables::effectThreads))
     , m_serving(makeServingContext())
+    , m_operators(makeOperatorContext())
 {
     m_usage.setReplicate([this](const usage_record &record) {
         return replicateUsage(record);
@@ -88,11 +99,18 @@
 void node::registerMachines()
 {
     const lease_keeper &rosterLease = addLease("roster");
-    addLease("orders"); // WIRING: addMachine("orders", m_orderKeeper, &lease).
-    addLease("provision"); // WIRING: addMachine("provision", m_provisionKeeper, &lease).
-    addLease("usage"); // WIRING: addMachine("usage", m_usageKeeper, &lease).
+    const lease_keeper &orderLease = addLease("orders");
+    const lease_keeper &provisionLease = addLease("provision");
+    const lease_keeper &usageLease = addLease("usage");
     addMachine("roster", m_rosterKeeper, &rosterLease);
-    // WIRING: addMachine("configuration", m_configFollower).
+    addMachine("orders", m_orderKeeper, &orderLease);
+    addMachine("provision", m_provisionKeeper, &provisionLease);
+    addMachine("usage", m_usageKeeper, &usageLease);
+    addMachine("usage batches", m_usageBatcher);
+    m_machines.push_back({.name = "configuration", .handle = [this](const auto &event, instant now, auto &out) {
+                              const std::lock_guard lock(m_followerMutex);
+                              m_follower.handle(event, now, out);
+                          }});
     m_machines.push_back({.name = "instances", .handle = [this](const auto &event, instant now, auto &out) {
                               handleInstances(event, now, out);
                           }});
@@ -216,7 +234,8 @@
     m_server->Get("/metrics", [this](const httplib::Request &, httplib::Response &response) {
         response.set_content(m_metrics.text(), "text/plain; version=0.0.4");
     });
-    // WIRING: registerCallerRoutes(*m_server, m_serving) and registerOperatorRoutes(*m_server, operator context).
+    registerOperatorRoutes(*m_server, m_operators);
+    registerCallerRoutes(*m_server, m_serving);
 }
 
 serving_context node::makeServingContext()
@@ -233,10 +252,9 @@
         .store = m_store,
         .decisions = m_decisions,
         .now = m_now,
-        // WIRING: the freshness gate of config_follower. Until then nothing is admitted.
         .fresh =
-            [] {
-                return false;
+            [this] {
+                return configFresh();
             },
         .draining =
             [this] {
@@ -253,6 +271,50 @@
     };
 }
 
+operator_context node::makeOperatorContext()
+{
+    return {
+        .serving = m_serving,
+        .editor = m_editor,
+        .recentDecisions = m_recentDecisions,
+        .operatorTokenHash = m_settings.operatorTokenHash,
+        .pushPatch =
+            [this](std::uint64_t version, const nlohmann::json &patch) {
+                announcePatch(version, patch);
+            },
+        .inForce =
+            [this](std::uint64_t version) {
+                const std::lock_guard lock(m_followerMutex);
+                return m_follower.inForce(version);
+            },
+        .roster =
+            [this] {
+                return roster().members;
+            },
+        .leases =
+            [this] {
+                return leaseStatus();
+            },
+    };
+}
+
+std::vector<lease_status> node::leaseStatus() const
+{
+    std::vector<lease_status> list;
+    const std::lock_guard lock(m_mutex);
+    for (const auto &lease : m_leases) {
+        const auto held = m_epochs.find(lease->duty());
+        const bool here = held != m_epochs.end();
+        list.push_back({
+            .duty = lease->duty(),
+            .holder = here ? m_settings.instanceId : "",
+            .epoch = here ? held->second : 0,
+            .heldHere = here,
+        });
+    }
+    return list;
+}
+
 void node::drain()
 {
     LOG(INFO) << "draining: announced to callers and peers";
@@ -260,11 +322,16 @@
     std::this_thread::sleep_for(tunables::drainGrace);
     m_refusing = true;
     std::this_thread::sleep_for(refusalTime);
-    // The listener closes; stop() lets running handlers finish, and the join waits for them.
+    // stop() would interrupt streams, so running requests end first. Their own deadlines bound the wait.
+    while (requestsInFlight(m_serving) > 0) {
+        std::this_thread::sleep_for(tunables::controlTick);
+    }
+    checkInvariant(requestsInFlight(m_serving) == 0, invariant::GracefulShutdown, "the server stops while a request is running");
     m_server->stop();
     m_serverThread.join();
     LOG(INFO) << "draining: no request is running any more";
-    for (const instant end = m_now() + usageFlushLimit; m_usage.size() > 0 && m_now() < end;) {
+    m_usageWritten = false;
+    for (const instant end = m_now() + usageFlushLimit; !m_usageWritten && m_now() < end;) {
         std::this_thread::sleep_for(tunables::controlTick);
     }
     m_handingOver = true;
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -1,13 +1,19 @@
 #pragma once
 
+#include "coordination/config_editor.h"
+#include "coordination/config_follower.h"
 #include "coordination/decision_log.h"
 #include "coordination/effect_runner.h"
 #include "coordination/lease_keeper.h"
 #include "coordination/load_poller.h"
+#include "coordination/operator_interface.h"
+#include "coordination/order_keeper.h"
 #include "coordination/peer_link.h"
 #include "coordination/peer_server.h"
+#include "coordination/provision_keeper.h"
 #include "coordination/roster_keeper.h"
 #include "coordination/serving_context.h"
+#include "coordination/usage_keeper.h"
 #include "protocol/settings.h"
 #include "state/metrics.h"
 
@@ -83,12 +89,21 @@
     absl::Status startCallerInterface();
     void registerRoutes();
     serving_context makeServingContext();
+    operator_context makeOperatorContext();
     void runControl();
     void deliver(std::size_t index, const control_event &event, instant now);
     void submit(std::size_t index, std::vector<control_effect> effects);
     void takeAnswers(std::unique_lock<std::mutex> &lock);
     void tickMachines(instant now);
     void everySecond(instant now);
+    void passReports(instant now);
+    window_clock usageWindow() const;
+    void catchUpFrom(const std::string &peerId, std::uint64_t peerVersion);
+    void offerPatches(std::span<const config_patch> patches);
+    std::uint64_t advertisedVersion() const;
+    bool configFresh() const;
+    void announcePatch(std::uint64_t version, const nlohmann::json &patch);
+    std::vector<lease_status> leaseStatus() const;
     void publish(instant now);
     void handOverLeases(instant now);
     void post(std::function<void(instant)> task);
@@ -116,10 +131,16 @@
     usage_ledger m_usage;
     metrics m_metrics;
     table_store m_store;
+    decision_ring m_recentDecisions;
     decision_log m_decisions;
+    config_editor m_editor;
 
     // Control thread only.
     roster_keeper m_rosterKeeper;
+    order_keeper m_orderKeeper;
+    provision_keeper m_provisionKeeper;
+    usage_keeper m_usageKeeper;
+    usage_batcher m_usageBatcher;
     std::vector<std::unique_ptr<lease_keeper>> m_leases;
     std::vector<machine> m_machines;
     std::vector<instance_info> m_listed;
@@ -127,6 +148,9 @@
     op_id m_listOp = 0;
     bool m_released = false;
 
+    mutable std::mutex m_followerMutex; ///< Guards m_follower, which HTTP and RPC threads ask too.
+    config_follower m_follower;
+
     mutable std::mutex m_mutex; ///< Guards the members below. Never held during a call to m_link, whose loop takes it too.
     std::condition_variable m_changed;
     std::vector<answer> m_answers;
@@ -135,12 +159,14 @@
     std::map<std::string, std::string> m_usageHolders; ///< Request to the peer that holds its copy.
     cell_roster m_roster;
     std::vector<std::string> m_duties;
+    std::map<std::string, std::uint64_t> m_epochs; ///< Of the duties held here.
     bool m_stopping = false;
     bool m_handedOver = false;
 
     std::atomic<bool> m_draining = false;
     std::atomic<bool> m_refusing = false;
     std::atomic<bool> m_handingOver = false;
+    std::atomic<bool> m_usageWritten = true; ///< The batcher has nothing to write.
     std::atomic<int> m_effectsInFlight = 0; ///< Of machines other than leases.
     int m_callerPort = 0;
     int m_peerPort = 0;
@@ -150,6 +176,7 @@
     std::unique_ptr<load_poller> m_poller;
     std::unique_ptr<effect_runner> m_runner;
     serving_context m_serving;
+    operator_context m_operators;
     std::unique_ptr<httplib::Server> m_server;
     std::thread m_serverThread;
     std::thread m_controlThread;
--- a/src/coordination/node_control.cpp
+++ b/src/coordination/node_control.cpp
@@ -75,9 +75,37 @@
 
 void node::tickMachines(instant now)
 {
+    const window_clock window = usageWindow();
+    m_usageBatcher.setWindow(window);
+    m_usageKeeper.setWindow(window);
+    if (m_draining) {
+        m_usageBatcher.flushSoon();
+    }
     for (std::size_t index = 0; index < m_machines.size(); ++index) {
         deliver(index, tick_event{}, now);
     }
+    m_usageWritten = m_usageBatcher.idle();
+}
+
+// Usage windows follow the wall clock: window N covers the seconds from N times the window length on.
+window_clock node::usageWindow() const
+{
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    const auto current = static_cast<std::uint64_t>(seconds) / m_settings.usageWindowSeconds;
+    const auto graceEnd = static_cast<std::uint64_t>(seconds) - m_settings.usageGraceSeconds;
+    return {.current = current, .firstNotClosable = graceEnd / m_settings.usageWindowSeconds};
+}
+
+// Endpoint reports reach the order machine, which waits for drained endpoints and for the effect of its orders.
+void node::passReports(instant now)
+{
+    const auto config = m_config.current();
+    for (const auto &report : m_endpoints.reports(now)) {
+        if (const auto settings = config->parsed.endpoints.find(report.endpoint); settings != config->parsed.endpoints.end()) {
+            const auto age = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(report.ageMs));
+            m_orderKeeper.noteReport(report, now - age, settings->second.checksFencing);
+        }
+    }
 }
 
 void node::everySecond(instant now)
@@ -89,6 +117,11 @@
     const auto config = m_config.current();
     m_endpoints.configure(config->parsed);
     m_poller->poll(config->parsed, members);
+    passReports(now);
+    {
+        const std::lock_guard lock(m_followerMutex);
+        m_follower.setRoster(members, m_settings.instanceId);
+    }
     m_link->sendHeartbeats(makeHeartbeat(now));
     // Copies of a daemon that left the roster become records of this daemon, which writes them with its next batch.
     if (m_rosterKeeper.roster().version > 0) {
@@ -105,9 +138,11 @@
     const std::lock_guard lock(m_mutex);
     m_roster = m_rosterKeeper.roster();
     m_duties.clear();
+    m_epochs.clear();
     for (const auto &lease : m_leases) {
-        if (lease->grant(now)) {
+        if (const auto grant = lease->grant(now)) {
             m_duties.push_back(lease->duty());
+            m_epochs[lease->duty()] = grant->epoch;
         }
     }
 }
--- a/src/coordination/node_peers.cpp
+++ b/src/coordination/node_peers.cpp
@@ -26,13 +26,19 @@
                 return takeHeartbeat(message);
             },
         .onPatch =
-            [](const std::string &, const config_patch &) {
-                // WIRING: post a task that gives the patch to config_follower.offerPatches.
+            [this](const std::string &, const config_patch &patch) {
+                offerPatches({&patch, 1});
             },
         .fetchPatches =
-            [](std::uint64_t, std::uint32_t) {
-                // WIRING: the patches that config_follower keeps.
-                return std::vector<config_patch>();
+            [this](std::uint64_t after, std::uint32_t limit) {
+                std::vector<config_patch> patches;
+                const std::lock_guard lock(m_followerMutex);
+                for (const auto &step : m_follower.stepsSince(after)) {
+                    if (patches.size() < limit) {
+                        patches.push_back({.version = step.version, .mergePatch = step.body.dump(), .whole = step.whole});
+                    }
+                }
+                return patches;
             },
         .holdUsage =
             [this](const std::string &owner, std::vector<usage_record> records) {
@@ -49,10 +55,15 @@
 {
     return {
         .onReply =
-            [this](const std::string &peerId, const heartbeat_reply &reply, instant) {
-                post([this, peerId, version = reply.rosterVersion](instant) {
-                    m_rosterKeeper.noteVersion(peerId, version);
-                    // WIRING: config_follower.notePeer(peerId, reply.configVersion, sentAt); the time is from before the heartbeat left.
+            [this](const std::string &peerId, const heartbeat_reply &reply, instant sentAt) {
+                {
+                    // The time is from before the heartbeat left, so a delayed answer cannot make this daemon look fresh.
+                    const std::lock_guard lock(m_followerMutex);
+                    m_follower.notePeer(peerId, reply.configVersion, sentAt);
+                }
+                post([this, peerId, reply](instant) {
+                    m_rosterKeeper.noteVersion(peerId, reply.rosterVersion);
+                    catchUpFrom(peerId, reply.configVersion);
                 });
             },
         .onFailure =
@@ -72,6 +83,7 @@
     for (const auto &suspect : message.suspects) {
         m_suspects.merge(suspect.fingerprint, suspect.crashes, now);
     }
+    const std::uint64_t version = advertisedVersion();
     post([this, sender = message.sender, version = message.rosterVersion](instant at) {
         m_rosterKeeper.noteHeard(sender, at);
         m_rosterKeeper.noteVersion(sender, version);
@@ -87,7 +99,50 @@
         .draining = message.draining,
         .demand = message.demand,
     };
-    return {.configVersion = m_config.current()->parsed.version, .rosterVersion = m_roster.version, .draining = m_draining};
+    return {.configVersion = version, .rosterVersion = m_roster.version, .draining = m_draining};
+}
+
+// The patches of a peer that is ahead; the store may be down or slower than the peer.
+void node::catchUpFrom(const std::string &peerId, std::uint64_t peerVersion)
+{
+    const std::uint64_t held = m_config.current()->parsed.version;
+    if (peerVersion <= held) {
+        return;
+    }
+    m_link->fetchPatches(peerId, held, tunables::patchFetchLimit, [this](const std::vector<config_patch> &patches) {
+        offerPatches(patches);
+    });
+}
+
+void node::offerPatches(std::span<const config_patch> patches)
+{
+    std::vector<config_step> steps;
+    for (const auto &patch : patches) {
+        if (auto body = nlohmann::json::parse(patch.mergePatch, nullptr, false); !body.is_discarded()) {
+            steps.push_back({.version = patch.version, .body = std::move(body), .whole = patch.whole});
+        }
+    }
+    const std::lock_guard lock(m_followerMutex);
+    m_follower.offerPatches(steps);
+}
+
+std::uint64_t node::advertisedVersion() const
+{
+    const std::lock_guard lock(m_followerMutex);
+    return m_follower.advertisedVersion();
+}
+
+bool node::configFresh() const
+{
+    const std::lock_guard lock(m_followerMutex);
+    return m_follower.fresh(m_now());
+}
+
+void node::announcePatch(std::uint64_t version, const nlohmann::json &patch)
+{
+    const config_patch announced{.version = version, .mergePatch = patch.dump()};
+    offerPatches({&announced, 1});
+    m_link->pushPatch(announced);
 }
 
 instance_info node::self() const
@@ -109,7 +164,7 @@
         .address = own.address,
         .callerAddress = own.callerAddress,
         .failureDomain = own.failureDomain,
-        .configVersion = m_config.current()->parsed.version,
+        .configVersion = advertisedVersion(),
         .rosterVersion = m_rosterKeeper.roster().version,
         .draining = own.leaving,
         .reports = m_poller->reports(now),
--- a/src/coordination/operator_interface.cpp
+++ b/src/coordination/operator_interface.cpp
@@ -1,6 +1,7 @@
 #include "coordination/operator_interface.h"
 
 #include "coordination/operator_edits.h"
+#include "coordination/usage_keeper.h"
 #include "protocol/api_keys.h"
 
 #include <algorithm>
@@ -120,7 +121,7 @@
         })) {
         return operatorError(400, "invalid", "window must be a number");
     }
-    const auto found = context.serving.store.read("window/" + context.serving.cell + "/" + window);
+    const auto found = context.serving.store.read(windowKey(context.serving.cell, std::stoull(window)));
     if (!found.ok()) {
         return operatorError(503, "store_unavailable", std::string(found.status().message()));
     }
--- a/src/coordination/peer_link.cpp
+++ b/src/coordination/peer_link.cpp
@@ -187,6 +187,7 @@
             auto request = to->peer->pushPatchRequest();
             request.initPatch().setVersion(patch.version);
             request.getPatch().setMergePatch(patch.mergePatch);
+            request.getPatch().setWhole(patch.whole);
             io.tasks.add(implementation::withTimeout(io, request.send().ignoreResult()));
         }
     });
@@ -206,7 +207,8 @@
         auto answered = request.send().then([done](capnp::Response<rpc::Peer::FetchPatchesResults> &&answer) {
             std::vector<config_patch> patches;
             for (const auto patch : answer.getPatches()) {
-                patches.push_back({.version = patch.getVersion(), .mergePatch = {patch.getMergePatch().cStr(), patch.getMergePatch().size()}});
+                patches.push_back(
+                    {.version = patch.getVersion(), .mergePatch = {patch.getMergePatch().cStr(), patch.getMergePatch().size()}, .whole = patch.getWhole()});
             }
             done(std::move(patches));
         });
--- a/src/coordination/peer_messages.h
+++ b/src/coordination/peer_messages.h
@@ -51,6 +51,7 @@
 {
     std::uint64_t version = 0;
     std::string mergePatch;
+    bool whole = false; ///< The text is the whole document of the version.
 };
 
 void write(rpc::Heartbeat::Builder target, const heartbeat &message);
--- a/src/coordination/peer_server.cpp
+++ b/src/coordination/peer_server.cpp
@@ -59,7 +59,7 @@
     {
         const auto patch = context.getParams().getPatch();
         const auto text = patch.getMergePatch();
-        m_identity->handlers.onPatch(m_peerId, {.version = patch.getVersion(), .mergePatch = {text.cStr(), text.size()}});
+        m_identity->handlers.onPatch(m_peerId, {.version = patch.getVersion(), .mergePatch = {text.cStr(), text.size()}, .whole = patch.getWhole()});
         return kj::READY_NOW;
     }
 
@@ -71,6 +71,7 @@
         for (unsigned i = 0; i < list.size(); ++i) {
             list[i].setVersion(patches[i].version);
             list[i].setMergePatch(patches[i].mergePatch);
+            list[i].setWhole(patches[i].whole);
         }
         return kj::READY_NOW;
     }
--- a/src/coordination/usage_batcher.cpp
+++ b/src/coordination/usage_batcher.cpp
@@ -80,11 +80,23 @@
     out.emplace_back(commit_effect{.op = m_pending, .change = std::move(change)});
 }
 
+/// The batch is in the table service, so the peers need not hold its records any more.
+void usage_batcher::finishBatch()
+{
+    m_ledger.noteCommitted(m_batch->records);
+    m_batch.reset();
+}
+
+void usage_batcher::flushSoon()
+{
+    m_nextFlush = instant();
+}
+
 void usage_batcher::takeCommit(commit_outcome outcome, std::vector<control_effect> &out)
 {
     switch (outcome) {
     case commit_outcome::Committed:
-        m_batch.reset();
+        finishBatch();
         return;
     case commit_outcome::Conflict:
         // Either an earlier try of this batch took effect or its window is closed; the batch row tells which.
@@ -100,7 +112,7 @@
 void usage_batcher::takeBatchRow(const std::optional<row> &found, std::vector<control_effect> &out)
 {
     if (found) {
-        m_batch.reset();
+        finishBatch();
         return;
     }
     m_readingWindow = true;
@@ -116,7 +128,7 @@
         return;
     }
     if (const auto counted = window->writers.find(m_writer); counted != window->writers.end() && counted->second >= m_batch->sequence) {
-        m_batch.reset();
+        finishBatch();
         return;
     }
     m_batch->lateFrom = m_batch->lateFrom.value_or(m_batch->window);
--- a/src/coordination/usage_keeper.h
+++ b/src/coordination/usage_keeper.h
@@ -28,6 +28,8 @@
     void setWindow(window_clock window);
     void handle(const control_event &event, instant now, std::vector<control_effect> &out);
 
+    /// Starts the next batch without waiting for the flush interval; used while draining.
+    void flushSoon();
     /// Nothing is waiting to be written.
     bool idle() const;
 
@@ -43,6 +45,7 @@
     std::string batchKey() const;
     void startBatch(instant now);
     void sendBatch(std::vector<control_effect> &out);
+    void finishBatch();
     void takeCommit(commit_outcome outcome, std::vector<control_effect> &out);
     void takeBatchRow(const std::optional<row> &found, std::vector<control_effect> &out);
     void takeWindowRow(const std::optional<row> &found);
--- a/src/programs/lacewinglock_standin.cpp
+++ b/src/programs/lacewinglock_standin.cpp
@@ -1,3 +1,4 @@
+#include "coordination/declarations.h"
 #include "standin/platform.h"
 #include "standin/topology.h"
 
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -71,6 +71,7 @@
 struct Patch {
   version @0 :UInt64;
   mergePatch @1 :Text;
+  whole @2 :Bool;  # The text is the whole document of the version, not a patch.
 }
 
 struct UsageRecord {
--- a/src/protocol/peer.capnp.h
+++ b/src/protocol/peer.capnp.h
@@ -408,7 +408,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bbe51ed57d715b88, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(bbe51ed57d715b88, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2350,6 +2350,8 @@
   inline bool hasMergePatch() const;
   inline  ::capnp::Text::Reader getMergePatch() const;
 
+  inline bool getWhole() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2388,6 +2390,9 @@
   inline void adoptMergePatch(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownMergePatch();
 
+  inline bool getWhole();
+  inline void setWhole(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3805,6 +3810,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Patch::Reader::getWhole() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Patch::Builder::getWhole() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Patch::Builder::setWhole(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool UsageRecord::Reader::hasRequestId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/protocol/tunables.h
+++ b/src/protocol/tunables.h
@@ -40,6 +40,7 @@
 // Configuration.
 constexpr auto configPollInterval = 1s;
 constexpr auto freshnessWindow = 2500ms;
+constexpr std::uint32_t patchFetchLimit = 64;
 
 // Requests.
 constexpr auto firstTokenTarget = 740ms;
