Add virtual cell and soak program

Cause: the invariants of the design had unit tests per machine, but nothing ran the machines together under combined failures. Change: daemons made of the real state machines run against small fakes on a virtual clock with a seeded fault schedule.

No functional change

--- /dev/null
+++ b/src/standin/virtual_daemon_peers.cpp
@@ -0,0 +1,183 @@
+#include "protocol/tunables.h"
+#include "standin/virtual_daemon.h"
+#include "state/rendezvous.h"
+
+#include <algorithm>
+#include <set>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr duration shortestHop = 1ms;
+constexpr duration longestHop = 20ms;
+constexpr auto drainingValidity = 3s; // Three heartbeats of the holder may be missing.
+
+}
+
+// Each endpoint is polled by the first member in its rendezvous order.
+void virtual_daemon::pollEndpoints(daemon_life &life)
+{
+    const auto &members = life.roster.roster().members;
+    for (const auto &[id, settings] : life.config.current()->parsed.endpoints) {
+        const auto found = m_around.endpoints.find(id);
+        if (found == m_around.endpoints.end() || rendezvousRank(id, m_id, members) != 0) {
+            life.polled.erase(id);
+            continue;
+        }
+        post(m_world.clock.between(shortestHop, longestHop), "polls " + id, [this, &target = *found->second, id = id](daemon_life &same) {
+            const auto report = target.report();
+            auto &polled = same.polled[id] = {.report = report.value_or(endpoint_report{.endpoint = id, .reachable = false}), .takenAt = now()};
+            same.endpoints.takeReport(polled.report, now());
+            if (!report) {
+                same.endpoints.markUnreachable(id, now());
+            }
+        });
+    }
+}
+
+void virtual_daemon::passReports(daemon_life &life)
+{
+    const auto config = life.config.current();
+    for (const auto &report : life.endpoints.reports(now())) {
+        if (const auto found = config->parsed.endpoints.find(report.endpoint); found != config->parsed.endpoints.end()) {
+            const auto age = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(report.ageMs));
+            life.orders.noteReport(report, now() - age, found->second.checksFencing);
+        }
+    }
+}
+
+void virtual_daemon::sendHeartbeats(daemon_life &life)
+{
+    std::set<std::string> peers(life.roster.roster().members.begin(), life.roster.roster().members.end());
+    for (const auto &instance : m_around.platform.instances()) {
+        peers.insert(instance.id);
+    }
+    peers.erase(m_id);
+    for (const auto &id : life.orders.draining()) {
+        life.drainingEndpoints[id] = now();
+    }
+    for (const auto &id : peers) {
+        if (const auto peer = m_around.daemons.find(id); peer != m_around.daemons.end() && m_world.reaches(m_id, id)) {
+            heartbeat(*peer->second);
+        }
+    }
+}
+
+// One exchange with a peer. The request carries what this daemon knew when it was sent.
+void virtual_daemon::heartbeat(virtual_daemon &peer)
+{
+    const instant sentAt = now();
+    const duration there = m_world.clock.between(shortestHop, longestHop);
+    m_world.clock.after(there, m_id + " heartbeat to " + peer.id(), [this, &peer, sentAt, sender = std::weak_ptr(m_life)] {
+        peer.run(peer.m_life, [this, &peer, sentAt, sender](daemon_life &taken) {
+            const auto from = sender.lock();
+            if (!from) {
+                return;
+            }
+            peer.takeHeartbeat(taken, *from, *this);
+            const std::uint64_t config = taken.follower.advertisedVersion();
+            const std::uint64_t roster = taken.roster.roster().version;
+            m_world.clock.after(m_world.clock.between(shortestHop, longestHop), m_id + " heartbeat answer", [this, &peer, config, roster, sentAt, sender] {
+                run(sender, [this, &peer, config, roster, sentAt](daemon_life &) {
+                    if (now() - sentAt <= tunables::peerCallTimeout && m_world.reaches(m_id, peer.id())) {
+                        takeReply(peer.id(), config, roster, sentAt);
+                    }
+                });
+            });
+        });
+    });
+}
+
+void virtual_daemon::takeHeartbeat(daemon_life &life, const daemon_life &sender, const virtual_daemon &from)
+{
+    for (const auto &[id, polled] : sender.polled) {
+        auto report = polled.report;
+        report.ageMs = toMs(from.now() - polled.takenAt);
+        life.endpoints.takeReport(report, now());
+    }
+    for (const auto &suspect : sender.suspects.entries(from.now())) {
+        life.suspects.merge(suspect.fingerprint, suspect.crashes, now());
+    }
+    if (from.holds("orders")) {
+        for (const auto &id : sender.orders.draining()) {
+            life.drainingEndpoints[id] = now();
+        }
+    }
+    std::erase_if(life.drainingEndpoints, [this](const auto &item) {
+        return now() - item.second > drainingValidity;
+    });
+    life.roster.noteHeard(from.id(), now());
+    life.roster.noteVersion(from.id(), sender.roster.roster().version);
+}
+
+// A peer that is ahead sends its steps.
+void virtual_daemon::takeReply(const std::string &peerId, std::uint64_t configVersion, std::uint64_t rosterVersion, instant sentAt)
+{
+    m_life->follower.notePeer(peerId, configVersion, sentAt);
+    m_life->roster.noteVersion(peerId, rosterVersion);
+    const std::uint64_t held = m_life->config.current()->parsed.version;
+    if (configVersion <= held) {
+        return;
+    }
+    post(m_world.clock.between(shortestHop, longestHop), "fetches patches", [this, peerId, held](daemon_life &life) {
+        if (const auto *peer = m_around.daemons.at(peerId)->life(); peer != nullptr && m_world.reaches(m_id, peerId)) {
+            life.follower.offerPatches(peer->follower.stepsSince(held));
+        }
+    });
+}
+
+// The accepting daemon pushes a new version to its peers.
+void virtual_daemon::announce(std::uint64_t version, const nlohmann::json &patch)
+{
+    const std::vector<config_step> steps{{.version = version, .body = patch}};
+    m_life->follower.offerPatches(steps);
+    for (const auto &[id, peer] : m_around.daemons) {
+        if (id != m_id && peer->alive() && m_world.reaches(m_id, id)) {
+            peer->post(m_world.clock.between(shortestHop, longestHop), "takes a pushed patch", [steps](daemon_life &life) {
+                life.follower.offerPatches(steps);
+            });
+        }
+    }
+}
+
+void virtual_daemon::adoptUsage(daemon_life &life)
+{
+    if (life.roster.roster().version > 0) {
+        life.usage.adoptOrphans([&](std::string_view owner) {
+            return life.roster.roster().contains(owner);
+        });
+    }
+}
+
+bool virtual_daemon::replicate(daemon_life &life, const usage_record &record) const
+{
+    for (const auto &[id, peer] : m_around.daemons) {
+        const bool usable = peer->alive() && !peer->paused() && peer->failureDomain() != m_failureDomain && m_world.reaches(m_id, id);
+        if (usable && life.roster.roster().contains(id)) {
+            peer->life()->usage.hold(m_id, {record});
+            life.usageHolders[record.requestId] = id;
+            return true;
+        }
+    }
+    return false;
+}
+
+void virtual_daemon::releaseUsage(daemon_life &life, const std::vector<std::string> &ids) const
+{
+    for (const auto &id : ids) {
+        const auto holder = life.usageHolders.extract(id);
+        if (!holder) {
+            continue;
+        }
+        if (auto *peer = m_around.daemons.at(holder.mapped())->life(); peer != nullptr && m_world.reaches(m_id, holder.mapped())) {
+            peer->usage.releaseHeld(m_id, std::vector{id});
+        }
+    }
+}
+
+}
