Take answers of plain services without an attempt id

Cause: every booking of the demo was answered unknown, because plain services do not repeat the X-Attempt-Id header that the endpoint client required. Change: a missing header is accepted from plain services, another id is refused; a 503 or 429 to a non-repeatable call is its outcome and is not sent again.

--- a/demo/run.sh
+++ b/demo/run.sh
@@ -32,7 +32,7 @@
 REFUSAL_LIMIT=${REFUSAL_LIMIT:-4} # Seconds until a withdrawn key must be refused everywhere.
 TIME_LIMIT=${TIME_LIMIT:-280}
 # Shape of the addresses in a daemon's settings: "object" for {host, port}, "string" for "IP:PORT".
-ADDRESS_FORM=${ADDRESS_FORM:-object}
+ADDRESS_FORM=${ADDRESS_FORM:-string}
 
 WORK=$(mktemp -d)
 PLATFORM=http://$HOST:$PLATFORM_PORT
--- a/src/coordination/endpoint_client.cpp
+++ b/src/coordination/endpoint_client.cpp
@@ -83,16 +83,24 @@
     return makeFailure(call, status >= 400 && status < 500 ? attempt_failure::Rejected : attempt_failure::BadAnswer, detail);
 }
 
+// Whether an answer without the header X-Attempt-Id is taken. Plain services need not know the header: their answers are matched by
+// the connection, which carries one request at a time. A header with another id is refused in both cases.
+enum class attempt_echo {
+    Required,
+    Optional
+};
+
 // Sends the request. The body goes to `receive` while it arrives, but only that of an answer to this attempt with status 200.
 template <typename Receive>
-exchange perform(httplib::Client &connection, const endpoint_call &call, const call_control &control, Receive receive)
+exchange perform(httplib::Client &connection, const endpoint_call &call, const call_control &control, attempt_echo echo, Receive receive)
 {
     exchange done;
     httplib::Request request = makeRequest(call);
     int status = 0;
     request.response_handler = [&](const httplib::Response &response) {
         status = response.status;
-        done.echoed = response.get_header_value("X-Attempt-Id") == call.attemptId;
+        const auto echoed = response.get_header_value("X-Attempt-Id");
+        done.echoed = echoed == call.attemptId || (echoed.empty() && echo == attempt_echo::Optional);
         return done.echoed && !control.cancelled();
     };
     request.content_receiver = [&](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
@@ -251,7 +259,7 @@
     }
     stream_parser parser(call.attemptId, call.chat, emit);
     auto lastByte = std::chrono::steady_clock::now();
-    const exchange done = perform(*link, call, control, [&](int status, std::string_view bytes) {
+    const exchange done = perform(*link, call, control, attempt_echo::Required, [&](int status, std::string_view bytes) {
         lastByte = std::chrono::steady_clock::now();
         return status != 200 || parser.feed(bytes);
     });
@@ -271,7 +279,8 @@
     }
 }
 
-// Calls a plain service and emits its whole answer. Any status of an answer to this attempt is the caller's, except 503 and 429.
+// Calls a plain service and emits its whole answer. Any status of an answer to this attempt is the caller's, except 503 and 429 to a
+// request that may be repeated.
 void endpoint_client::callService(const endpoint_call &call, call_control &control, const event_function &emit)
 {
     const auto link = acquire(call);
@@ -282,13 +291,15 @@
     }
     std::string body;
     const auto startedAt = std::chrono::steady_clock::now();
-    const exchange done = perform(*link, call, control, [&](int, std::string_view bytes) {
+    const exchange done = perform(*link, call, control, attempt_echo::Optional, [&](int, std::string_view bytes) {
         body.append(bytes);
         return body.size() <= tunables::maxBodyBytes;
     });
     control.detach();
     const int status = done.response.status;
-    if (status > 0 && (!done.echoed || status == 503 || status == 429)) {
+    // A service may have run a request before it answers 503, so the answer to a non-repeatable one is its outcome.
+    const bool mayRetry = !call.freshConnection && (status == 503 || status == 429);
+    if (status > 0 && (!done.echoed || mayRetry)) {
         emit(classifyStatus(call, done));
     } else if (done.error != httplib::Error::Success) {
         emit(classifyError(call, done, std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - startedAt)));
--- a/src/standin/service.cpp
+++ b/src/standin/service.cpp
@@ -33,6 +33,11 @@
 // Takes paths with one leading segment too, as a route may pass its prefix on.
 void plain_service::addRoutes(httplib::Server &server)
 {
+    server.set_post_routing_handler([](const httplib::Request &request, httplib::Response &response) {
+        if (request.has_header("X-Attempt-Id")) {
+            response.set_header("X-Attempt-Id", request.get_header_value("X-Attempt-Id"));
+        }
+    });
     const std::map<std::string, nlohmann::json> pages
         = {{"/catalogue", {{"items", {"pulley", "braid", "cord"}}}}, {"/stock", {{"pulley", 40}, {"braid", 12}, {"cord", 7}}}, {"/slots", slots()}};
     for (const auto &[path, page] : pages) {
