--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -1,8 +1,10 @@
 #include "coordination/admission.h"
 
+#include "coordination/endpoint_cost.h"
 #include "protocol/tunables.h"
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <optional>
 #include <tuple>
@@ -90,51 +92,63 @@
     }
 };
 
-/// Repeatedly takes the request whose organisation would have the least work per weight after it.
-order_result fairOrder(const order_input &input)
+using request_queues = std::map<std::string, std::deque<const waiting_request *>>;
+
+/// Requests by organisation; `late` selects the class. Each queue is in order of arrival.
+request_queues queuesOf(const std::vector<const waiting_request *> &sorted, bool late)
 {
-    std::map<std::string, double> finish;
-    for (const auto &item : input.served) {
-        finish[item.organisation] = item.servedPerWeight;
+    request_queues queues;
+    for (const auto *item : sorted) {
+        if (item->late == late) {
+            queues[item->organisation].push_back(item);
+        }
     }
-    std::vector<waiting_request> left = input.waiting;
-    std::ranges::sort(left, {}, &waiting_request::arrival);
-    order_result result;
-    while (!left.empty()) {
-        const auto key = [&](const waiting_request &item) {
-            return finish[item.organisation] + item.costTokens / std::max(0.001, item.weight);
+    return queues;
+}
+
+/// Repeatedly takes the request whose organisation would have the least work per weight after it. Only the first request of each
+/// organisation competes, so that an organisation's own requests keep their order.
+void takeFairly(request_queues queues, std::map<std::string, double> &finish, std::uint64_t limit, order_result &result)
+{
+    while (!queues.empty() && (limit == 0 || result.requests.size() < limit)) {
+        const auto key = [&](const auto &queue) {
+            const auto *head = queue.second.front();
+            return std::tuple(finish[queue.first] + head->costTokens / std::max(0.001, head->weight), head->arrival);
         };
-        // Only the first request of each organisation competes, so that an organisation's own requests keep their order.
-        std::map<std::string, std::size_t> heads;
-        for (std::size_t index = 0; index < left.size(); ++index) {
-            heads.emplace(left[index].organisation, index);
+        const auto best = std::ranges::min_element(queues, {}, key);
+        finish[best->first] = std::get<0>(key(*best));
+        result.requests.push_back(best->second.front()->id);
+        best->second.pop_front();
+        if (best->second.empty()) {
+            queues.erase(best);
         }
-        const auto best = std::ranges::min_element(heads, [&](const auto &one, const auto &other) {
-            const auto &first = left[one.second];
-            const auto &second = left[other.second];
-            return std::tuple(key(first), first.arrival) < std::tuple(key(second), second.arrival);
-        });
-        const std::size_t index = best->second;
-        finish[left[index].organisation] = key(left[index]);
-        result.requests.push_back(left[index].id);
-        left.erase(left.begin() + static_cast<std::ptrdiff_t>(index));
     }
-    return result;
 }
 
-order_result arrivalOrder(const order_input &input)
+std::vector<const waiting_request *> byArrival(const order_input &input)
 {
-    std::vector<waiting_request> sorted = input.waiting;
-    std::ranges::sort(sorted, {}, &waiting_request::arrival);
-    order_result result;
-    for (auto &item : sorted) {
-        result.requests.push_back(std::move(item.id));
+    std::vector<const waiting_request *> sorted;
+    for (const auto &item : input.waiting) {
+        sorted.push_back(&item);
     }
-    return result;
+    std::ranges::sort(sorted, {}, &waiting_request::arrival);
+    return sorted;
 }
 
 }
 
+double groupCapacityTokens(const std::vector<endpoint_view> &endpoints, double meanRequestCost)
+{
+    double streams = 0;
+    for (const auto &view : endpoints) {
+        if (view.reachable && !view.leaving && !view.changingRole && view.role != endpoint_role::Prefill) {
+            const double chunkMs = tunables::mixedPrefillChunkTokens / std::max(1.0, view.prefillTokensPerSecond) * 1000.0;
+            streams += streamCapacity(view, view.role == endpoint_role::Mixed ? chunkMs : 0.0);
+        }
+    }
+    return streams * meanRequestCost;
+}
+
 double requestCost(double promptTokens, double outputTokens)
 {
     return promptTokens * tunables::promptTokenWeight + outputTokens * tunables::outputTokenWeight;
@@ -152,12 +166,33 @@
     if (auto refusal = checkDeadline(input)) {
         return *refusal;
     }
+    if (input.predictedQueueMs > tunables::engineQueueLimitMs) {
+        return wait("the engines have full queues");
+    }
     return std::visit(share_visitor{input, cost}, input.policy);
 }
 
 order_result orderWaiting(const order_input &input)
 {
-    return std::holds_alternative<first_come_admission>(input.policy) ? arrivalOrder(input) : fairOrder(input);
+    const auto sorted = byArrival(input);
+    order_result result;
+    if (std::holds_alternative<first_come_admission>(input.policy)) {
+        for (const bool late : {false, true}) {
+            for (const auto *item : sorted) {
+                if (item->late == late && (input.limit == 0 || result.requests.size() < input.limit)) {
+                    result.requests.push_back(item->id);
+                }
+            }
+        }
+        return result;
+    }
+    std::map<std::string, double> finish;
+    for (const auto &item : input.served) {
+        finish[item.organisation] = item.servedPerWeight;
+    }
+    takeFairly(queuesOf(sorted, false), finish, input.limit, result);
+    takeFairly(queuesOf(sorted, true), finish, input.limit, result);
+    return result;
 }
 
 }
--- a/src/coordination/endpoint_cost.cpp
+++ b/src/coordination/endpoint_cost.cpp
@@ -115,7 +115,8 @@
     const double uncached = uncachedTokens(view, input, policy);
     const double perToken = msPerPromptToken(view, streams);
     endpoint_cost cost;
-    cost.firstTokenMs = (queuedPromptTokens(view) + uncached) * perToken;
+    cost.queueMs = queuedPromptTokens(view) * perToken;
+    cost.firstTokenMs = cost.queueMs + uncached * perToken;
     cost.prefillMs = withLatePenalty(cost.firstTokenMs, toMs(tunables::firstTokenTarget));
     if (view.role != endpoint_role::Prefill) {
         cost.prefillMs += streams * uncached / prefillRate(view) * tunables::delayedStreamFactor;
--- a/src/coordination/endpoint_cost.h
+++ b/src/coordination/endpoint_cost.h
@@ -9,6 +9,7 @@
 struct endpoint_cost
 {
     double firstTokenMs = 0;
+    double queueMs = 0; ///< Part of firstTokenMs spent behind other prompts.
     double prefillMs = 0; ///< First token and its penalties, with the delay of other streams.
     double decodeMs = 0; ///< Output time with its penalties.
     double placementMs = 0; ///< Stale report, KV memory and preference for reclaimable endpoints.
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -22,6 +22,7 @@
     const endpoint_view *prefill = nullptr; ///< Null when `endpoint` computes the prompt itself.
     double costMs = 0;
     double firstTokenMs = 0;
+    double queueMs = 0;
 };
 
 /// Why an endpoint cannot take the request, or nothing when it can.
@@ -102,7 +103,8 @@
     for (const auto *view : eligible) {
         if (!mixedOnly || view->role == endpoint_role::Mixed) {
             const auto &cost = costs.at(view->id);
-            options.push_back({.endpoint = view, .costMs = cost.prefillMs + cost.decodeMs + cost.placementMs, .firstTokenMs = cost.firstTokenMs});
+            options.push_back(
+                {.endpoint = view, .costMs = cost.prefillMs + cost.decodeMs + cost.placementMs, .firstTokenMs = cost.firstTokenMs, .queueMs = cost.queueMs});
         }
     }
     return options;
@@ -117,7 +119,7 @@
     for (const auto *view : eligible) {
         if (view->role == role) {
             const auto &cost = costs.at(view->id);
-            options.push_back({.endpoint = view, .costMs = cost.*part + cost.placementMs, .firstTokenMs = cost.firstTokenMs});
+            options.push_back({.endpoint = view, .costMs = cost.*part + cost.placementMs, .firstTokenMs = cost.firstTokenMs, .queueMs = cost.queueMs});
         }
     }
     return options;
@@ -136,6 +138,7 @@
     pair.prefill = first.endpoint;
     pair.costMs += first.costMs + input.promptTokens / tunables::kvTransferTokensPerMs;
     pair.firstTokenMs = first.firstTokenMs;
+    pair.queueMs = first.queueMs;
     return pair;
 }
 
@@ -210,7 +213,9 @@
         const bool pair = input.kvTransfer && !input.suspect && prefill != nullptr && decode != nullptr;
         option chosen{.endpoint = pair ? decode : whole, .prefill = pair ? prefill : nullptr};
         const auto *first = chosen.prefill != nullptr ? chosen.prefill : chosen.endpoint;
-        chosen.firstTokenMs = predictCost(*first, input, {.useCache = false}, false).firstTokenMs;
+        const auto cost = predictCost(*first, input, {.useCache = false}, false);
+        chosen.firstTokenMs = cost.firstTokenMs;
+        chosen.queueMs = cost.queueMs;
         return chosen;
     }
 };
@@ -229,6 +234,7 @@
     result.endpoint = chosen.endpoint->id;
     result.prefillEndpoint = chosen.prefill != nullptr ? chosen.prefill->id : "";
     result.predictedFirstTokenMs = chosen.firstTokenMs;
+    result.predictedQueueMs = chosen.queueMs;
     return result;
 }
 
--- a/src/protocol/decision_codec.cpp
+++ b/src/protocol/decision_codec.cpp
@@ -113,7 +113,7 @@
                                                 kvTransfer,
                                                 policy)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(candidate_score, endpoint, costMs, reason)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(route_result, endpoint, prefillEndpoint, predictedFirstTokenMs, reason, candidates)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(route_result, endpoint, prefillEndpoint, predictedFirstTokenMs, predictedQueueMs, reason, candidates)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(admit_input,
                                                 requestId,
                                                 configVersion,
@@ -134,12 +134,13 @@
                                                 waiting,
                                                 predictedFirstTokenMs,
                                                 remainingMs,
+                                                predictedQueueMs,
                                                 waitingBelowShare,
                                                 policy)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(admit_result, verdict, reason, retryAfterMs)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(waiting_request, id, organisation, weight, costTokens, arrival)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(waiting_request, id, organisation, weight, costTokens, arrival, late)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(organisation_service, organisation, servedPerWeight)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(order_input, configVersion, group, waiting, served, policy)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(order_input, configVersion, group, waiting, served, limit, policy)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(order_result, requests)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(role_endpoint_view,
                                                 id,
--- a/src/protocol/decisions.h
+++ b/src/protocol/decisions.h
@@ -92,6 +92,7 @@
     std::string endpoint; ///< Empty when none can take the request. Delivers the answer.
     std::string prefillEndpoint; ///< When set, computes the prompt's KV cache, which `endpoint` then imports.
     double predictedFirstTokenMs = 0;
+    double predictedQueueMs = 0; ///< Part of it spent behind other prompts.
     std::string reason;
     std::vector<candidate_score> candidates;
 };
@@ -132,6 +133,7 @@
     int waiting = 0;
     double predictedFirstTokenMs = 0;
     double remainingMs = 0;
+    double predictedQueueMs = 0; ///< Time behind other prompts at the engine.
     int waitingBelowShare = 0; ///< Waiting requests of other organisations that are below their own share.
     admit_policy policy;
 };
@@ -157,6 +159,7 @@
     double weight = 1; ///< Of the organisation.
     double costTokens = 0;
     std::uint64_t arrival = 0; ///< Sequence number at this daemon.
+    bool late = false; ///< Cannot meet the first-token target any more.
 };
 
 /// Work already served to an organisation in the current busy period, divided by its weight.
@@ -173,6 +176,7 @@
     std::string group;
     std::vector<waiting_request> waiting;
     std::vector<organisation_service> served;
+    std::uint64_t limit = 0; ///< How many requests are wanted; 0 means all.
     admit_policy policy;
 };
 
--- a/src/protocol/tunables.h
+++ b/src/protocol/tunables.h
@@ -60,6 +60,9 @@
 constexpr double minRetryAfterMs = 100;
 constexpr double waitRetryAfterMs = 500;
 
+constexpr double engineQueueLimitMs
+    = 350; // Longer queues stay at the daemons, where fairness orders them; shorter ones would leave engines idle between reports.
+
 // Role planning.
 constexpr double roleDemandHeadroom = 1.15; // Engines above 87% load miss the first-token target through queueing.
 constexpr double mixedEfficiency = 0.65; // Work of a mixed engine against separate ones, as its prefill slows its decode.
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -115,4 +115,23 @@
     EXPECT_EQ(orderWaiting(input).requests.front(), "b");
 }
 
+// Guards against an overload in which late requests make every other request late as well.
+TEST(admission, order_puts_requests_that_can_be_timely_first)
+{
+    order_input input;
+    input.waiting = {{.id = "late", .organisation = "a", .costTokens = 10, .arrival = 0, .late = true},
+                     {.id = "timely", .organisation = "b", .costTokens = 10, .arrival = 1}};
+    EXPECT_EQ(orderWaiting(input).requests.front(), "timely");
+    EXPECT_EQ(orderWaiting(input).requests.back(), "late");
+}
+
+// Guards against a queue that builds up at the engines, where fairness between organisations has no effect.
+TEST(admission, waits_while_the_engines_have_full_queues)
+{
+    auto input = request();
+    input.predictedQueueMs = 1000;
+    input.predictedFirstTokenMs = 1100;
+    EXPECT_EQ(decideAdmission(input).verdict, admit_verdict::Wait);
+}
+
 }
