Infer the work of other daemons; judge mixed engines by the token gap

Cause: with three daemons and old reports, each sent to engines that the others had filled; prompts on mixed engines with more than 30 streams made all of those late; the role planner took mixed engines for two thirds of a separate one, and its prompt demand was a mean of ratios. Change: queue and streams of other daemons are inferred from own work in proportion to the demand share; cost of prefill between decode steps; requests that are late already run only on free engines; role gain counts whole answers and loss counts work; mixed efficiency 0.4; changes 30 s apart; KV shortage 1 ms a token; one lost cache event no longer halves all estimates.

--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -166,7 +166,7 @@
     if (auto refusal = checkDeadline(input)) {
         return *refusal;
     }
-    if (input.predictedQueueMs > tunables::engineQueueLimitMs) {
+    if (input.predictedQueueMs > (input.late ? tunables::lateQueueLimitMs : tunables::engineQueueLimitMs)) {
         return wait("the engines have full queues");
     }
     return std::visit(share_visitor{input, cost}, input.policy);
--- a/src/coordination/bench_control.cpp
+++ b/src/coordination/bench_control.cpp
@@ -32,7 +32,7 @@
 
 void bench_state::measureDemand(const bench_request &request)
 {
-    m_demand.emplace_back(m_now, token_demand{request.promptTokens * m_missShare, static_cast<double>(request.outputTokens)});
+    m_demand.emplace_back(m_now, token_demand{request.promptTokens * m_missTokens / m_sentTokens, static_cast<double>(request.outputTokens)});
     while (m_demand.front().first < m_now - toMs(tunables::longDemandHorizon)) {
         m_demand.pop_front();
     }
--- a/src/coordination/bench_daemon.cpp
+++ b/src/coordination/bench_daemon.cpp
@@ -84,8 +84,10 @@
 
 void bench_daemon::noteGap(int engine)
 {
-    for (auto &[prefix, weight] : m_engines[engine].prefixes) {
-        weight *= 0.5;
+    // One lost event concerns one of the prefixes. Halving all of them, as for a long gap, made daemons expect full prefills everywhere.
+    auto &prefixes = m_engines[engine].prefixes;
+    for (auto &[prefix, weight] : prefixes) {
+        weight *= 1 - 1 / (1.0 + static_cast<double>(prefixes.size()));
     }
 }
 
--- a/src/coordination/bench_score.cpp
+++ b/src/coordination/bench_score.cpp
@@ -51,6 +51,7 @@
     std::vector<double> asked(benchOrganisations, 0);
     std::vector<double> good(benchOrganisations, 0);
     std::vector<double> weights;
+    weights.reserve(benchOrganisations);
     for (int organisation = 0; organisation < benchOrganisations; ++organisation) {
         weights.push_back(benchWeight(m_workload, organisation));
     }
--- a/src/coordination/bench_session.cpp
+++ b/src/coordination/bench_session.cpp
@@ -122,6 +122,7 @@
                       .excluded = course.excluded,
                       .seed = m_random.next(),
                       .endpoints = daemon.views(m_fleet.facts, item, m_now),
+                      .demandShare = 1.0 / benchDaemons,
                       .kvTransfer = true,
                       .policy = m_variant.routing};
     if (auto *robin = std::get_if<round_robin_routing>(&input.policy)) {
@@ -145,6 +146,7 @@
                       .predictedFirstTokenMs = route.predictedFirstTokenMs,
                       .remainingMs = item.arrivalMs + deadlineMs - m_now,
                       .predictedQueueMs = route.predictedQueueMs,
+                      .late = m_now + route.predictedFirstTokenMs - item.arrivalMs > toMs(tunables::firstTokenTarget),
                       .policy = m_variant.admission};
     const auto tokensOf = [&](int organisation) {
         const auto found = daemon.organisationTokens.find(organisation);
@@ -228,7 +230,8 @@
     course.engine = target;
     course.prefillEngine = prefill;
     course.expectedTokens = std::max(1.0, input.promptTokens - view.cachedPromptTokens);
-    m_missShare += (course.expectedTokens / input.promptTokens - m_missShare) * 0.01;
+    m_sentTokens = m_sentTokens * 0.995 + input.promptTokens;
+    m_missTokens = m_missTokens * 0.995 + course.expectedTokens;
     ++course.attempts;
     ++course.receipts;
     daemon.noteSent(prefill, course.expectedTokens, input.promptTokens);
@@ -269,6 +272,9 @@
     const int prefill = course.prefillEngine;
     course.prefillEngine = -1;
     ++course.executions;
+    if (course.job.prefix >= 0) {
+        daemon.setCached(prefill, course.job.prefix, 1);
+    }
     daemon.noteFirstToken(prefill, course.expectedTokens);
     if (prefill != course.engine) {
         daemon.noteFinished(prefill);
--- a/src/coordination/bench_state.h
+++ b/src/coordination/bench_state.h
@@ -155,11 +155,12 @@
     std::vector<bench_arriving> m_arriving;
     std::size_t m_arrived = 0;
     std::deque<std::pair<double, token_demand>> m_demand; ///< One entry per request.
-    double m_missShare = 0.7; ///< Running mean of the uncached part of prompts.
+    double m_sentTokens = 1; ///< Decaying sums over the prompts sent, whole and uncached.
+    double m_missTokens = 1;
     bool m_poisonKnown = false;
     bool m_cheapAvailable = true;
     int m_roleChanges = 0;
-    double m_lastRoleChangeMs = -1e9;
+    double m_lastRoleChangeMs = 0; ///< A planner that has just started waits as after a change, as its horizons are still empty.
     std::uint64_t m_turn = 0;
     bench_signature m_signature;
 };
--- a/src/coordination/endpoint_cost.cpp
+++ b/src/coordination/endpoint_cost.cpp
@@ -60,15 +60,22 @@
     return gap + late * tunables::lateFactor * (streams + 1);
 }
 
-double decodeCostMs(const endpoint_view &view, const route_input &input, int streams)
+/// Part of an endpoint's decode steps that will carry prefill if all its streams are like this request.
+double prefillStepShare(double uncached, const route_input &input, int streams)
+{
+    return std::min(1.0, uncached / tunables::mixedPrefillChunkTokens * (streams + 1) / std::max(1.0, input.maxOutputTokens));
+}
+
+double decodeCostMs(const endpoint_view &view, const route_input &input, int streams, double uncached)
 {
     const double gap = stepMs(view, streams + 1);
-    if (view.role == endpoint_role::Prefill || view.role == endpoint_role::Decode) {
+    if (view.role == endpoint_role::Decode && input.kvTransfer) {
         return input.maxOutputTokens * tokenCostMs(gap, streams);
     }
-    // The queued prompts are computed in chunks between the first output tokens of this stream.
-    const double slowSteps = std::min(input.maxOutputTokens, queuedPromptTokens(view) / tunables::mixedPrefillChunkTokens);
-    return (input.maxOutputTokens - slowSteps) * tokenCostMs(gap, streams) + slowSteps * tokenCostMs(gap + chunkMs(view), streams);
+    const double share = prefillStepShare(uncached, input, streams);
+    // A few slow steps are within the target of 95 in 100; more make every stream of the endpoint late.
+    const double judged = share > tunables::toleratedSlowSteps ? gap + chunkMs(view) : gap;
+    return input.maxOutputTokens * (share * chunkMs(view) + gap + tokenCostMs(judged, streams) - judged);
 }
 
 double placementCostMs(const endpoint_view &view, const route_input &input, bool reclaimablePreferred)
@@ -93,35 +100,43 @@
     return std::max(0, static_cast<int>(spare / std::max(0.001, view.decodeStepMsPerStream)));
 }
 
-double queuedPromptTokens(const endpoint_view &view)
+double queuedPromptTokens(const endpoint_view &view, double demandShare)
 {
-    if (view.ownPromptTokensWaiting >= 0) {
-        // Own work is known exactly; only the rest of the report is old, and drains with time.
-        const double drained = prefillRate(view) * view.reportAgeMs / 2;
-        return view.ownPromptTokensWaiting + std::max(0.0, view.queuedPromptTokens - view.ownPromptTokensWaitingAtReport - drained);
+    if (view.ownPromptTokensWaiting < 0) {
+        return std::max(0.0, view.queuedPromptTokens + view.ownPromptTokensSince - prefillRate(view) * view.reportAgeMs);
     }
-    return std::max(0.0, view.queuedPromptTokens + view.ownPromptTokensSince - prefillRate(view) * view.reportAgeMs);
+    // Own work is known exactly. That of others comes from the report, which drains with time, and more and more from the assumption that
+    // other daemons send in proportion to this one.
+    const double drained = prefillRate(view) * view.reportAgeMs / 2;
+    const double reported = std::max(0.0, view.queuedPromptTokens - view.ownPromptTokensWaitingAtReport - drained);
+    const double inferred = view.ownPromptTokensWaiting * (1 / std::max(0.01, demandShare) - 1);
+    const double trust = tunables::reportHalfValueMs / (tunables::reportHalfValueMs + std::max(0.0, view.reportAgeMs));
+    return view.ownPromptTokensWaiting + trust * reported + (1 - trust) * inferred;
 }
 
-int runningStreams(const endpoint_view &view)
+int runningStreams(const endpoint_view &view, double demandShare)
 {
-    const int ownAtReport = view.ownInFlightAtReport >= 0 ? view.ownInFlightAtReport : std::max(0, view.ownInFlight - view.ownStreamsSince);
-    return view.ownInFlight + std::max(0, view.runningStreams - ownAtReport);
+    if (view.ownInFlightAtReport < 0) {
+        const int ownAtReport = std::max(0, view.ownInFlight - view.ownStreamsSince);
+        return view.ownInFlight + std::max(0, view.runningStreams - ownAtReport);
+    }
+    const double growth = (view.ownInFlight - view.ownInFlightAtReport) * (1 / std::max(0.01, demandShare) - 1);
+    return view.ownInFlight + std::max(0, static_cast<int>(view.runningStreams - view.ownInFlightAtReport + growth));
 }
 
 endpoint_cost predictCost(const endpoint_view &view, const route_input &input, const cost_routing &policy, bool reclaimablePreferred)
 {
-    const int streams = runningStreams(view);
+    const int streams = runningStreams(view, input.demandShare);
     const double uncached = uncachedTokens(view, input, policy);
     const double perToken = msPerPromptToken(view, streams);
     endpoint_cost cost;
-    cost.queueMs = queuedPromptTokens(view) * perToken;
+    cost.queueMs = queuedPromptTokens(view, input.demandShare) * perToken;
     cost.firstTokenMs = cost.queueMs + uncached * perToken;
     cost.prefillMs = withLatePenalty(cost.firstTokenMs, toMs(tunables::firstTokenTarget));
     if (view.role != endpoint_role::Prefill) {
         cost.prefillMs += streams * uncached / prefillRate(view) * tunables::delayedStreamFactor;
     }
-    cost.decodeMs = decodeCostMs(view, input, streams);
+    cost.decodeMs = decodeCostMs(view, input, streams, uncached);
     cost.placementMs = placementCostMs(view, input, reclaimablePreferred);
     return cost;
 }
--- a/src/coordination/role_planner.cpp
+++ b/src/coordination/role_planner.cpp
@@ -67,33 +67,25 @@
     return demand.promptTokensPerSecond * tunables::promptTokenWeight + demand.outputTokensPerSecond * tunables::outputTokenWeight;
 }
 
-struct mix_figures
-{
-    double shortTerm = 0;
-    double longTerm = 0;
-};
-
-mix_figures figures(const std::vector<role_endpoint_view> &engines, const role_input &input)
-{
-    return {expectedGoodput(engines, input.shortDemand), expectedGoodput(engines, input.longDemand)};
-}
-
-/// The demand of the short horizon is taken to last that long again, the demand of the long horizon for the rest of the stay.
+/// The demand of the short horizon is taken to last that long again, the demand of the long horizon for the rest of the stay. The gain counts
+/// whole answers, so that an overload never moves all engines to one role; the loss counts all work that the engine does now.
 role_candidate weighChange(const std::vector<role_endpoint_view> &engines, std::size_t index, endpoint_role role, const role_input &input)
 {
-    const mix_figures before = figures(engines, input);
     std::vector<role_endpoint_view> changed = engines;
     changed[index].role = role;
-    const mix_figures after = figures(changed, input);
-    changed.erase(changed.begin() + static_cast<std::ptrdiff_t>(index));
-    const mix_figures away = figures(changed, input);
+    const auto gain = [&](const token_demand &demand) {
+        return expectedOutput(changed, demand).wholeAnswers - expectedOutput(engines, demand).wholeAnswers;
+    };
+    std::vector<role_endpoint_view> away = engines;
+    away.erase(away.begin() + static_cast<std::ptrdiff_t>(index));
+    const double lost = expectedOutput(engines, input.shortDemand).work - expectedOutput(away, input.shortDemand).work;
     const double shortSeconds = toMs(tunables::shortDemandHorizon) / 1000.0;
     const double longSeconds = toMs(tunables::longDemandHorizon) / 1000.0 - shortSeconds;
     return {
         .endpoint = engines[index].id,
         .role = role,
-        .gainTokens = (after.shortTerm - before.shortTerm) * shortSeconds + (after.longTerm - before.longTerm) * longSeconds,
-        .lossTokens = std::max(0.0, before.shortTerm - away.shortTerm) * input.changeMs / 1000.0,
+        .gainTokens = gain(input.shortDemand) * shortSeconds + gain(input.longDemand) * longSeconds,
+        .lossTokens = std::max(0.0, lost) * input.changeMs / 1000.0,
     };
 }
 
@@ -209,18 +201,19 @@
 
 }
 
-double expectedGoodput(const std::vector<role_endpoint_view> &engines, const token_demand &demand)
+role_output expectedOutput(const std::vector<role_endpoint_view> &engines, const token_demand &demand)
 {
     const capacity available = sumCapacity(engines);
     const token_demand needed = withHeadroom(demand);
-    double best = 0;
+    role_output best;
     for (int step = 0; step <= mixedSplitSteps; ++step) {
         const double split = static_cast<double>(step) / mixedSplitSteps;
         const double prompt = available.fixed.promptTokensPerSecond + available.mixed.promptTokensPerSecond * split;
         const double output = available.fixed.outputTokensPerSecond + available.mixed.outputTokensPerSecond * (1 - split);
-        const token_demand served{demand.promptTokensPerSecond * servedPart(prompt, needed.promptTokensPerSecond),
-                                  demand.outputTokensPerSecond * servedPart(output, needed.outputTokensPerSecond)};
-        best = std::max(best, tokensPerSecond(served));
+        const double promptPart = servedPart(prompt, needed.promptTokensPerSecond);
+        const double outputPart = servedPart(output, needed.outputTokensPerSecond);
+        best.wholeAnswers = std::max(best.wholeAnswers, std::min(promptPart, outputPart) * tokensPerSecond(demand));
+        best.work = std::max(best.work, tokensPerSecond({demand.promptTokensPerSecond * promptPart, demand.outputTokensPerSecond * outputPart}));
     }
     return best;
 }
--- a/src/coordination/role_planner.h
+++ b/src/coordination/role_planner.h
@@ -9,8 +9,13 @@
 /// goodput lost while the engine is away by `breakEvenMargin`.
 role_result decideRole(const role_input &input);
 
-/// Goodput that engines in their present roles give under a demand, in weighted tokens per second. Prompt and output are served separately,
-/// as requests with long prompts and requests with long outputs are different ones.
-double expectedGoodput(const std::vector<role_endpoint_view> &engines, const token_demand &demand);
+/// What engines in their present roles give under a demand, in weighted tokens per second.
+struct role_output
+{
+    double wholeAnswers = 0; ///< Work of answers that get both their prefill and their decode.
+    double work = 0; ///< All work, counting prefill and decode separately.
+};
+
+role_output expectedOutput(const std::vector<role_endpoint_view> &engines, const token_demand &demand);
 
 }
--- a/src/coordination/routing.h
+++ b/src/coordination/routing.h
@@ -11,9 +11,9 @@
 route_result decideRoute(const route_input &input);
 
 /// Prompt tokens believed to wait at an endpoint now, from a lagging report and the daemon's own work since.
-double queuedPromptTokens(const endpoint_view &view);
+double queuedPromptTokens(const endpoint_view &view, double demandShare = 1);
 
-/// Streams believed to run at an endpoint now.
-int runningStreams(const endpoint_view &view);
+/// Streams believed to run at an endpoint now. Other daemons are taken to have started and ended streams in proportion to this one.
+int runningStreams(const endpoint_view &view, double demandShare = 1);
 
 }
--- a/src/protocol/decision_codec.cpp
+++ b/src/protocol/decision_codec.cpp
@@ -110,6 +110,7 @@
                                                 excluded,
                                                 seed,
                                                 endpoints,
+                                                demandShare,
                                                 kvTransfer,
                                                 policy)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(candidate_score, endpoint, costMs, reason)
@@ -135,6 +136,7 @@
                                                 predictedFirstTokenMs,
                                                 remainingMs,
                                                 predictedQueueMs,
+                                                late,
                                                 waitingBelowShare,
                                                 policy)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(admit_result, verdict, reason, retryAfterMs)
--- a/src/protocol/decisions.h
+++ b/src/protocol/decisions.h
@@ -76,6 +76,7 @@
     std::vector<std::string> excluded; ///< Endpoints that already failed this request.
     std::uint64_t seed = 0;
     std::vector<endpoint_view> endpoints;
+    double demandShare = 1; ///< Part of the group's demand that comes through this daemon.
     bool kvTransfer = false; ///< The caller of the decision can run prefill on one endpoint and decode on another.
     route_policy policy;
 };
@@ -134,6 +135,7 @@
     double predictedFirstTokenMs = 0;
     double remainingMs = 0;
     double predictedQueueMs = 0; ///< Time behind other prompts at the engine.
+    bool late = false; ///< The first-token target is missed already.
     int waitingBelowShare = 0; ///< Waiting requests of other organisations that are below their own share.
     admit_policy policy;
 };
--- a/src/protocol/tunables.h
+++ b/src/protocol/tunables.h
@@ -46,11 +46,13 @@
 constexpr double kvTransferTokensPerMs = 200; // Export, network and import of the KV cache between two engines.
 constexpr double lateFactor = 8; // Cost of a millisecond beyond a service target, in milliseconds within it.
 constexpr double delayedStreamFactor = 0.05; // Cost of delaying one running stream by a millisecond of prefill, in milliseconds.
+constexpr double toleratedSlowSteps = 0.05; // The token gap target holds for 95 in 100.
 constexpr double equalCostMs = 6; // Costs this close are equal, and the seed spreads them; otherwise daemons with the same reports herd.
 constexpr double reclaimableBonusMs = 40; // Cost that repeatable work saves on a reclaimable endpoint.
 constexpr double staleReportMs = 10000; // A report this old says little: nine reports in a row are missing.
 constexpr double staleReportPenaltyMs = 300;
-constexpr double kvShortageMsPerToken = 0.2; // Wait for running streams to free a token of KV memory.
+constexpr double kvShortageMsPerToken = 1; // Wait for a token of KV memory: 20 streams of 500 tokens that end within 10 s free one each millisecond.
+constexpr double reportHalfValueMs = 1000; // A queue reported this long ago and the queue inferred from own work count equally.
 constexpr double evictionRiskPerSecond = 0.01; // Loss of confidence in a cached prefix per second of report age.
 
 // Admission. An output token occupies an engine about three times as long as a prompt token.
@@ -62,12 +64,13 @@
 
 constexpr double engineQueueLimitMs
     = 350; // Longer queues stay at the daemons, where fairness orders them; shorter ones would leave engines idle between reports.
+constexpr double lateQueueLimitMs = 30; // Requests that are late already only fill engines that have nothing else to do.
 
 // Role planning.
 constexpr double roleDemandHeadroom = 1.15; // Engines above 87% load miss the first-token target through queueing.
-constexpr double mixedEfficiency = 0.65; // Work of a mixed engine against separate ones, as its prefill slows its decode.
+constexpr double mixedEfficiency = 0.4; // Work of a mixed engine against separate ones: within the token gap target it runs about 30 streams instead of 110.
 constexpr double breakEvenMargin = 1.5; // Demand estimates err by up to half over the short horizon.
-constexpr auto roleChangeSpacing = 15s; // Half the short horizon: the effect of a change must show before the next.
+constexpr auto roleChangeSpacing = 30s; // The short horizon: the effect of a change must show in the demand before the next.
 constexpr int minEnginesPerRole = 1;
 
 // Provisioning.
