--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -78,6 +78,9 @@
             const bool room = used <= input.groupTokenShare || input.groupTokensInFlight <= 0;
             return room ? admit("within the organisation's share") : wait("no capacity left");
         }
+        if (input.predictedQueueMs > tunables::borrowerQueueLimitMs) {
+            return wait("above the organisation's share, and the engines are busy");
+        }
         if (input.waitingBelowShare > 0) {
             return wait("organisations below their share go first");
         }
@@ -146,7 +149,7 @@
             streams += streamCapacity(view, view.role == endpoint_role::Mixed ? chunkMs : 0.0);
         }
     }
-    return streams * meanRequestCost;
+    return streams * tunables::groupFill * meanRequestCost;
 }
 
 double requestCost(double promptTokens, double outputTokens)
--- a/src/protocol/tunables.h
+++ b/src/protocol/tunables.h
@@ -62,8 +62,10 @@
 constexpr double minRetryAfterMs = 100;
 constexpr double waitRetryAfterMs = 500;
 
-constexpr double engineQueueLimitMs
-    = 350; // Longer queues stay at the daemons, where fairness orders them; shorter ones would leave engines idle between reports.
+constexpr double groupFill = 0.9; // Part of the stream capacity that is planned with; daemons see each other's streams late.
+// Longer queues stay at the daemons, where fairness orders them; shorter ones would leave engines idle between reports.
+constexpr double engineQueueLimitMs = 300;
+constexpr double borrowerQueueLimitMs = 50; // An organisation above its share leaves the rest of the queue to the others.
 constexpr double lateQueueLimitMs = 30; // Requests that are late already only fill engines that have nothing else to do.
 
 // Role planning.
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -134,4 +134,29 @@
     EXPECT_EQ(decideAdmission(input).verdict, admit_verdict::Wait);
 }
 
+// Guards against late or borrowed work in front of requests that can still be timely.
+TEST(admission, late_and_borrowing_requests_leave_the_queue_to_others)
+{
+    auto input = request();
+    input.predictedQueueMs = 100;
+    input.predictedFirstTokenMs = 200;
+    EXPECT_EQ(decideAdmission(input).verdict, admit_verdict::Admit);
+    input.late = true;
+    EXPECT_EQ(decideAdmission(input).verdict, admit_verdict::Wait);
+    input.late = false;
+    input.organisationTokensInFlight = 20000;
+    input.groupTokensInFlight = 20000;
+    EXPECT_EQ(decideAdmission(input).verdict, admit_verdict::Wait);
+}
+
+// Guards against a capacity that counts endpoints which cannot take work, or fills engines up to the last stream.
+TEST(admission, group_capacity_counts_usable_endpoints)
+{
+    std::vector<endpoint_view> endpoints
+        = {{.id = "a", .role = endpoint_role::Decode}, {.id = "b", .role = endpoint_role::Decode}, {.id = "c"}, {.id = "p", .role = endpoint_role::Prefill}};
+    endpoints[1].leaving = true;
+    // 110 streams on the decode engine, 30 on the mixed one, at 90%.
+    EXPECT_NEAR(groupCapacityTokens(endpoints, 1000), 126000, 1000);
+}
+
 }
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -185,4 +185,20 @@
     EXPECT_EQ(decideRoute(input).endpoint, "free");
 }
 
+// Guards against daemons with old reports that each send to the engines which the others have just filled.
+TEST(routing, infers_the_work_of_other_daemons_from_its_own)
+{
+    auto view = engine("a");
+    view.reportAgeMs = 5000;
+    view.runningStreams = 30;
+    view.ownInFlightAtReport = 10;
+    view.ownInFlight = 20;
+    view.ownPromptTokensWaiting = 600;
+    EXPECT_EQ(runningStreams(view, 1), 40);
+    EXPECT_EQ(runningStreams(view, 0.5), 50);
+    EXPECT_EQ(queuedPromptTokens(view, 1), 600);
+    // Five of six parts of the trust go to the inferred queue.
+    EXPECT_NEAR(queuedPromptTokens(view, 0.5), 1100, 0.001);
+}
+
 }
