Add explain, replay, bench and load to the command line; replay in the demo

Cause: these commands existed as functions or separate programs only, and the demo passed although every booking had failed. Change: one command table for all; the demo replays every decision log, explains a request, ends daemons before the platform and fails when calm load is not answered in full.

--- a/demo/run.sh
+++ b/demo/run.sh
@@ -44,24 +44,41 @@
 row() { ROWS+=("$(printf '%-34s %s' "$1" "$2")"); }
 fail() { FAILED=1; row "FAILED" "$*"; note "failed: $*"; }
 
-finish() {
-    local status=$?
-    trap - EXIT INT TERM
-    [[ -n ${WATCHDOG:-} ]] && kill "$WATCHDOG" 2>/dev/null || true
+# Ends the processes whose name matches a pattern: SIGTERM, then SIGKILL after a number of seconds.
+stop_processes() {
+    local pattern=$1 limit=$2 name left
+    local -a chosen=()
     for name in "${!PROCESSES[@]}"; do
+        case $name in
+            daemon-* | load-*) chosen+=("$name") ;;
+            *) [[ $pattern == '*' ]] && chosen+=("$name") ;;
+        esac
+    done
+    for name in "${chosen[@]}"; do
         kill -TERM "${PROCESSES[$name]}" 2>/dev/null || true
     done
-    for _ in {1..50}; do
-        local left=0
-        for name in "${!PROCESSES[@]}"; do
+    for ((try = 0; try < limit * 10; try++)); do
+        left=0
+        for name in "${chosen[@]}"; do
             kill -0 "${PROCESSES[$name]}" 2>/dev/null && left=1
         done
         ((left == 0)) && break
         sleep 0.1
     done
-    for name in "${!PROCESSES[@]}"; do
+    for name in "${chosen[@]}"; do
         kill -KILL "${PROCESSES[$name]}" 2>/dev/null || true
+        wait "${PROCESSES[$name]}" 2>/dev/null || true
+        unset "PROCESSES[$name]"
     done
+}
+
+finish() {
+    local status=$?
+    trap - EXIT INT TERM
+    [[ -n ${WATCHDOG:-} ]] && kill "$WATCHDOG" 2>/dev/null || true
+    # The daemons end first, as they still hand over leases and write usage through the platform.
+    stop_processes daemons 25
+    stop_processes '*' 5
     echo
     if ((${#ROWS[@]})); then
         printf '%s\n' "${ROWS[@]}"
@@ -147,7 +164,7 @@
 
 # Starts load in the background: name, seconds, seed.
 start_load() {
-    start "load-$1" "$BUILD/lacewinglock-load" --servers "$(server_list)" --keys "$WORK/keys.json" --models "$MODEL" --rate "$RATE" \
+    start "load-$1" "$BUILD/lacewinglock" load --servers "$(server_list)" --keys "$WORK/keys.json" --models "$MODEL" --rate "$RATE" \
         --seconds "$2" --seed "$3" --booking_path "$BOOKING_PATH" --execution_servers "$(service_addresses)" --json "$WORK/load-$1.json"
 }
 
@@ -167,6 +184,10 @@
     if ((status != 0)); then
         fail "load $1 ended with status $status"
     fi
+    # In calm load nothing is wrong anywhere, so a refused or lost request is a fault.
+    if [[ $1 == calm ]] && (($(number "$file" whole) < $(number "$file" sent))); then
+        fail "load calm got $(number "$file" whole) whole answers to $(number "$file" sent) requests"
+    fi
     if (($(number "$file" whole) == 0)); then
         fail "load $1 got no whole answer"
     fi
@@ -310,6 +331,24 @@
     check_audit cut_by_change "streams were cut by a role change"
 }
 
+# Runs the decisions that the daemons logged again, and prints those of one request.
+replay_decisions() {
+    local file replayed=0 request
+    for file in "$WORK"/decisions-*.jsonl; do
+        if "$BUILD/lacewinglock" replay "$file" >"$WORK/replay.log" 2>&1; then
+            replayed=$((replayed + $(wc -l <"$file")))
+        else
+            fail "replay: $(tail -n 1 "$WORK/replay.log")"
+        fi
+    done
+    row "replayed" "$replayed decisions of $(ls "$WORK"/decisions-*.jsonl | wc -l) daemons, same results"
+    ((replayed > 0)) || fail "no decision was logged"
+    request=$(grep -m 1 '"kind":"route"' "$WORK/decisions-1.jsonl" "$WORK"/decisions-[2-9].jsonl -h | grep -oE '"request":"[^"]+"' | head -n 1 | cut -d'"' -f4 || true)
+    for file in "$WORK"/decisions-*.jsonl; do
+        grep -q "\"request\":\"$request\"" "$file" && "$BUILD/lacewinglock" explain "$request" --log "$file" | head -n 12 && break
+    done
+}
+
 check_audit() {
     if grep -qE "\"$1\": *[1-9]" "$WORK/audit.json"; then
         fail "$2"
@@ -341,4 +380,6 @@
 end_load drain
 note "waiting for the usage report"
 show_usage
+note "replaying the decision logs"
+replay_decisions
 exit "$FAILED"
--- a/src/programs/lacewinglock.cpp
+++ b/src/programs/lacewinglock.cpp
@@ -1,7 +1,9 @@
 #include "coordination/cli_commands.h"
 
+#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <sstream>
 
 DEFINE_string(server, "http://127.0.0.1:8001", "operator interface of a daemon");
 DEFINE_string(token_file, "operator.token", "file with the operator token");
@@ -11,8 +13,69 @@
 DEFINE_string(organisation, "", "organisation of the new key");
 DEFINE_string(id, "", "identifier of the new key");
 DEFINE_string(window, "", "number of the usage window");
+DEFINE_string(log, "", "decision log for explain; without it the daemon is asked");
+DEFINE_uint64(seed, 1, "seed of bench and load");
+DEFINE_string(settings, "", "load: JSON file with settings; the flags override its fields");
+DEFINE_string(servers, "", "load: comma-separated IP:port of daemons");
+DEFINE_string(keys, "", "load: JSON file with a key for each organisation");
+DEFINE_string(models, "", "load: comma-separated model names");
+DEFINE_string(execution_servers, "", "load: comma-separated IP:port of the plain services");
+DEFINE_string(booking_path, "", "load: path of bookings");
+DEFINE_string(json, "", "load: file for the summary");
+DEFINE_double(rate, 0, "load: requests a second");
+DEFINE_double(seconds, 0, "load: length");
 DECLARE_bool(help);
 
+namespace
+{
+
+nlohmann::json splitList(const std::string &text)
+{
+    auto list = nlohmann::json::array();
+    std::istringstream stream(text);
+    for (std::string item; std::getline(stream, item, ',');) {
+        list.push_back(item);
+    }
+    return list;
+}
+
+/// An unreadable file gives a discarded value, which the load settings refuse by name.
+nlohmann::json readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    return nlohmann::json::parse(file, nullptr, false);
+}
+
+nlohmann::json collectLoadSettings()
+{
+    auto document = FLAGS_settings.empty() ? nlohmann::json::object() : readFile(FLAGS_settings);
+    const auto set = [&](const char *name, const auto &value, bool given) {
+        if (given) {
+            document[name] = value;
+        }
+    };
+    set("servers", splitList(FLAGS_servers), !FLAGS_servers.empty());
+    set("models", splitList(FLAGS_models), !FLAGS_models.empty());
+    set("execution_servers", splitList(FLAGS_execution_servers), !FLAGS_execution_servers.empty());
+    set("keys", FLAGS_keys.empty() ? nlohmann::json() : readFile(FLAGS_keys), !FLAGS_keys.empty());
+    set("booking_path", FLAGS_booking_path, !FLAGS_booking_path.empty());
+    set("rate", FLAGS_rate, FLAGS_rate > 0);
+    set("seconds", FLAGS_seconds, FLAGS_seconds > 0);
+    set("seed", FLAGS_seed, FLAGS_seed > 0);
+    return document;
+}
+
+std::vector<lacewinglock::cli_command> allCommands()
+{
+    const auto operators = lacewinglock::operatorCommands();
+    const auto tools = lacewinglock::toolCommands();
+    std::vector<lacewinglock::cli_command> all(operators.begin(), operators.end());
+    all.insert(all.end(), tools.begin(), tools.end());
+    return all;
+}
+
+}
+
 int main(int argc, char **argv)
 {
     gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
@@ -23,7 +86,11 @@
         .organisation = FLAGS_organisation,
         .id = FLAGS_id,
         .window = FLAGS_window,
+        .log = FLAGS_log,
+        .load = collectLoadSettings(),
+        .summaryFile = FLAGS_json,
+        .seed = FLAGS_seed,
         .words = {argv + 1, argv + argc},
     };
-    return lacewinglock::runCommand(lacewinglock::operatorCommands(), std::move(call), FLAGS_help, std::cout, std::cerr);
+    return lacewinglock::runCommand(allCommands(), std::move(call), FLAGS_help, std::cout, std::cerr);
 }
