--- a/bench/failover.sh
+++ b/bench/failover.sh
@@ -44,7 +44,7 @@
 }
 
 store_outage() {
-    post "$PLATFORM/faults" '{"name": "store_down", "value": true, "duration_ms": 15000}'
+    post "$PLATFORM/faults" '{"name": "store_outage", "value": true, "duration_ms": 15000}'
     sleep 4
     start_load outage 10 5
     end_load outage
--- a/tools/local_cell.sh
+++ b/tools/local_cell.sh
@@ -156,7 +156,7 @@
         fail "load $1 gave no summary (status $status)"
         return
     fi
-    row "load: $1" "sent $(number "$file" sent), whole $(number "$file" whole), timely $(number "$file" timely), reconnected $(number "$file" reconnected), lost $(number "$file" lost)"
+    row "load: $1" "sent $(number "$file" sent), whole $(number "$file" whole), timely $(number "$file" timely) of $(number "$file" streams_answered) streams, reconnected $(number "$file" reconnected), lost $(number "$file" lost)"
     row "  refused" "$(tr -d '\n ' <"$file" | grep -oE '"refused":\{[^}]*\}' || echo none)"
     row "  wrong / cut / doubled" "$(number "$file" wrong) / $(number "$file" cut) / $(number "$file" doubled)"
     row "  bookings" "$(number "$file" bookings), ran twice $(number "$file" booking_doubled), false not_run $(number "$file" false_not_run)"
