Make the refused-connection test try the engine that is down

Cause: both engines had equal costs, so the random request id chose between them; when both requests went to the running engine, the other one was never tried and stayed reachable. The freed port could also be given to another process of a parallel test run.

Change: a reported queue at the other engine sends the first request to the engine that is down, its port stays bound without listening, and the test also checks that the running engine answered both requests.

No functional change

--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -1,15 +1,20 @@
 #include "coordination/front.h"
 
+#include "coordination/address_planner.h"
 #include "protocol/api_keys.h"
-
+#include "protocol/decision_codec.h"
 #include "protocol/tunables.h"
 
+#include <arpa/inet.h>
 #include <atomic>
 #include <chrono>
 #include <gtest/gtest.h>
 #include <httplib.h>
+#include <netinet/in.h>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 namespace lacewinglock
 {
@@ -48,6 +53,35 @@
     }
 };
 
+/// Holds a port without listening, so that connecting to it is refused and no other process is given it.
+class refusing_port
+{
+public:
+    explicit refusing_port(int port)
+        : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        const int on = 1;
+        ::setsockopt(m_socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        sockaddr_in address{.sin_family = AF_INET, .sin_port = htons(static_cast<std::uint16_t>(port)), .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)}};
+        m_held = ::bind(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
+    }
+    ~refusing_port()
+    {
+        ::close(m_socket);
+    }
+    refusing_port(const refusing_port &) = delete;
+    refusing_port &operator=(const refusing_port &) = delete;
+
+    bool held() const
+    {
+        return m_held;
+    }
+
+private:
+    int m_socket;
+    bool m_held = false;
+};
+
 /// An engine that answers `total` tokens "t0 t1 ..." and can break in the ways the tests ask for.
 struct fake_engine
 {
@@ -274,12 +308,16 @@
 TEST(front, goes_to_the_other_engine_when_one_is_down)
 {
     daemon daemon;
+    daemon.preferFirstEngine(); // With equal costs the random request id decides, and the engine that is down might never be tried.
     daemon.engines[0].http.server.stop();
+    const refusing_port down(daemon.engines[0].http.port);
+    ASSERT_TRUE(down.held());
     for (int i = 0; i < 2; ++i) {
         const auto result = daemon.client().Post("/v1/completions", streamBody, "application/json");
         ASSERT_TRUE(result);
         EXPECT_EQ(textOf(result->body), wholeText);
     }
+    EXPECT_EQ(daemon.engines[1].calls, 2);
     EXPECT_FALSE(daemon.endpoints.viewGroup("g", {}, monotonicNow()).front().reachable);
 }
 
