Decide addresses through the planner and record the decision

Cause: GET /v1/addresses ordered daemons by a rule of its own, which was neither recorded nor aware of load and failure domains.

Change: it calls decideAddresses and logs a record of kind "address", found by the X-Request-Id of the answer. Callers may name their failure domain in the query. Heartbeats carry the load of a daemon (requests in flight per caller thread), which instance_info passes on. The lifetime of an answer has one constant; it is 5 s, since draining daemons must lose their callers soon.

--- a/src/coordination/address_book.cpp
+++ b/src/coordination/address_book.cpp
@@ -1,5 +1,8 @@
 #include "coordination/address_book.h"
 
+#include "protocol/core_time.h"
+#include "protocol/tunables.h"
+
 #include <algorithm>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -11,7 +14,6 @@
 {
 
 constexpr auto askTimeout = std::chrono::milliseconds(1000);
-constexpr int defaultLifetimeMs = 5000;
 constexpr auto retryPause = std::chrono::milliseconds(500); // When no daemon answered.
 
 // Takes a list of strings or of objects with the field `address`.
@@ -66,7 +68,8 @@
         const auto body = answer && answer->status == 200 ? nlohmann::json::parse(answer->body, nullptr, false) : nlohmann::json();
         if (body.is_object() && body.contains("addresses")) {
             if (auto addresses = parseAddresses(body.at("addresses")); !addresses.empty()) {
-                return {.addresses = std::move(addresses), .until = now + std::chrono::milliseconds(body.value("lifetime_ms", defaultLifetimeMs))};
+                return {.addresses = std::move(addresses),
+                        .until = now + std::chrono::milliseconds(static_cast<std::int64_t>(body.value("lifetime_ms", toMs(tunables::addressLifetime))))};
             }
         }
     }
--- a/src/coordination/caller_request.cpp
+++ b/src/coordination/caller_request.cpp
@@ -76,14 +76,6 @@
     return toHex(bytes.digest, sizeof(bytes.digest));
 }
 
-std::string makeRequestId()
-{
-    thread_local std::mt19937_64 generator{(std::uint64_t{std::random_device{}()} << 32U) ^ std::random_device{}()};
-    std::ostringstream text;
-    text << "req-" << std::hex << std::setfill('0') << std::setw(16) << generator() << std::setw(16) << generator();
-    return text.str();
-}
-
 // Checks that hold for every request: no control characters, and the single headers are single.
 std::optional<refuse_effect> checkHeaders(const httplib::Request &request)
 {
@@ -352,6 +344,14 @@
 
 }
 
+std::string makeRequestId()
+{
+    thread_local std::mt19937_64 generator{(std::uint64_t{std::random_device{}()} << 32U) ^ std::random_device{}()};
+    std::ostringstream text;
+    text << "req-" << std::hex << std::setfill('0') << std::setw(16) << generator() << std::setw(16) << generator();
+    return text.str();
+}
+
 refuse_effect makeRefusal(int status, std::string code, std::string message, double retryAfterMs)
 {
     return {.status = status, .code = std::move(code), .message = std::move(message), .state = run_state::NotRun, .retryAfterMs = retryAfterMs};
--- a/src/coordination/caller_request.h
+++ b/src/coordination/caller_request.h
@@ -20,6 +20,9 @@
 using identified_caller = std::variant<caller_identity, refuse_effect>;
 using parsed_request = std::variant<routed_request, refuse_effect>;
 
+/// A random id for one request or question of a caller.
+std::string makeRequestId();
+
 /// A refusal of a request that was not run.
 refuse_effect makeRefusal(int status, std::string code, std::string message, double retryAfterMs = 0);
 
--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -1,8 +1,10 @@
 #include "coordination/front.h"
 
+#include "coordination/address_planner.h"
 #include "coordination/caller_connection.h"
 #include "coordination/caller_request.h"
 #include "coordination/session_runner.h"
+#include "protocol/decision_codec.h"
 #include "protocol/tunables.h"
 
 #include <algorithm>
@@ -13,7 +15,6 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <utility>
-#include <xxhash.h>
 
 namespace lacewinglock
 {
@@ -21,8 +22,6 @@
 namespace
 {
 
-constexpr auto addressLifetime = std::chrono::seconds(5); // Callers ask again this often, so a draining daemon loses its callers within it.
-
 constexpr const char *requestIdHeader = "X-Request-Id";
 
 /// Shared by all handlers of one daemon.
@@ -270,15 +269,31 @@
     }
 }
 
-// Daemons in the order in which the organisation should use them: rendezvous hash spreads organisations, draining ones come last.
-std::vector<instance_info> orderInstances(std::vector<instance_info> instances, const std::string &organisation)
+// A caller may name its failure domain. Only names that a daemon carries are taken, so that no other text gets into the records.
+std::string callerDomain(const httplib::Request &request, const std::vector<instance_info> &instances)
 {
-    const auto rank = [&](const instance_info &info) {
-        const std::string text = organisation + '\n' + info.id;
-        return std::pair(info.leaving ? 1 : 0, ~XXH3_64bits(text.data(), text.size()));
-    };
-    std::ranges::sort(instances, {}, rank);
-    return instances;
+    const auto named = request.get_param_value("failure_domain");
+    return std::ranges::find(instances, named, &instance_info::failureDomain) != instances.end() ? named : std::string();
+}
+
+address_input makeAddressInput(const serving_context &context, const httplib::Request &request, const std::vector<instance_info> &instances)
+{
+    address_input input{.configVersion = context.config.current()->parsed.version, .callerDomain = callerDomain(request, instances)};
+    for (const auto &info : instances) {
+        input.daemons.push_back(
+            {.instanceId = info.id, .address = info.callerAddress, .failureDomain = info.failureDomain, .draining = info.leaving, .load = info.load});
+    }
+    return input;
+}
+
+nlohmann::json addressBody(const address_result &decided, const std::vector<instance_info> &instances)
+{
+    nlohmann::json addresses = nlohmann::json::array();
+    for (const auto &address : decided.addresses) {
+        const auto info = std::ranges::find(instances, address, &instance_info::callerAddress);
+        addresses.push_back({{"address", address}, {"failure_domain", info->failureDomain}, {"draining", info->leaving}});
+    }
+    return {{"addresses", std::move(addresses)}, {"lifetime_ms", static_cast<std::int64_t>(decided.lifetimeMs)}};
 }
 
 void serveAddresses(const serving_context &context, const httplib::Request &request, httplib::Response &response)
@@ -289,13 +304,17 @@
         return;
     }
     const auto &match = std::get<caller_identity>(caller).match;
+    const auto instances = context.instances();
+    auto input = makeAddressInput(context, request, instances);
     // Callers of open routes have no organisation; their address spreads them.
-    nlohmann::json addresses = nlohmann::json::array();
-    for (const auto &info : orderInstances(context.instances(), match ? match->organisation : request.remote_addr)) {
-        addresses.push_back({{"address", info.callerAddress}, {"failure_domain", info.failureDomain}, {"draining", info.leaving}});
-    }
-    const auto lifetimeMs = std::chrono::duration_cast<std::chrono::milliseconds>(addressLifetime).count();
-    response.set_content(dumpJson({{"addresses", std::move(addresses)}, {"lifetime_ms", lifetimeMs}}), "application/json");
+    input.organisation = match ? match->organisation : request.remote_addr;
+    const auto decided = decideAddresses(input);
+    const auto id = makeRequestId();
+    auto record = recordAddress(id + "/address", input, decided);
+    record.requestId = id;
+    context.decisions.write(record);
+    response.set_header(requestIdHeader, id);
+    response.set_content(dumpJson(addressBody(decided, instances)), "application/json");
 }
 
 void serveReadiness(const serving_context &context, httplib::Response &response)
--- a/src/coordination/node_peers.cpp
+++ b/src/coordination/node_peers.cpp
@@ -1,4 +1,6 @@
 #include "coordination/node.h"
+
+#include "coordination/front.h"
 #include "protocol/tunables.h"
 #include "state/rendezvous.h"
 
@@ -94,7 +96,8 @@
                  .address = message.address,
                  .callerAddress = message.callerAddress,
                  .failureDomain = message.failureDomain,
-                 .leaving = message.draining},
+                 .leaving = message.draining,
+                 .load = message.load},
         .heardAt = now,
         .draining = message.draining,
         .demand = message.demand,
@@ -153,6 +156,7 @@
         .callerAddress = m_settings.caller.host + ":" + std::to_string(m_callerPort),
         .failureDomain = m_settings.failureDomain,
         .leaving = m_draining,
+        .load = std::min(1.0, static_cast<double>(requestsInFlight(m_serving)) / std::max(1, m_settings.callerThreads)),
     };
 }
 
@@ -168,6 +172,7 @@
         .rosterVersion = m_rosterKeeper.roster().version,
         .draining = own.leaving,
         .reports = m_poller->reports(now),
+        .load = own.load,
         // WIRING: .demand from the admission queues of the front.
     };
     for (const auto &suspect : m_suspects.entries(now)) {
--- a/src/coordination/peer_messages.cpp
+++ b/src/coordination/peer_messages.cpp
@@ -60,6 +60,7 @@
     target.setConfigVersion(message.configVersion);
     target.setRosterVersion(message.rosterVersion);
     target.setDraining(message.draining);
+    target.setLoad(static_cast<float>(message.load));
     auto reports = target.initReports(static_cast<unsigned>(message.reports.size()));
     for (unsigned i = 0; i < reports.size(); ++i) {
         writeReport(reports[i], message.reports[i]);
@@ -97,6 +98,7 @@
     for (const auto demand : source.getDemand()) {
         message.demand.push_back({.group = text(demand.getGroup()), .weightedTokens = demand.getWeightedTokens()});
     }
+    message.load = source.getLoad();
     return message;
 }
 
--- a/src/coordination/peer_messages.h
+++ b/src/coordination/peer_messages.h
@@ -37,6 +37,7 @@
     std::vector<endpoint_report> reports; ///< Of the endpoints that the sender polls.
     std::vector<suspect_count> suspects;
     std::vector<group_demand> demand;
+    double load = 0; ///< Of the sender as a daemon; 0 idle to 1 full.
 };
 
 struct heartbeat_reply
--- a/src/protocol/control.h
+++ b/src/protocol/control.h
@@ -153,6 +153,7 @@
     std::string callerAddress; ///< IP:port for callers.
     std::string failureDomain;
     bool leaving = false;
+    double load = 0; ///< As the daemon reports in its heartbeats; 0 idle to 1 full.
 };
 
 struct instances_event
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -34,6 +34,7 @@
   reports @8 :List(EndpointReport);
   suspects @9 :List(Suspect);
   demand @10 :List(GroupDemand);
+  load @11 :Float32;  # Of the sender as a daemon: 0 idle to 1 full.
 }
 
 # State of the receiver, read after the heartbeat arrived, so the sender may count it from the time it sent the heartbeat.
--- a/src/protocol/peer.capnp.h
+++ b/src/protocol/peer.capnp.h
@@ -1819,6 +1819,8 @@
   inline bool hasDemand() const;
   inline  ::capnp::List< ::lacewinglock::rpc::GroupDemand,  ::capnp::Kind::STRUCT>::Reader getDemand() const;
 
+  inline float getLoad() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1908,6 +1910,9 @@
   inline void adoptDemand(::capnp::Orphan< ::capnp::List< ::lacewinglock::rpc::GroupDemand,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::lacewinglock::rpc::GroupDemand,  ::capnp::Kind::STRUCT>> disownDemand();
 
+  inline float getLoad();
+  inline void setLoad(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3436,6 +3441,20 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline float Heartbeat::Reader::getLoad() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline float Heartbeat::Builder::getLoad() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setLoad(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t HeartbeatReply::Reader::getConfigVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/protocol/tunables.h
+++ b/src/protocol/tunables.h
@@ -94,7 +94,7 @@
 // Addresses.
 constexpr std::size_t addressSubset = 3; // Daemons per organisation; more would dilute its prefix cache estimates.
 constexpr double overloadedDaemon = 0.9;
-constexpr auto addressLifetime = 30s;
+constexpr auto addressLifetime = 5s; // Callers ask again this often, so a draining daemon loses its callers within it.
 
 // Usage.
 constexpr auto usageWindow = 60s;
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -148,7 +148,8 @@
     suspect_table suspects;
     usage_ledger usage;
     table_store store{std::make_shared<memory_table>()};
-    decision_log decisions{"/dev/null"};
+    decision_ring recent{1U << 20U};
+    decision_log decisions{"/dev/null", &recent};
     std::atomic<bool> fresh = true;
     serving_context context{
         .instanceId = "d1",
@@ -418,6 +419,31 @@
     EXPECT_EQ(daemon.client().Post("/bookings", headers, "slot 8", "text/plain")->status, 422);
 }
 
+// Guards against a list of addresses that can't be explained: the record must carry what the planner saw and give the same list again.
+TEST(front, records_the_address_decision)
+{
+    daemon daemon;
+    daemon.context.instances = [] {
+        return std::vector<instance_info>{{.id = "a", .callerAddress = "1.1.1.1:1", .failureDomain = "fd1", .load = 0.95},
+                                          {.id = "b", .callerAddress = "1.1.1.2:1", .failureDomain = "fd2", .load = 0.5}};
+    };
+    const auto answer = daemon.client().Get("/v1/addresses?failure_domain=fd1");
+    ASSERT_TRUE(answer);
+    const auto body = nlohmann::json::parse(answer->body);
+    EXPECT_EQ(body["addresses"][0]["address"], "1.1.1.2:1"); // The nearer one is overloaded.
+    const auto records = daemon.recent.find(answer->get_header_value("X-Request-Id"));
+    ASSERT_EQ(records.size(), 1U);
+    EXPECT_EQ(records[0].kind, "address");
+    const auto input = parseDecision<address_input>(nlohmann::json::parse(records[0].input));
+    ASSERT_TRUE(input.ok());
+    EXPECT_EQ(input->callerDomain, "fd1");
+    EXPECT_EQ(input->daemons[0].load, 0.95);
+    const auto again = decideAddresses(*input);
+    EXPECT_EQ(nlohmann::json::parse(records[0].result), encodeDecision(again));
+    EXPECT_EQ(again.addresses[0], body["addresses"][0]["address"]);
+    EXPECT_EQ(body["lifetime_ms"], again.lifetimeMs);
+}
+
 // Guards against callers that are sent to a draining daemon first.
 TEST(front, lists_draining_daemons_last)
 {
