Measure requests as their callers see them

Cause: the histograms and counters of requests existed, but nothing in the caller side filled them.

Change: request_meter observes first-token time, token gaps and request time, counts requests and refusals by run_state, and keeps a gauge of requests in flight. serving_context has a metrics pointer for it. The refusal counter became one per run_state, as labels of one name.

--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -3,6 +3,7 @@
 #include "coordination/address_planner.h"
 #include "coordination/caller_connection.h"
 #include "coordination/caller_request.h"
+#include "coordination/request_meter.h"
 #include "coordination/session_runner.h"
 #include "protocol/decision_codec.h"
 #include "protocol/tunables.h"
@@ -33,32 +34,12 @@
     commit_batcher commits{context.store};
 };
 
-/// Counts a request until it is wholly answered.
-class request_count
-{
-public:
-    explicit request_count(std::shared_ptr<std::atomic<int>> counter)
-        : m_counter(std::move(counter))
-    {
-        ++*m_counter;
-    }
-    ~request_count()
-    {
-        --*m_counter;
-    }
-    request_count(const request_count &) = delete;
-    request_count &operator=(const request_count &) = delete;
-
-private:
-    std::shared_ptr<std::atomic<int>> m_counter;
-};
-
 /// A request being answered. It is kept by the stream that answers it, beyond the handler.
 struct running_request
 {
     running_request(const std::shared_ptr<front_state> &front, routed_request routed, const httplib::Request &request)
         : state(front)
-        , count(front->context.callerRequests)
+        , meter(front->context)
         , connection(request)
         , id(routed.session.requestId)
         , model(routed.session.kind == route_kind::Model ? routed.fields.value("model", std::string()) : std::string())
@@ -69,8 +50,16 @@
     {
     }
 
+    /// Blocks until there is something for the caller.
+    session_runner::output next()
+    {
+        auto output = runner.next();
+        meter.note(output);
+        return output;
+    }
+
     std::shared_ptr<front_state> state;
-    request_count count;
+    request_meter meter;
     caller_connection connection;
     std::string id;
     std::string model;
@@ -116,6 +105,16 @@
     response.set_content(dumpJson(errorBody(refused)), "application/json");
 }
 
+// Refuses a request that gets no session.
+void refuseUnstarted(const serving_context &context, httplib::Response &response, const refuse_effect &refused)
+{
+    if (context.measured != nullptr) {
+        context.measured->count(metric_counter::Requests);
+    }
+    countRefusal(context, refused.state);
+    answerRefusal(response, refused);
+}
+
 nlohmann::json usageBody(const usage_figures &figures)
 {
     return {{"prompt_tokens", figures.promptTokens},
@@ -195,14 +194,14 @@
 // Answers with a stream once the first token or the end is known; refusals before that keep their HTTP status.
 void answerStream(const std::shared_ptr<running_request> &running, httplib::Response &response)
 {
-    running->first = running->runner.next();
+    running->first = running->next();
     if (const auto *refused = std::get_if<refuse_effect>(&*running->first)) {
         answerRefusal(response, *refused);
         return;
     }
     response.set_header("Cache-Control", "no-store");
     response.set_chunked_content_provider("text/event-stream", [running](std::size_t, httplib::DataSink &sink) {
-        auto output = running->first ? *std::exchange(running->first, std::nullopt) : running->runner.next();
+        auto output = running->first ? *std::exchange(running->first, std::nullopt) : running->next();
         return std::visit(stream_writer{.running = *running, .sink = sink}, output);
     });
 }
@@ -211,7 +210,7 @@
 {
     std::string text;
     while (true) {
-        const auto output = running.runner.next();
+        const auto output = running.next();
         if (const auto *token = std::get_if<deliver_token_effect>(&output)) {
             text += token->text;
             continue;
@@ -237,7 +236,7 @@
 {
     auto parsed = parseCompletion(request, state->context, chat);
     if (const auto *refused = std::get_if<refuse_effect>(&parsed)) {
-        answerRefusal(response, *refused);
+        refuseUnstarted(state->context, response, *refused);
         return;
     }
     auto &routed = std::get<routed_request>(parsed);
@@ -255,12 +254,12 @@
 {
     auto parsed = parseServiceCall(request, state->context);
     if (const auto *refused = std::get_if<refuse_effect>(&parsed)) {
-        answerRefusal(response, *refused);
+        refuseUnstarted(state->context, response, *refused);
         return;
     }
     running_request running(state, std::move(std::get<routed_request>(parsed)), request);
     response.set_header(requestIdHeader, running.id);
-    const auto output = running.runner.next();
+    const auto output = running.next();
     if (const auto *refused = std::get_if<refuse_effect>(&output)) {
         answerRefusal(response, *refused);
     } else if (const auto *delivered = std::get_if<deliver_answer_effect>(&output)) {
@@ -300,7 +299,7 @@
 {
     const auto caller = identifyCaller(request, context.config.current()->parsed);
     if (const auto *refused = std::get_if<refuse_effect>(&caller)) {
-        answerRefusal(response, *refused);
+        refuseUnstarted(context, response, *refused);
         return;
     }
     const auto &match = std::get<caller_identity>(caller).match;
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -268,6 +268,7 @@
             [this](const std::string &group) {
                 return demandShare(group);
             },
+        .measured = &m_metrics,
     };
 }
 
--- a/src/state/metrics.cpp
+++ b/src/state/metrics.cpp
@@ -21,13 +21,25 @@
     "lacewinglock_request_ms",
 };
 
-constexpr std::array<std::string_view, static_cast<std::size_t>(metric_counter::Count)> counterNames{
-    "lacewinglock_requests_total",
-    "lacewinglock_refusals_total",
-    "lacewinglock_control_bytes_total",
-    "lacewinglock_store_errors_total",
-    "lacewinglock_peer_failures_total",
-    "lacewinglock_poll_failures_total",
+struct counter_name
+{
+    std::string_view name;
+    std::string_view labels; ///< Counters that differ in their labels only stand next to each other.
+};
+
+constexpr std::array<counter_name, static_cast<std::size_t>(metric_counter::Count)> counterNames{{
+    {"lacewinglock_requests_total", ""},
+    {"lacewinglock_refusals_total", "{run_state=\"not_run\"}"},
+    {"lacewinglock_refusals_total", "{run_state=\"unknown\"}"},
+    {"lacewinglock_refusals_total", "{run_state=\"partial\"}"},
+    {"lacewinglock_control_bytes_total", ""},
+    {"lacewinglock_store_errors_total", ""},
+    {"lacewinglock_peer_failures_total", ""},
+    {"lacewinglock_poll_failures_total", ""},
+}};
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(metric_gauge::Count)> gaugeNames{
+    "lacewinglock_requests_in_flight",
 };
 
 auto makeHistogram()
@@ -85,12 +97,24 @@
     m_counters[static_cast<std::size_t>(which)] += amount;
 }
 
+void metrics::change(metric_gauge which, std::int64_t difference)
+{
+    m_gauges[static_cast<std::size_t>(which)] += difference;
+}
+
 std::string metrics::text() const
 {
     std::ostringstream out;
     out.precision(15);
     for (std::size_t i = 0; i < m_counters.size(); ++i) {
-        out << "# TYPE " << counterNames[i] << " counter\n" << counterNames[i] << " " << m_counters[i].load() << "\n";
+        const auto &[name, labels] = counterNames[i];
+        if (i == 0 || counterNames[i - 1].name != name) {
+            out << "# TYPE " << name << " counter\n";
+        }
+        out << name << labels << " " << m_counters[i].load() << "\n";
+    }
+    for (std::size_t i = 0; i < m_gauges.size(); ++i) {
+        out << "# TYPE " << gaugeNames[i] << " gauge\n" << gaugeNames[i] << " " << m_gauges[i].load() << "\n";
     }
     for (std::size_t i = 0; i < histogramNames.size(); ++i) {
         writeSeries(out, histogramNames[i], m_histograms->all[i]);
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -18,7 +18,9 @@
 
 enum class metric_counter {
     Requests,
-    Refusals,
+    RefusalsNotRun,
+    RefusalsUnknown,
+    RefusalsPartial,
     ControlBytes,
     StoreErrors,
     PeerFailures,
@@ -26,7 +28,12 @@
     Count
 };
 
-/// Counters and histograms of this daemon. Thread-safe.
+enum class metric_gauge {
+    RequestsInFlight,
+    Count
+};
+
+/// Counters, gauges and histograms of this daemon. Thread-safe.
 class metrics
 {
 public:
@@ -37,6 +44,7 @@
 
     void observe(metric_histogram which, double milliseconds);
     void count(metric_counter which, std::uint64_t amount = 1);
+    void change(metric_gauge which, std::int64_t difference);
 
     /// Prometheus text format.
     std::string text() const;
@@ -44,6 +52,7 @@
 private:
     struct histogram_state;
     std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(metric_counter::Count)> m_counters{};
+    std::array<std::atomic<std::int64_t>, static_cast<std::size_t>(metric_gauge::Count)> m_gauges{};
     std::unique_ptr<histogram_state> m_histograms;
 };
 
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -151,6 +151,7 @@
     decision_ring recent{1U << 20U};
     decision_log decisions{"/dev/null", &recent};
     std::atomic<bool> fresh = true;
+    metrics measured;
     serving_context context{
         .instanceId = "d1",
         .incarnation = "i1",
@@ -177,7 +178,8 @@
         .demandShare =
             [](const std::string &) {
                 return 1.0;
-            }};
+            },
+        .measured = &measured};
     loopback_server http;
 
     daemon()
@@ -228,6 +230,11 @@
     return text;
 }
 
+bool hasLine(const std::string &text, const std::string &line)
+{
+    return ("\n" + text).find("\n" + line + "\n") != std::string::npos;
+}
+
 bool eventually(const std::function<bool()> &condition)
 {
     for (int i = 0; i < 300 && !condition(); ++i) {
@@ -390,6 +397,30 @@
     EXPECT_EQ(daemon.engineCalls(), 0);
 }
 
+// Guards against figures that operators would act on being absent or counted twice.
+TEST(front, measures_requests_and_refusals)
+{
+    daemon daemon;
+    daemon.client().Post("/v1/completions", streamBody, "application/json");
+    daemon.client().Post("/v1/completions", "{", "application/json");
+    daemon.engines[0].breakAfter = 3;
+    daemon.engines[1].breakAfter = 3;
+    daemon.client().Post("/v1/completions", streamBody, "application/json");
+    EXPECT_TRUE(eventually([&] {
+        return hasLine(daemon.measured.text(), "lacewinglock_requests_in_flight 0");
+    }));
+    const std::string text = daemon.measured.text();
+    for (const char *line : {"lacewinglock_requests_total 3",
+                             "lacewinglock_refusals_total{run_state=\"not_run\"} 1",
+                             "lacewinglock_refusals_total{run_state=\"unknown\"} 0",
+                             "lacewinglock_refusals_total{run_state=\"partial\"} 1",
+                             "lacewinglock_first_token_ms_count 2",
+                             "lacewinglock_token_gap_ms_count 7",
+                             "lacewinglock_request_ms_count 2"}) {
+        EXPECT_TRUE(hasLine(text, line)) << line << '\n' << text;
+    }
+}
+
 // Guards against requests admitted while this daemon may hold an old configuration.
 TEST(front, refuses_while_not_fresh)
 {
