--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -1,8 +1,11 @@
 #include "coordination/front.h"
 
+#include "coordination/address_planner.h"
 #include "coordination/caller_connection.h"
 #include "coordination/caller_request.h"
+#include "coordination/request_meter.h"
 #include "coordination/session_runner.h"
+#include "protocol/decision_codec.h"
 #include "protocol/tunables.h"
 
 #include <algorithm>
@@ -13,7 +16,6 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <utility>
-#include <xxhash.h>
 
 namespace lacewinglock
 {
@@ -21,8 +23,6 @@
 namespace
 {
 
-constexpr auto addressLifetime = std::chrono::seconds(5); // Callers ask again this often, so a draining daemon loses its callers within it.
-
 constexpr const char *requestIdHeader = "X-Request-Id";
 
 /// Shared by all handlers of one daemon.
@@ -34,32 +34,12 @@
     commit_batcher commits{context.store};
 };
 
-/// Counts a request until it is wholly answered.
-class request_count
-{
-public:
-    explicit request_count(std::shared_ptr<std::atomic<int>> counter)
-        : m_counter(std::move(counter))
-    {
-        ++*m_counter;
-    }
-    ~request_count()
-    {
-        --*m_counter;
-    }
-    request_count(const request_count &) = delete;
-    request_count &operator=(const request_count &) = delete;
-
-private:
-    std::shared_ptr<std::atomic<int>> m_counter;
-};
-
 /// A request being answered. It is kept by the stream that answers it, beyond the handler.
 struct running_request
 {
     running_request(const std::shared_ptr<front_state> &front, routed_request routed, const httplib::Request &request)
         : state(front)
-        , count(front->context.callerRequests)
+        , meter(front->context)
         , connection(request)
         , id(routed.session.requestId)
         , model(routed.session.kind == route_kind::Model ? routed.fields.value("model", std::string()) : std::string())
@@ -70,8 +50,16 @@
     {
     }
 
+    /// Blocks until there is something for the caller.
+    session_runner::output next()
+    {
+        auto output = runner.next();
+        meter.note(output);
+        return output;
+    }
+
     std::shared_ptr<front_state> state;
-    request_count count;
+    request_meter meter;
     caller_connection connection;
     std::string id;
     std::string model;
@@ -117,6 +105,16 @@
     response.set_content(dumpJson(errorBody(refused)), "application/json");
 }
 
+// Refuses a request that gets no session.
+void refuseUnstarted(const serving_context &context, httplib::Response &response, const refuse_effect &refused)
+{
+    if (context.measured != nullptr) {
+        context.measured->count(metric_counter::Requests);
+    }
+    countRefusal(context, refused.state);
+    answerRefusal(response, refused);
+}
+
 nlohmann::json usageBody(const usage_figures &figures)
 {
     return {{"prompt_tokens", figures.promptTokens},
@@ -196,14 +194,14 @@
 // Answers with a stream once the first token or the end is known; refusals before that keep their HTTP status.
 void answerStream(const std::shared_ptr<running_request> &running, httplib::Response &response)
 {
-    running->first = running->runner.next();
+    running->first = running->next();
     if (const auto *refused = std::get_if<refuse_effect>(&*running->first)) {
         answerRefusal(response, *refused);
         return;
     }
     response.set_header("Cache-Control", "no-store");
     response.set_chunked_content_provider("text/event-stream", [running](std::size_t, httplib::DataSink &sink) {
-        auto output = running->first ? *std::exchange(running->first, std::nullopt) : running->runner.next();
+        auto output = running->first ? *std::exchange(running->first, std::nullopt) : running->next();
         return std::visit(stream_writer{.running = *running, .sink = sink}, output);
     });
 }
@@ -212,7 +210,7 @@
 {
     std::string text;
     while (true) {
-        const auto output = running.runner.next();
+        const auto output = running.next();
         if (const auto *token = std::get_if<deliver_token_effect>(&output)) {
             text += token->text;
             continue;
@@ -238,7 +236,7 @@
 {
     auto parsed = parseCompletion(request, state->context, chat);
     if (const auto *refused = std::get_if<refuse_effect>(&parsed)) {
-        answerRefusal(response, *refused);
+        refuseUnstarted(state->context, response, *refused);
         return;
     }
     auto &routed = std::get<routed_request>(parsed);
@@ -256,12 +254,12 @@
 {
     auto parsed = parseServiceCall(request, state->context);
     if (const auto *refused = std::get_if<refuse_effect>(&parsed)) {
-        answerRefusal(response, *refused);
+        refuseUnstarted(state->context, response, *refused);
         return;
     }
     running_request running(state, std::move(std::get<routed_request>(parsed)), request);
     response.set_header(requestIdHeader, running.id);
-    const auto output = running.runner.next();
+    const auto output = running.next();
     if (const auto *refused = std::get_if<refuse_effect>(&output)) {
         answerRefusal(response, *refused);
     } else if (const auto *delivered = std::get_if<deliver_answer_effect>(&output)) {
@@ -270,32 +268,52 @@
     }
 }
 
-// Daemons in the order in which the organisation should use them: rendezvous hash spreads organisations, draining ones come last.
-std::vector<instance_info> orderInstances(std::vector<instance_info> instances, const std::string &organisation)
+// A caller may name its failure domain. Only names that a daemon carries are taken, so that no other text gets into the records.
+std::string callerDomain(const httplib::Request &request, const std::vector<instance_info> &instances)
 {
-    const auto rank = [&](const instance_info &info) {
-        const std::string text = organisation + '\n' + info.id;
-        return std::pair(info.leaving ? 1 : 0, ~XXH3_64bits(text.data(), text.size()));
-    };
-    std::ranges::sort(instances, {}, rank);
-    return instances;
+    const auto named = request.get_param_value("failure_domain");
+    return std::ranges::find(instances, named, &instance_info::failureDomain) != instances.end() ? named : std::string();
+}
+
+address_input makeAddressInput(const serving_context &context, const httplib::Request &request, const std::vector<instance_info> &instances)
+{
+    address_input input{.configVersion = context.config.current()->parsed.version, .callerDomain = callerDomain(request, instances)};
+    for (const auto &info : instances) {
+        input.daemons.push_back(
+            {.instanceId = info.id, .address = info.callerAddress, .failureDomain = info.failureDomain, .draining = info.leaving, .load = info.load});
+    }
+    return input;
+}
+
+nlohmann::json addressBody(const address_result &decided, const std::vector<instance_info> &instances)
+{
+    nlohmann::json addresses = nlohmann::json::array();
+    for (const auto &address : decided.addresses) {
+        const auto info = std::ranges::find(instances, address, &instance_info::callerAddress);
+        addresses.push_back({{"address", address}, {"failure_domain", info->failureDomain}, {"draining", info->leaving}});
+    }
+    return {{"addresses", std::move(addresses)}, {"lifetime_ms", static_cast<std::int64_t>(decided.lifetimeMs)}};
 }
 
 void serveAddresses(const serving_context &context, const httplib::Request &request, httplib::Response &response)
 {
     const auto caller = identifyCaller(request, context.config.current()->parsed);
     if (const auto *refused = std::get_if<refuse_effect>(&caller)) {
-        answerRefusal(response, *refused);
+        refuseUnstarted(context, response, *refused);
         return;
     }
     const auto &match = std::get<caller_identity>(caller).match;
+    const auto instances = context.instances();
+    auto input = makeAddressInput(context, request, instances);
     // Callers of open routes have no organisation; their address spreads them.
-    nlohmann::json addresses = nlohmann::json::array();
-    for (const auto &info : orderInstances(context.instances(), match ? match->organisation : request.remote_addr)) {
-        addresses.push_back({{"address", info.callerAddress}, {"failure_domain", info.failureDomain}, {"draining", info.leaving}});
-    }
-    const auto lifetimeMs = std::chrono::duration_cast<std::chrono::milliseconds>(addressLifetime).count();
-    response.set_content(dumpJson({{"addresses", std::move(addresses)}, {"lifetime_ms", lifetimeMs}}), "application/json");
+    input.organisation = match ? match->organisation : request.remote_addr;
+    const auto decided = decideAddresses(input);
+    const auto id = makeRequestId();
+    auto record = recordAddress(id + "/address", input, decided);
+    record.requestId = id;
+    context.decisions.write(record);
+    response.set_header(requestIdHeader, id);
+    response.set_content(dumpJson(addressBody(decided, instances)), "application/json");
 }
 
 void serveReadiness(const serving_context &context, httplib::Response &response)
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -1,15 +1,20 @@
 #include "coordination/front.h"
 
+#include "coordination/address_planner.h"
 #include "protocol/api_keys.h"
-
+#include "protocol/decision_codec.h"
 #include "protocol/tunables.h"
 
+#include <arpa/inet.h>
 #include <atomic>
 #include <chrono>
 #include <gtest/gtest.h>
 #include <httplib.h>
+#include <netinet/in.h>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 namespace lacewinglock
 {
@@ -48,6 +53,35 @@
     }
 };
 
+/// Holds a port without listening, so that connecting to it is refused and no other process is given it.
+class refusing_port
+{
+public:
+    explicit refusing_port(int port)
+        : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        const int on = 1;
+        ::setsockopt(m_socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        sockaddr_in address{.sin_family = AF_INET, .sin_port = htons(static_cast<std::uint16_t>(port)), .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)}};
+        m_held = ::bind(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
+    }
+    ~refusing_port()
+    {
+        ::close(m_socket);
+    }
+    refusing_port(const refusing_port &) = delete;
+    refusing_port &operator=(const refusing_port &) = delete;
+
+    bool held() const
+    {
+        return m_held;
+    }
+
+private:
+    int m_socket;
+    bool m_held = false;
+};
+
 /// An engine that answers `total` tokens "t0 t1 ..." and can break in the ways the tests ask for.
 struct fake_engine
 {
@@ -114,8 +148,10 @@
     suspect_table suspects;
     usage_ledger usage;
     table_store store{std::make_shared<memory_table>()};
-    decision_log decisions{"/dev/null"};
+    decision_ring recent{1U << 20U};
+    decision_log decisions{"/dev/null", &recent};
     std::atomic<bool> fresh = true;
+    metrics measured;
     serving_context context{
         .instanceId = "d1",
         .incarnation = "i1",
@@ -142,7 +178,8 @@
         .demandShare =
             [](const std::string &) {
                 return 1.0;
-            }};
+            },
+        .measured = &measured};
     loopback_server http;
 
     daemon()
@@ -193,6 +230,11 @@
     return text;
 }
 
+bool hasLine(const std::string &text, const std::string &line)
+{
+    return ("\n" + text).find("\n" + line + "\n") != std::string::npos;
+}
+
 bool eventually(const std::function<bool()> &condition)
 {
     for (int i = 0; i < 300 && !condition(); ++i) {
@@ -274,12 +316,16 @@
 TEST(front, goes_to_the_other_engine_when_one_is_down)
 {
     daemon daemon;
+    daemon.preferFirstEngine(); // With equal costs the random request id decides, and the engine that is down might never be tried.
     daemon.engines[0].http.server.stop();
+    const refusing_port down(daemon.engines[0].http.port);
+    ASSERT_TRUE(down.held());
     for (int i = 0; i < 2; ++i) {
         const auto result = daemon.client().Post("/v1/completions", streamBody, "application/json");
         ASSERT_TRUE(result);
         EXPECT_EQ(textOf(result->body), wholeText);
     }
+    EXPECT_EQ(daemon.engines[1].calls, 2);
     EXPECT_FALSE(daemon.endpoints.viewGroup("g", {}, monotonicNow()).front().reachable);
 }
 
@@ -351,6 +397,30 @@
     EXPECT_EQ(daemon.engineCalls(), 0);
 }
 
+// Guards against figures that operators would act on being absent or counted twice.
+TEST(front, measures_requests_and_refusals)
+{
+    daemon daemon;
+    daemon.client().Post("/v1/completions", streamBody, "application/json");
+    daemon.client().Post("/v1/completions", "{", "application/json");
+    daemon.engines[0].breakAfter = 3;
+    daemon.engines[1].breakAfter = 3;
+    daemon.client().Post("/v1/completions", streamBody, "application/json");
+    EXPECT_TRUE(eventually([&] {
+        return hasLine(daemon.measured.text(), "lacewinglock_requests_in_flight 0");
+    }));
+    const std::string text = daemon.measured.text();
+    for (const char *line : {"lacewinglock_requests_total 3",
+                             "lacewinglock_refusals_total{run_state=\"not_run\"} 1",
+                             "lacewinglock_refusals_total{run_state=\"unknown\"} 0",
+                             "lacewinglock_refusals_total{run_state=\"partial\"} 1",
+                             "lacewinglock_first_token_ms_count 2",
+                             "lacewinglock_token_gap_ms_count 7",
+                             "lacewinglock_request_ms_count 2"}) {
+        EXPECT_TRUE(hasLine(text, line)) << line << '\n' << text;
+    }
+}
+
 // Guards against requests admitted while this daemon may hold an old configuration.
 TEST(front, refuses_while_not_fresh)
 {
@@ -380,6 +450,31 @@
     EXPECT_EQ(daemon.client().Post("/bookings", headers, "slot 8", "text/plain")->status, 422);
 }
 
+// Guards against a list of addresses that can't be explained: the record must carry what the planner saw and give the same list again.
+TEST(front, records_the_address_decision)
+{
+    daemon daemon;
+    daemon.context.instances = [] {
+        return std::vector<instance_info>{{.id = "a", .callerAddress = "1.1.1.1:1", .failureDomain = "fd1", .load = 0.95},
+                                          {.id = "b", .callerAddress = "1.1.1.2:1", .failureDomain = "fd2", .load = 0.5}};
+    };
+    const auto answer = daemon.client().Get("/v1/addresses?failure_domain=fd1");
+    ASSERT_TRUE(answer);
+    const auto body = nlohmann::json::parse(answer->body);
+    EXPECT_EQ(body["addresses"][0]["address"], "1.1.1.2:1"); // The nearer one is overloaded.
+    const auto records = daemon.recent.find(answer->get_header_value("X-Request-Id"));
+    ASSERT_EQ(records.size(), 1U);
+    EXPECT_EQ(records[0].kind, "address");
+    const auto input = parseDecision<address_input>(nlohmann::json::parse(records[0].input));
+    ASSERT_TRUE(input.ok());
+    EXPECT_EQ(input->callerDomain, "fd1");
+    EXPECT_EQ(input->daemons[0].load, 0.95);
+    const auto again = decideAddresses(*input);
+    EXPECT_EQ(nlohmann::json::parse(records[0].result), encodeDecision(again));
+    EXPECT_EQ(again.addresses[0], body["addresses"][0]["address"]);
+    EXPECT_EQ(body["lifetime_ms"], again.lifetimeMs);
+}
+
 // Guards against callers that are sent to a draining daemon first.
 TEST(front, lists_draining_daemons_last)
 {
