Let a roster step wait for a majority that holds the current version

Cause: the next step was taken when all heard members held the current version or 3.5 s had passed. A lease holder on the smaller side of a partition could so remove the others one by one, until it was a majority of itself, while the other side still admitted by a majority of the older roster. Change: a step needs a majority of the current roster, known from heartbeats of the last 3 s to hold its version; members that the instance list no longer shows are not needed. No timeout replaces this. A daemon that hears of a newer version reads the row at once. Two tests are replaced: one required that a silent member of two leaves (now three members; a pair keeps it until the list drops it), one required that the step is taken after 3.5 s (now it must not be taken in 60 s). Result: nine daemons split 5 to 4 with the store on the side of 4: the roster keeps nine members for 300 s and only the side of 5 has a majority; with the store on the side of 5 it shrinks to five. At no tick do both sides have a majority.

--- a/src/coordination/roster_keeper.cpp
+++ b/src/coordination/roster_keeper.cpp
@@ -46,6 +46,9 @@
 void roster_keeper::noteVersion(std::string_view instanceId, std::uint64_t version)
 {
     m_versions[std::string(instanceId)] = version;
+    if (version > m_roster.version) {
+        m_nextReadAt = instant(); // A peer has seen a newer row; the next step waits for this daemon too.
+    }
 }
 
 void roster_keeper::setInstances(std::vector<instance_info> instances)
@@ -82,13 +85,13 @@
     if (!event.result.ok()) {
         return;
     }
-    takeRow(*event.result, now);
+    takeRow(*event.result);
     if (m_grant && now < m_grant->validUntil && membersCaughtUp(now)) {
         proposeStep(now, out);
     }
 }
 
-void roster_keeper::takeRow(const std::optional<row> &seen, instant now)
+void roster_keeper::takeRow(const std::optional<row> &seen)
 {
     m_rowVersion = seen ? seen->version : 0;
     if (!seen) {
@@ -101,20 +104,40 @@
     m_roster.version = json.value("version", std::uint64_t{0});
     m_roster.members = json.value("members", std::vector<std::string>{});
     m_roster.domains = json.value("domains", std::map<std::string, std::string>{});
-    m_versionSeenAt = now;
 }
 
-// Two roster versions that are one step apart have intersecting majorities, two that are further apart may not. So the next
-// step waits until every member that is heard holds the current version, or none can admit by an older one any more.
+// Majorities of two roster versions intersect for certain only when the versions are one step apart. So the next step waits until a
+// majority of the current roster is known to hold it. A timeout must not replace this: in a partition, the side that reaches the
+// store could otherwise shrink the roster to itself while the other side admits by an older majority. A member that the platform's
+// list no longer shows has ended, so it cannot admit anything and is not needed.
 bool roster_keeper::membersCaughtUp(instant now) const
 {
-    if (!m_versionSeenAt || now >= *m_versionSeenAt + tunables::rosterStepWait) {
+    std::size_t needed = 0;
+    std::size_t holding = 0;
+    for (const auto &member : m_roster.members) {
+        if (hasEnded(member)) {
+            continue;
+        }
+        ++needed;
+        holding += holdsCurrentVersion(member, now) ? 1 : 0;
+    }
+    return needed == 0 || holding >= needed / 2 + 1;
+}
+
+bool roster_keeper::holdsCurrentVersion(const std::string &member, instant now) const
+{
+    if (member == m_instanceId) {
         return true;
     }
-    return std::ranges::all_of(m_roster.members, [&](const std::string &member) {
-        const auto version = m_versions.find(member);
-        return member == m_instanceId || (version != m_versions.end() && version->second >= m_roster.version);
-    });
+    const auto heard = m_heard.find(member);
+    const auto version = m_versions.find(member);
+    return heard != m_heard.end() && now - heard->second <= tunables::candidateHeardLimit && version != m_versions.end() && version->second >= m_roster.version;
+}
+
+// A list without this daemon is from before its start and proves nothing about others.
+bool roster_keeper::hasEnded(const std::string &member) const
+{
+    return find(m_instanceId) != nullptr && find(member) == nullptr;
 }
 
 bool roster_keeper::mustLeave(const std::string &member, instant now) const
@@ -122,7 +145,7 @@
     if (member == m_instanceId) {
         return false;
     }
-    if (find(m_instanceId) != nullptr && find(member) == nullptr) {
+    if (hasEnded(member)) {
         return true;
     }
     // A new holder has not listened for long, so silence counts from when it got the lease at the earliest.
--- a/src/coordination/roster_keeper.h
+++ b/src/coordination/roster_keeper.h
@@ -44,9 +44,11 @@
     void onTick(instant now, std::vector<control_effect> &out);
     void onRead(const row_read_event &event, instant now, std::vector<control_effect> &out);
     void sendRead(instant now, std::vector<control_effect> &out);
-    void takeRow(const std::optional<row> &seen, instant now);
+    void takeRow(const std::optional<row> &seen);
     void proposeStep(instant now, std::vector<control_effect> &out);
     bool membersCaughtUp(instant now) const;
+    bool holdsCurrentVersion(const std::string &member, instant now) const;
+    bool hasEnded(const std::string &member) const;
     bool mustLeave(const std::string &member, instant now) const;
     bool mayJoin(const instance_info &candidate, instant now) const;
     const instance_info *find(std::string_view instanceId) const;
@@ -56,7 +58,6 @@
     std::optional<lease_grant> m_grant;
     cell_roster m_roster;
     std::uint64_t m_rowVersion = 0;
-    std::optional<instant> m_versionSeenAt; ///< When this daemon first saw the current roster version.
     std::vector<instance_info> m_instances;
     std::map<std::string, instant, std::less<>> m_heard;
     std::map<std::string, std::uint64_t, std::less<>> m_versions;
--- a/src/protocol/tunables.h
+++ b/src/protocol/tunables.h
@@ -24,7 +24,6 @@
 constexpr auto instanceListInterval = 2s;
 constexpr auto loadPollInterval = 1s;
 constexpr auto rosterReadInterval = 1s;
-constexpr auto rosterStepWait = 3500ms; // Freshness window plus one roster read: by then no daemon admits by an older roster.
 constexpr auto candidateHeardLimit = 3s; // A daemon joins the roster only while its heartbeats arrive.
 constexpr auto peerCallTimeout = 1s;
 constexpr auto usageHoldTimeout = 300ms; // A request waits at most this long for a peer to hold its usage.
@@ -59,6 +58,8 @@
 constexpr auto shortDemandHorizon = 30s;
 constexpr auto longDemandHorizon = 600s;
 constexpr auto leavingNoticeLimit = 2s;
+constexpr auto drainMarkTime = 5s; // Without a further heartbeat that names it, an endpoint takes work again; the holder has then ended or lost its lease.
+constexpr double demandShareFloor = 0.25; // Part of an equal share that a daemon has without any demand, so that a new caller is served at once.
 
 // Routing.
 constexpr double mixedPrefillChunkTokens = 128; // Prompt tokens that a decoding engine computes per step; larger chunks alone exceed the token gap target.
--- a/tests/roster_keeper_test.cpp
+++ b/tests/roster_keeper_test.cpp
@@ -21,6 +21,7 @@
     static std::vector<instance_info> instances(const std::vector<std::string> &ids)
     {
         std::vector<instance_info> result;
+        result.reserve(ids.size());
         for (const auto &id : ids) {
             result.push_back({.id = id, .failureDomain = "domain-" + id});
         }
@@ -67,12 +68,25 @@
 // Guards against trusting a lagging list: an instance that it still shows but that sends nothing neither joins nor stays.
 TEST_F(roster_keeper_test, a_silent_member_leaves_although_the_list_shows_it)
 {
-    keeper.setInstances(instances({"d1", "d2", "d3"}));
-    run(1, 6, {"d2"});
+    keeper.setInstances(instances({"d1", "d2", "d3", "d4"}));
+    run(1, 8, {"d2", "d3"});
+    EXPECT_EQ(keeper.roster().members, (std::vector<std::string>{"d1", "d2", "d3"}));
+    run(8, 17.5, {"d2"});
+    EXPECT_TRUE(keeper.roster().contains("d3"));
+    run(17.5, 20, {"d2"});
     EXPECT_EQ(keeper.roster().members, (std::vector<std::string>{"d1", "d2"}));
-    run(6, 15.5, {});
-    EXPECT_TRUE(keeper.roster().contains("d2"));
-    run(15.5, 18, {});
+}
+
+// Guards against a minority that shrinks the roster to itself, and against a roster that is stuck when the others have ended.
+TEST_F(roster_keeper_test, a_holder_without_a_majority_removes_only_members_that_have_ended)
+{
+    keeper.setInstances(instances({"d1", "d2", "d3"}));
+    run(1, 10, {"d2", "d3"});
+    ASSERT_EQ(keeper.roster().members.size(), 3U);
+    run(10, 100, {});
+    EXPECT_EQ(keeper.roster().members.size(), 3U);
+    keeper.setInstances(instances({"d1"}));
+    run(100, 102, {});
     EXPECT_EQ(keeper.roster().members, (std::vector<std::string>{"d1"}));
 }
 
@@ -86,13 +100,14 @@
     EXPECT_EQ(keeper.roster().members, (std::vector<std::string>{"d1", "d2"}));
 }
 
-// Guards against a second step while a heard member still counts majorities by the roster before the first.
-TEST_F(roster_keeper_test, waits_for_members_to_read_the_current_version)
+// Guards against a second step while a majority still counts by the roster before the first, however long that lasts.
+TEST_F(roster_keeper_test, waits_for_a_majority_to_hold_the_current_version)
 {
     keeper.setInstances(instances({"d1", "d2", "d3"}));
-    run(1, 4, {"d2", "d3"}, false);
+    run(1, 60, {"d2", "d3"}, false);
     EXPECT_EQ(keeper.roster().members, (std::vector<std::string>{"d1", "d2"}));
-    run(4, 8, {"d2", "d3"}, false);
+    keeper.noteVersion("d2", keeper.roster().version);
+    run(60, 62, {"d2", "d3"}, false);
     EXPECT_EQ(keeper.roster().members.size(), 3U);
 }
 
@@ -105,6 +120,116 @@
     EXPECT_FALSE(*table.read("roster/main"));
 }
 
+/// Nine daemons that exchange heartbeats each second. A partition separates the first `split` of them from the others, and one side
+/// from the store; the holder of the lease is the first daemon of the side that reaches the store.
+struct partitioned_cell
+{
+    memory_table table;
+    std::vector<std::string> ids;
+    std::vector<roster_keeper> daemons;
+    std::size_t split = 9;
+    bool firstSideHasStore = true;
+    double now = 1;
+
+    partitioned_cell()
+    {
+        std::vector<instance_info> listed;
+        for (int i = 1; i <= 9; ++i) {
+            ids.push_back("d" + std::to_string(i));
+            listed.push_back({.id = ids.back(), .failureDomain = "domain"});
+            daemons.emplace_back("main", ids.back());
+        }
+        for (auto &daemon : daemons) {
+            daemon.setInstances(listed);
+        }
+    }
+
+    bool connected(std::size_t left, std::size_t right) const
+    {
+        return (left < split) == (right < split);
+    }
+
+    /// Whether a daemon could admit requests because it hears a majority of the roster that it holds.
+    bool hearsMajority(std::size_t index) const
+    {
+        const auto &roster = daemons[index].roster();
+        std::size_t heard = 0;
+        for (std::size_t other = 0; other < ids.size(); ++other) {
+            heard += roster.contains(ids[other]) && connected(index, other) ? 1 : 0;
+        }
+        return roster.contains(ids[index]) && heard > roster.members.size() / 2;
+    }
+
+    /// Daemons of each side that hear a majority.
+    std::pair<int, int> admitting() const
+    {
+        std::pair<int, int> sides;
+        for (std::size_t i = 0; i < ids.size(); ++i) {
+            (i < split ? sides.first : sides.second) += hearsMajority(i) ? 1 : 0;
+        }
+        return sides;
+    }
+
+    void exchangeHeartbeats()
+    {
+        for (std::size_t from = 0; from < ids.size(); ++from) {
+            for (std::size_t to = 0; to < ids.size(); ++to) {
+                if (from != to && connected(from, to)) {
+                    daemons[to].noteHeard(ids[from], at(now));
+                    daemons[to].noteVersion(ids[from], daemons[from].roster().version);
+                }
+            }
+        }
+    }
+
+    void runFor(double seconds)
+    {
+        const double end = now + seconds;
+        for (int step = 0; now < end; ++step, now += 0.1) {
+            const std::size_t holder = firstSideHasStore ? 0 : split;
+            for (std::size_t i = 0; i < daemons.size(); ++i) {
+                const bool reachesStore = split == ids.size() || (i < split) == firstSideHasStore;
+                store_actor store{.table = table, .down = !reachesStore};
+                daemons[i].setGrant(i == holder ? std::optional(lease_grant{.epoch = 1, .validUntil = at(now + 1), .acquiredAt = at(1)}) : std::nullopt);
+                store.drive(daemons[i], tick_event{}, at(now));
+            }
+            if (step % 10 == 0) {
+                exchangeHeartbeats();
+            }
+            const auto [first, second] = admitting();
+            ASSERT_TRUE(split == ids.size() || first == 0 || second == 0) << "both sides admit by majority at " << now << " s";
+        }
+    }
+};
+
+// Guards against two sides of a partition that both admit by a majority: the smaller side reaches the store and holds the lease.
+TEST(roster_partition_test, four_of_nine_with_the_store_do_not_shrink_the_roster)
+{
+    partitioned_cell cell;
+    cell.runFor(30);
+    ASSERT_EQ(cell.daemons.back().roster().members.size(), 9U);
+    cell.split = 5;
+    cell.firstSideHasStore = false;
+    cell.runFor(300);
+    EXPECT_EQ(cell.daemons.back().roster().members.size(), 9U);
+    EXPECT_EQ(cell.admitting(), std::pair(5, 0));
+}
+
+// Guards against a majority that cannot go on without the members behind a partition.
+TEST(roster_partition_test, five_of_nine_with_the_store_remove_the_others)
+{
+    partitioned_cell cell;
+    cell.runFor(30);
+    cell.split = 5;
+    cell.runFor(60);
+    EXPECT_EQ(cell.daemons.front().roster().members.size(), 5U);
+    EXPECT_EQ(cell.daemons.back().roster().members.size(), 9U);
+    EXPECT_EQ(cell.admitting(), std::pair(5, 0));
+    cell.split = 9;
+    cell.runFor(30);
+    EXPECT_EQ(cell.daemons.back().roster().members.size(), 9U);
+}
+
 }
 
 }
