Bill each usage record once, whoever writes it

Cause: when a batch had committed but the release of the peer's copies was lost, and the daemon then left the roster, the peer wrote the copies again. The same happened when the daemon was only partitioned, and when two peers held a copy of one record. Change: records carry their writer (one process of a daemon) and a number. Each batch also changes the row usage-writer/CELL/WRITER, which lists the ranges of numbers billed, on condition of the version that was read. Owner and adopters use the same commit, so the row fences them against each other; records that it names are dropped. Copies of a former process of a member are written too. The order and provision messages now agree with the stand-in: {fencing, revision, order} to engines; failure_domain, reclaimable and granted with the platform. Before, the platform ignored the failure domain and kind, and the grants were not read.

--- a/src/coordination/effect_runner.cpp
+++ b/src/coordination/effect_runner.cpp
@@ -47,8 +47,8 @@
         {"token", order.token},
         {"epoch", order.epoch},
         {"group", order.group},
-        {"domain", order.failureDomain},
-        {"kind", order.reclaimable ? "reclaimable" : "ordinary"},
+        {"failure_domain", order.failureDomain},
+        {"reclaimable", order.reclaimable},
         {"count", order.count},
         {"release", order.release},
     };
@@ -87,13 +87,11 @@
 {
     std::vector<std::string> granted;
     const auto json = nlohmann::json::parse(body, nullptr, false);
-    if (!json.is_object() || !json.contains("endpoints") || !json["endpoints"].is_array()) {
+    if (!json.is_object() || !json.contains("granted") || !json["granted"].is_array()) {
         return granted;
     }
-    for (const auto &item : json["endpoints"]) {
-        if (item.is_string()) {
-            granted.push_back(item.get<std::string>());
-        } else if (item.is_object() && item.contains("id") && item["id"].is_string()) {
+    for (const auto &item : json["granted"]) {
+        if (item.is_object() && item.contains("id") && item["id"].is_string()) {
             granted.push_back(item["id"].get<std::string>());
         }
     }
--- a/src/coordination/peer_messages.cpp
+++ b/src/coordination/peer_messages.cpp
@@ -74,6 +74,10 @@
         demand[i].setGroup(message.demand[i].group);
         demand[i].setWeightedTokens(static_cast<float>(message.demand[i].weightedTokens));
     }
+    auto draining = target.initDrainingEndpoints(static_cast<unsigned>(message.drainingEndpoints.size()));
+    for (unsigned i = 0; i < draining.size(); ++i) {
+        draining.set(i, message.drainingEndpoints[i]);
+    }
 }
 
 heartbeat read(rpc::Heartbeat::Reader source)
@@ -97,6 +101,9 @@
     for (const auto demand : source.getDemand()) {
         message.demand.push_back({.group = text(demand.getGroup()), .weightedTokens = demand.getWeightedTokens()});
     }
+    for (const auto endpoint : source.getDrainingEndpoints()) {
+        message.drainingEndpoints.push_back(text(endpoint));
+    }
     return message;
 }
 
@@ -121,6 +128,8 @@
     target.setCachedTokens(record.figures.cachedTokens);
     target.setOutputTokens(record.figures.outputTokens);
     target.setServiceCalls(record.figures.serviceCalls);
+    target.setWriter(record.writer);
+    target.setNumber(record.number);
 }
 
 usage_record read(rpc::UsageRecord::Reader source)
@@ -135,6 +144,8 @@
             .outputTokens = source.getOutputTokens(),
             .serviceCalls = source.getServiceCalls(),
         },
+        .writer = text(source.getWriter()),
+        .number = source.getNumber(),
     };
 }
 
--- a/src/coordination/peer_messages.h
+++ b/src/coordination/peer_messages.h
@@ -37,6 +37,7 @@
     std::vector<endpoint_report> reports; ///< Of the endpoints that the sender polls.
     std::vector<suspect_count> suspects;
     std::vector<group_demand> demand;
+    std::vector<std::string> drainingEndpoints; ///< Endpoints that get no new work, because the sender is about to give them an order.
 };
 
 struct heartbeat_reply
--- a/src/coordination/usage_keeper.cpp
+++ b/src/coordination/usage_keeper.cpp
@@ -46,20 +46,6 @@
     return std::stoull(std::string(key.substr(0, key.find('/'))));
 }
 
-struct batch_writer
-{
-    std::string name;
-    std::uint64_t sequence = 0;
-};
-
-/// Writer and sequence number at the end of a batch key `usage/CELL/WINDOW/WRITER/SEQUENCE`.
-batch_writer writerOfBatch(std::string_view key)
-{
-    const auto last = key.rfind('/');
-    const auto before = key.rfind('/', last - 1);
-    return {.name = std::string(key.substr(before + 1, last - before - 1)), .sequence = std::stoull(std::string(key.substr(last + 1)))};
-}
-
 window_row withState(window_row value, window_state state, std::uint64_t epoch)
 {
     value.state = state;
@@ -75,7 +61,6 @@
         {"state", stateNames[static_cast<std::size_t>(value.state)]},
         {"epoch", value.epoch},
         {"figures", value.figures},
-        {"writers", value.writers},
     }
         .dump();
 }
@@ -94,7 +79,6 @@
         .state = static_cast<window_state>(name - stateNames.begin()),
         .epoch = value["epoch"],
         .figures = value["figures"].get<usage_by_organisation>(),
-        .writers = value.value("writers", std::map<std::string, std::uint64_t>()),
     };
 }
 
@@ -157,9 +141,6 @@
         for (const auto &[organisation, figures] : nlohmann::json::parse(batch.value).at("figures").get<usage_by_organisation>()) {
             frozen.figures[organisation] += figures;
         }
-        const auto [writer, sequence] = writerOfBatch(batch.key);
-        auto &highest = frozen.writers[writer];
-        highest = std::max(highest, sequence);
         deletions.push_back({.key = batch.key, .value = std::nullopt});
     }
     commitWindow(frozen, out, std::move(deletions));
--- a/src/coordination/usage_keeper.h
+++ b/src/coordination/usage_keeper.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "protocol/control.h"
+#include "protocol/usage_writer.h"
 #include "state/usage_ledger.h"
 
 #include <map>
@@ -18,8 +19,10 @@
     std::uint64_t firstNotClosable = 0; ///< Windows below this one have ended, grace period included.
 };
 
-/// Writes this daemon's usage records into the table service. Each batch is a row of its own that is inserted only while its window
-/// is open, so a lost answer never bills twice and a late batch moves to the current window.
+/// Writes this daemon's usage records into the table service, and the copies that it held for daemons that have left. Each batch is a
+/// row that is inserted only while its window is open; a late one moves to the current window. The commit also changes the row of the
+/// records' writer (usage_writer_row), which names the records billed so far. So neither a lost answer, nor a daemon that returns after
+/// its copies were taken over, nor two peers with copies of one record can bill twice.
 class usage_batcher
 {
 public:
@@ -38,28 +41,32 @@
     {
         std::uint64_t window = 0;
         std::optional<std::uint64_t> lateFrom; ///< The window the usage belongs to, when that one was closed already.
-        std::uint64_t sequence = 0;
-        std::vector<usage_record> records;
+        std::vector<usage_record> records; ///< Still to be written.
+        std::vector<usage_record> finished; ///< In the table service.
     };
 
-    std::string batchKey() const;
+    enum class step {
+        ReadWriter,
+        ReadWindow
+    };
+
+    std::string batchKey(std::uint64_t sequence) const;
     void startBatch(instant now);
-    void sendBatch(std::vector<control_effect> &out);
+    void read(step next, std::string key, std::vector<control_effect> &out);
+    void sendBatch(const std::optional<row> &found, usage_writer_row billed, std::vector<control_effect> &out);
     void finishBatch();
     void takeCommit(commit_outcome outcome, std::vector<control_effect> &out);
-    void takeBatchRow(const std::optional<row> &found, std::vector<control_effect> &out);
+    void takeWriterRow(const std::optional<row> &found, std::vector<control_effect> &out);
     void takeWindowRow(const std::optional<row> &found);
 
     std::string m_cell;
-    std::string m_writer; ///< Daemon and incarnation; sequence numbers restart with the process.
     usage_ledger &m_ledger;
     window_clock m_window;
     std::optional<batch> m_batch;
     instant m_nextFlush;
-    std::uint64_t m_sequence = 0;
     op_id m_nextOp = 1;
     op_id m_pending = 0;
-    bool m_readingWindow = false;
+    step m_step = step::ReadWriter;
 };
 
 enum class window_state {
@@ -75,9 +82,6 @@
     window_state state = window_state::Closed;
     std::uint64_t epoch = 0;
     usage_by_organisation figures;
-    /// Highest batch sequence number per writer that the figures contain. Freezing deletes the batch rows, so this is how a writer
-    /// whose commit answer was lost learns that its batch was counted.
-    std::map<std::string, std::uint64_t> writers;
 };
 
 std::string formatWindowRow(const window_row &value);
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -34,6 +34,7 @@
   reports @8 :List(EndpointReport);
   suspects @9 :List(Suspect);
   demand @10 :List(GroupDemand);
+  drainingEndpoints @11 :List(Text);  # Endpoints that the sender, as the holder of the orders, is about to give an order.
 }
 
 # State of the receiver, read after the heartbeat arrived, so the sender may count it from the time it sent the heartbeat.
@@ -82,4 +83,6 @@
   cachedTokens @4 :UInt64;
   outputTokens @5 :UInt64;
   serviceCalls @6 :UInt64;
+  writer @7 :Text;  # Process that served the request, and the number that it gave the record; together they are billed once.
+  number @8 :UInt64;
 }
--- a/src/protocol/peer.capnp.h
+++ b/src/protocol/peer.capnp.h
@@ -333,7 +333,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aa498f73e2033866, 4, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(aa498f73e2033866, 4, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -423,7 +423,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d1d4f3cc650230b0, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(d1d4f3cc650230b0, 6, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1819,6 +1819,9 @@
   inline bool hasDemand() const;
   inline  ::capnp::List< ::lacewinglock::rpc::GroupDemand,  ::capnp::Kind::STRUCT>::Reader getDemand() const;
 
+  inline bool hasDrainingEndpoints() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getDrainingEndpoints() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1908,6 +1911,14 @@
   inline void adoptDemand(::capnp::Orphan< ::capnp::List< ::lacewinglock::rpc::GroupDemand,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::lacewinglock::rpc::GroupDemand,  ::capnp::Kind::STRUCT>> disownDemand();
 
+  inline bool hasDrainingEndpoints();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getDrainingEndpoints();
+  inline void setDrainingEndpoints( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setDrainingEndpoints(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initDrainingEndpoints(unsigned int size);
+  inline void adoptDrainingEndpoints(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownDrainingEndpoints();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2452,6 +2463,11 @@
 
   inline  ::uint64_t getServiceCalls() const;
 
+  inline bool hasWriter() const;
+  inline  ::capnp::Text::Reader getWriter() const;
+
+  inline  ::uint64_t getNumber() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2509,6 +2525,16 @@
   inline  ::uint64_t getServiceCalls();
   inline void setServiceCalls( ::uint64_t value);
 
+  inline bool hasWriter();
+  inline  ::capnp::Text::Builder getWriter();
+  inline void setWriter( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWriter(unsigned int size);
+  inline void adoptWriter(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWriter();
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3436,6 +3462,44 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool Heartbeat::Reader::hasDrainingEndpoints() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasDrainingEndpoints() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Heartbeat::Reader::getDrainingEndpoints() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Heartbeat::Builder::getDrainingEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setDrainingEndpoints( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline void Heartbeat::Builder::setDrainingEndpoints(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Heartbeat::Builder::initDrainingEndpoints(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptDrainingEndpoints(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Heartbeat::Builder::disownDrainingEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t HeartbeatReply::Reader::getConfigVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3962,6 +4026,54 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool UsageRecord::Reader::hasWriter() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool UsageRecord::Builder::hasWriter() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UsageRecord::Reader::getWriter() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UsageRecord::Builder::getWriter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void UsageRecord::Builder::setWriter( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UsageRecord::Builder::initWriter(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void UsageRecord::Builder::adoptWriter(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UsageRecord::Builder::disownWriter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t UsageRecord::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UsageRecord::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void UsageRecord::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/protocol/usage_record.h
+++ b/src/protocol/usage_record.h
@@ -26,6 +26,8 @@
     std::string requestId;
     std::string organisation;
     usage_figures figures;
+    std::string writer; ///< The process that served the request.
+    std::uint64_t number = 0; ///< Rises by one per record of the writer.
 };
 
 using usage_by_organisation = std::map<std::string, usage_figures>;
--- a/src/standin/order_book.cpp
+++ b/src/standin/order_book.cpp
@@ -9,7 +9,8 @@
 // The part of an order that must be the same whenever the revision is the same.
 nlohmann::json orderContent(const nlohmann::json &body)
 {
-    return {{"kind", body.at("kind")}, {"role", body.value("role", "")}, {"model", body.value("model", "")}};
+    const auto &order = body.at("order");
+    return {{"kind", order.at("kind")}, {"role", order.value("role", "")}, {"model", order.value("model", "")}};
 }
 
 }
--- a/src/state/usage_ledger.cpp
+++ b/src/state/usage_ledger.cpp
@@ -11,11 +11,20 @@
     m_replicate = std::move(replicate);
 }
 
-bool usage_ledger::add(const usage_record &record)
+void usage_ledger::setWriter(std::string writer)
 {
+    const std::lock_guard lock(m_mutex);
+    m_writer = std::move(writer);
+}
+
+bool usage_ledger::add(const usage_record &added)
+{
+    usage_record record = added;
     replicate_function replicate;
     {
         const std::lock_guard lock(m_mutex);
+        record.writer = m_writer;
+        record.number = ++m_lastNumber;
         m_records.push_back(record);
         replicate = m_replicate;
     }
@@ -68,8 +77,9 @@
     const std::lock_guard lock(m_mutex);
     auto &held = m_held[std::string(owner)];
     for (auto &record : records) {
+        held.writer = record.writer;
         const std::string id = record.requestId;
-        held[id] = std::move(record);
+        held.records[id] = std::move(record);
     }
 }
 
@@ -81,9 +91,9 @@
         return;
     }
     for (const auto &id : requestIds) {
-        held->second.erase(id);
+        held->second.records.erase(id);
     }
-    if (held->second.empty()) {
+    if (held->second.records.empty()) {
         m_held.erase(held);
     }
 }
@@ -92,8 +102,8 @@
 {
     const std::lock_guard lock(m_mutex);
     std::size_t count = 0;
-    for (const auto &[owner, records] : m_held) {
-        count += records.size();
+    for (const auto &[owner, held] : m_held) {
+        count += held.records.size();
     }
     return count;
 }
@@ -102,18 +112,40 @@
 {
     const std::lock_guard lock(m_mutex);
     std::size_t adopted = 0;
-    for (auto held = m_held.begin(); held != m_held.end();) {
-        if (isMember(held->first)) {
-            ++held;
-            continue;
-        }
-        for (auto &[id, record] : held->second) {
-            m_records.push_back(std::move(record));
-            ++adopted;
-        }
-        held = m_held.erase(held);
+    for (auto &copies : m_held) {
+        auto &held = copies.second;
+        const bool ownerLeft = !isMember(copies.first);
+        adopted += std::erase_if(held.records, [&](auto &item) {
+            const bool orphaned = ownerLeft || item.second.writer != held.writer;
+            if (orphaned) {
+                m_orphans[item.second.writer].push_back(std::move(item.second));
+            }
+            return orphaned;
+        });
     }
+    std::erase_if(m_held, [](const auto &item) {
+        return item.second.records.empty();
+    });
     return adopted;
 }
 
+std::vector<usage_record> usage_ledger::takeOrphans()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_orphans.empty()) {
+        return {};
+    }
+    return std::move(m_orphans.extract(m_orphans.begin()).mapped());
+}
+
+std::size_t usage_ledger::orphanCount() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::size_t count = 0;
+    for (const auto &[writer, records] : m_orphans) {
+        count += records.size();
+    }
+    return count;
+}
+
 }
--- a/src/state/usage_ledger.h
+++ b/src/state/usage_ledger.h
@@ -21,6 +21,8 @@
     using replicate_function = std::function<bool(const usage_record &)>;
 
     void setReplicate(replicate_function replicate);
+    /// The name under which records are numbered; it must differ between two starts of a daemon.
+    void setWriter(std::string writer);
 
     /// Keeps the record here and at a peer before it returns. Returns false when no peer could take it; the record is kept here all the same.
     bool add(const usage_record &record);
@@ -39,16 +41,26 @@
     void hold(std::string_view owner, std::vector<usage_record> records);
     void releaseHeld(std::string_view owner, std::span<const std::string> requestIds);
     std::size_t heldCount() const;
-    /// Makes the copies of owners that `isMember` does not know records of this daemon, to be written with its next batch.
+    /// Sets the copies of owners that `isMember` does not know, and of former processes of an owner, aside for this daemon to write.
     /// Returns their number.
     std::size_t adoptOrphans(const std::function<bool(std::string_view owner)> &isMember);
+    /// Takes the orphaned copies of one writer; empty when there are none.
+    std::vector<usage_record> takeOrphans();
+    std::size_t orphanCount() const;
 
 private:
-    using held_records = std::map<std::string, usage_record, std::less<>>; // By request.
+    struct held_copies
+    {
+        std::string writer; ///< The owner's latest process.
+        std::map<std::string, usage_record, std::less<>> records; ///< By request.
+    };
 
     mutable std::mutex m_mutex;
     std::vector<usage_record> m_records;
-    std::map<std::string, held_records, std::less<>> m_held; // By owner.
+    std::string m_writer;
+    std::uint64_t m_lastNumber = 0;
+    std::map<std::string, held_copies, std::less<>> m_held; // By owner.
+    std::map<std::string, std::vector<usage_record>> m_orphans; // By writer.
     replicate_function m_replicate;
     release_function m_release;
 };
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -47,7 +47,7 @@
         });
         m_server.Post("/endpoints/orders", [this](const httplib::Request &, httplib::Response &response) {
             ++orders;
-            response.set_content(R"({"endpoints":["e1"]})", "application/json");
+            response.set_content(R"({"granted":[{"id":"e1","address":"127.0.0.1:1"}]})", "application/json");
         });
         port = m_server.bind_to_any_port("127.0.0.1");
         m_thread = std::thread([this] {
@@ -176,7 +176,10 @@
         return owner == "d3";
     }),
               1U);
-    EXPECT_EQ(ledger.take().front().requestId, "r2");
+    const auto orphans = ledger.takeOrphans();
+    ASSERT_EQ(orphans.size(), 1U);
+    EXPECT_EQ(orphans.front().requestId, "r2");
+    EXPECT_TRUE(ledger.takeOrphans().empty());
     EXPECT_EQ(ledger.heldCount(), 1U);
 }
 
--- a/tests/standin_engine_test.cpp
+++ b/tests/standin_engine_test.cpp
@@ -139,7 +139,8 @@
 TEST_F(standin_engine, checks_fencing_and_records_conflicts)
 {
     const auto order = [&](int fencing, int revision, const char *role) {
-        return postJson(testEngine.server(), "/orders", {{"fencing", fencing}, {"revision", revision}, {"kind", "set_role"}, {"role", role}})->status;
+        return postJson(testEngine.server(), "/orders", {{"fencing", fencing}, {"revision", revision}, {"order", {{"kind", "set_role"}, {"role", role}}}})
+            ->status;
     };
     EXPECT_EQ(order(2, 1, "prefill"), 200);
     EXPECT_EQ(postJson(testEngine.server(), "/v1/completions", {{"prompt", "p"}})->status, 503);
--- a/tests/usage_keeper_test.cpp
+++ b/tests/usage_keeper_test.cpp
@@ -172,4 +172,179 @@
     EXPECT_EQ(harness.reports.size(), 1U);
 }
 
+/// A daemon `d1` that serves requests and two peers that hold copies of its records, all on one table.
+struct usage_adoption_test : usage_keeper_test
+{
+    usage_ledger peerLedger;
+    usage_ledger otherLedger;
+    usage_batcher peer{"main", "d2", "i2", peerLedger};
+    usage_batcher other{"main", "d3", "i3", otherLedger};
+
+    void SetUp() override
+    {
+        ledger.setReplicate([this](const usage_record &record) {
+            peerLedger.hold("d1", {record});
+            return true;
+        });
+        setWindow(100);
+        keeper.setGrant(grant(1));
+    }
+
+    void setWindow(std::uint64_t current)
+    {
+        usage_keeper_test::setWindow(current);
+        peer.setWindow({.current = current, .firstNotClosable = current});
+        other.setWindow({.current = current, .firstNotClosable = current});
+    }
+
+    void serve(const std::string &requestId, std::uint64_t tokens)
+    {
+        auto record = recordOf("org", tokens);
+        record.requestId = requestId;
+        ledger.add(record);
+    }
+
+    static void ownerLeaves(usage_ledger &holder)
+    {
+        holder.adoptOrphans([](std::string_view) {
+            return false;
+        });
+    }
+
+    /// Closes all windows and returns the tokens billed in all of them.
+    std::uint64_t billedTokens()
+    {
+        setWindow(110);
+        harness.runFor(keeper, 60s);
+        std::uint64_t sum = 0;
+        for (std::uint64_t window = 100; window < 110; ++window) {
+            sum += reportedTokens(window);
+        }
+        return sum;
+    }
+};
+
+// Guards against billing twice when a batch committed but the release of the peer's copies was lost and the daemon left the roster.
+TEST_F(usage_adoption_test, a_peer_does_not_write_copies_whose_release_was_lost)
+{
+    serve("r1", 5);
+    harness.runFor(batcher, 1s);
+    EXPECT_TRUE(batcher.idle());
+    ownerLeaves(peerLedger);
+    harness.runFor(peer, 1s);
+    EXPECT_TRUE(peer.idle());
+    EXPECT_EQ(billedTokens(), 5U);
+}
+
+// Guards against the same when the batch row is gone because its window was frozen, and the answers of both commits are lost.
+TEST_F(usage_adoption_test, a_peer_finds_counted_records_after_the_window_was_frozen)
+{
+    harness.commitFaults = {commit_fault::LostAfterEffect};
+    serve("r1", 5);
+    harness.run(batcher);
+    setWindow(101);
+    harness.runFor(keeper, 5s);
+    serve("r2", 7); // Not written by its owner any more.
+    ownerLeaves(peerLedger);
+    harness.commitFaults = {commit_fault::LostAfterEffect};
+    harness.runFor(peer, 1s);
+    EXPECT_TRUE(peer.idle());
+    EXPECT_EQ(billedTokens(), 12U);
+}
+
+// Guards against billing twice when the owner was only partitioned and writes the records itself after it returns.
+TEST_F(usage_adoption_test, a_returning_owner_does_not_write_adopted_records)
+{
+    serve("r1", 5);
+    ownerLeaves(peerLedger);
+    harness.runFor(peer, 1s);
+    serve("r2", 7);
+    harness.runFor(batcher, 1s);
+    EXPECT_TRUE(batcher.idle());
+    EXPECT_EQ(billedTokens(), 12U);
+}
+
+// Guards against the race: a commit that the owner sent before its partition takes effect between the peer's read and its commit.
+TEST_F(usage_adoption_test, a_delayed_commit_of_the_owner_and_an_adoption_exclude_each_other)
+{
+    serve("r1", 5);
+    const auto startCommit = [&](usage_batcher &machine) {
+        std::vector<control_effect> effects;
+        machine.handle(tick_event{}, harness.now, effects);
+        const auto answer = harness.perform(effects.at(0));
+        effects.clear();
+        machine.handle(answer, harness.now, effects);
+        return std::get<commit_effect>(effects.at(0));
+    };
+    const auto ofOwner = startCommit(batcher);
+    ownerLeaves(peerLedger);
+    const auto ofPeer = startCommit(peer);
+    std::vector<control_effect> effects;
+    EXPECT_EQ(table->commit(ofOwner.change), commit_outcome::Committed);
+    EXPECT_EQ(table->commit(ofPeer.change), commit_outcome::Conflict);
+    peer.handle(commit_event{.op = ofPeer.op, .outcome = commit_outcome::Conflict}, harness.now, effects);
+    while (!effects.empty()) {
+        for (const auto &effect : std::exchange(effects, {})) {
+            peer.handle(harness.perform(effect), harness.now, effects);
+        }
+    }
+    harness.runFor(peer, 1s);
+    EXPECT_TRUE(peer.idle());
+    EXPECT_EQ(billedTokens(), 5U);
+}
+
+// Guards against billing twice when the answer of the first peer was lost and the copy was then given to a second one as well.
+TEST_F(usage_adoption_test, two_peers_with_a_copy_of_one_record_bill_it_once)
+{
+    ledger.setReplicate([this](const usage_record &record) {
+        peerLedger.hold("d1", {record});
+        otherLedger.hold("d1", {record});
+        return true;
+    });
+    serve("r1", 5);
+    ownerLeaves(peerLedger);
+    ownerLeaves(otherLedger);
+    harness.commitFaults = {commit_fault::LostAfterEffect, commit_fault::LostBeforeEffect};
+    harness.runFor(peer, 1s);
+    harness.runFor(other, 1s);
+    EXPECT_TRUE(peer.idle() && other.idle());
+    EXPECT_EQ(billedTokens(), 5U);
+}
+
+// Guards against losing the usage of a daemon that restarted under its old name before it left the roster.
+TEST_F(usage_adoption_test, copies_of_a_former_process_of_a_member_are_written)
+{
+    serve("r1", 5);
+    usage_record next = recordOf("org", 7);
+    next.requestId = "r2";
+    next.writer = "d1-restarted";
+    next.number = 1;
+    peerLedger.hold("d1", {next});
+    peerLedger.adoptOrphans([](std::string_view) {
+        return true;
+    });
+    harness.runFor(peer, 1s);
+    EXPECT_EQ(peerLedger.heldCount(), 1U);
+    EXPECT_EQ(billedTokens(), 5U);
+}
+
+// Guards against a writer row that calls an unbilled record billed.
+TEST(usage_writer_row_test, ranges_contain_exactly_the_added_numbers)
+{
+    usage_writer_row row;
+    for (const std::uint64_t number : {5U, 1U, 3U, 2U, 9U, 2U}) {
+        row.add(number);
+    }
+    const auto parsed = parseUsageWriter(formatUsageWriter(row));
+    ASSERT_TRUE(parsed.ok());
+    std::vector<std::uint64_t> contained;
+    for (std::uint64_t number = 0; number <= 11; ++number) {
+        if (parsed->contains(number)) {
+            contained.push_back(number);
+        }
+    }
+    EXPECT_EQ(contained, (std::vector<std::uint64_t>{1, 2, 3, 5, 9}));
+    EXPECT_EQ(parsed->billed.size(), 3U);
+}
+
 }
