--- a/src/coordination/peer_messages.h
+++ b/src/coordination/peer_messages.h
@@ -37,6 +37,8 @@
     std::vector<endpoint_report> reports; ///< Of the endpoints that the sender polls.
     std::vector<suspect_count> suspects;
     std::vector<group_demand> demand;
+    double load = 0; ///< Of the sender as a daemon; 0 idle to 1 full.
+    std::vector<std::string> drainingEndpoints; ///< Endpoints that get no new work, because the sender is about to give them an order.
 };
 
 struct heartbeat_reply
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -115,4 +115,48 @@
     EXPECT_EQ(orderWaiting(input).requests.front(), "b");
 }
 
+// Guards against an overload in which late requests make every other request late as well.
+TEST(admission, order_puts_requests_that_can_be_timely_first)
+{
+    order_input input;
+    input.waiting = {{.id = "late", .organisation = "a", .costTokens = 10, .arrival = 0, .late = true},
+                     {.id = "timely", .organisation = "b", .costTokens = 10, .arrival = 1}};
+    EXPECT_EQ(orderWaiting(input).requests.front(), "timely");
+    EXPECT_EQ(orderWaiting(input).requests.back(), "late");
+}
+
+// Guards against a queue that builds up at the engines, where fairness between organisations has no effect.
+TEST(admission, waits_while_the_engines_have_full_queues)
+{
+    auto input = request();
+    input.predictedQueueMs = 1000;
+    input.predictedFirstTokenMs = 1100;
+    EXPECT_EQ(decideAdmission(input).verdict, admit_verdict::Wait);
+}
+
+// Guards against late or borrowed work in front of requests that can still be timely.
+TEST(admission, late_and_borrowing_requests_leave_the_queue_to_others)
+{
+    auto input = request();
+    input.predictedQueueMs = 100;
+    input.predictedFirstTokenMs = 200;
+    EXPECT_EQ(decideAdmission(input).verdict, admit_verdict::Admit);
+    input.late = true;
+    EXPECT_EQ(decideAdmission(input).verdict, admit_verdict::Wait);
+    input.late = false;
+    input.organisationTokensInFlight = 20000;
+    input.groupTokensInFlight = 20000;
+    EXPECT_EQ(decideAdmission(input).verdict, admit_verdict::Wait);
+}
+
+// Guards against a capacity that counts endpoints which cannot take work, or fills engines up to the last stream.
+TEST(admission, group_capacity_counts_usable_endpoints)
+{
+    std::vector<endpoint_view> endpoints
+        = {{.id = "a", .role = endpoint_role::Decode}, {.id = "b", .role = endpoint_role::Decode}, {.id = "c"}, {.id = "p", .role = endpoint_role::Prefill}};
+    endpoints[1].leaving = true;
+    // 110 streams on the decode engine, 30 on the mixed one, at 90%.
+    EXPECT_NEAR(groupCapacityTokens(endpoints, 1000), 126000, 1000);
+}
+
 }
