Count store calls, control bytes and processor time

Cause: the limits on control traffic, store calls and processor time could not be seen on a running daemon, and a lease row's holder was known only to the holder.

No functional change.

--- a/src/coordination/lease_keeper.cpp
+++ b/src/coordination/lease_keeper.cpp
@@ -68,6 +68,16 @@
     return m_duty;
 }
 
+const std::string &lease_keeper::seenHolder() const
+{
+    return m_row.holder;
+}
+
+std::uint64_t lease_keeper::seenEpoch() const
+{
+    return m_row.epoch;
+}
+
 void lease_keeper::onTick(instant now, std::vector<control_effect> &out)
 {
     if (!m_pendingOp && !m_released && now >= m_nextReadAt) {
--- a/src/coordination/lease_keeper.h
+++ b/src/coordination/lease_keeper.h
@@ -37,6 +37,10 @@
 
     const std::string &duty() const;
 
+    /// Holder and epoch as this daemon last read them in the row; the holder is empty when nobody holds the lease.
+    const std::string &seenHolder() const;
+    std::uint64_t seenEpoch() const;
+
 private:
     struct content
     {
--- a/src/coordination/peer_link.cpp
+++ b/src/coordination/peer_link.cpp
@@ -26,6 +26,12 @@
     return {data.begin(), data.end()};
 }
 
+template <typename Message>
+std::size_t bytesIn(const Message &message)
+{
+    return message.totalSize().wordCount * sizeof(capnp::word);
+}
+
 /// One peer, used on the loop's thread only. Declared so that calls end before the capability and the connection go.
 struct remote
 {
@@ -96,8 +102,10 @@
         auto request = to.peer->heartbeatRequest();
         write(request.initMessage(), *message);
         request.getMessage().setSequence(++to.sequence);
+        results.onTraffic(bytesIn(request), 0);
         const instant sentAt = now();
         return withTimeout(io, request.send().then([this, &to, sentAt](capnp::Response<rpc::Peer::HeartbeatResults> &&answer) {
+            results.onTraffic(0, bytesIn(answer));
             results.onReply(to.target.id, read(answer.getReply()), sentAt);
         }));
     }
@@ -188,6 +196,7 @@
             request.initPatch().setVersion(patch.version);
             request.getPatch().setMergePatch(patch.mergePatch);
             request.getPatch().setWhole(patch.whole);
+            m_implementation->results.onTraffic(bytesIn(request), 0);
             io.tasks.add(implementation::withTimeout(io, request.send().ignoreResult()));
         }
     });
@@ -204,7 +213,9 @@
         auto request = to->peer->fetchPatchesRequest();
         request.setAfter(after);
         request.setLimit(limit);
-        auto answered = request.send().then([done](capnp::Response<rpc::Peer::FetchPatchesResults> &&answer) {
+        m_implementation->results.onTraffic(bytesIn(request), 0);
+        auto answered = request.send().then([this, done](capnp::Response<rpc::Peer::FetchPatchesResults> &&answer) {
+            m_implementation->results.onTraffic(0, bytesIn(answer));
             std::vector<config_patch> patches;
             for (const auto patch : answer.getPatches()) {
                 patches.push_back(
@@ -233,6 +244,7 @@
         for (unsigned i = 0; i < list.size(); ++i) {
             write(list[i], records[i]);
         }
+        m_implementation->results.onTraffic(bytesIn(request), 0);
         auto sent = request.send().ignoreResult();
         io.tasks.add(io.timer.timeoutAfter(timeout.count() * kj::MILLISECONDS, kj::mv(sent))
                          .then(
@@ -262,6 +274,7 @@
         for (unsigned i = 0; i < list.size(); ++i) {
             list.set(i, requestIds[i]);
         }
+        m_implementation->results.onTraffic(bytesIn(request), 0);
         io.tasks.add(implementation::withTimeout(io, request.send().ignoreResult()));
     });
 }
--- a/src/coordination/peer_link.h
+++ b/src/coordination/peer_link.h
@@ -30,6 +30,9 @@
         /// A peer answered. `sentAt` is from before the heartbeat was sent, so what the reply says was true at or after it.
         std::function<void(const std::string &peerId, const heartbeat_reply &, instant sentAt)> onReply;
         std::function<void(const std::string &peerId, const std::string &error)> onFailure;
+        /// Sizes of the messages of one call.
+        std::function<void(std::size_t sent, std::size_t received)> onTraffic = [](std::size_t, std::size_t) {
+        };
     };
 
     /// Callbacks run on the loop's thread and must not block. The loop must outlive the link.
--- a/src/coordination/peer_server.cpp
+++ b/src/coordination/peer_server.cpp
@@ -34,6 +34,12 @@
     return {bytes.data(), bytes.size()};
 }
 
+template <typename Message>
+std::size_t bytesIn(const Message &message)
+{
+    return message.totalSize().wordCount * sizeof(capnp::word);
+}
+
 /// The messages of one peer that has logged in.
 class peer_server final : public rpc::Peer::Server
 {
@@ -52,6 +58,7 @@
         requireRpc(message.sequence > m_lastSequence, "heartbeat repeated or out of order", m_peerId);
         m_lastSequence = message.sequence;
         write(context.getResults().initReply(), m_identity->handlers.onHeartbeat(std::move(message)));
+        countTraffic(context, true);
         return kj::READY_NOW;
     }
 
@@ -60,6 +67,7 @@
         const auto patch = context.getParams().getPatch();
         const auto text = patch.getMergePatch();
         m_identity->handlers.onPatch(m_peerId, {.version = patch.getVersion(), .mergePatch = {text.cStr(), text.size()}, .whole = patch.getWhole()});
+        countTraffic(context, false);
         return kj::READY_NOW;
     }
 
@@ -73,6 +81,7 @@
             list[i].setMergePatch(patches[i].mergePatch);
             list[i].setWhole(patches[i].whole);
         }
+        countTraffic(context, true);
         return kj::READY_NOW;
     }
 
@@ -83,6 +92,7 @@
             records.push_back(read(record));
         }
         m_identity->handlers.holdUsage(m_peerId, std::move(records));
+        countTraffic(context, false);
         return kj::READY_NOW;
     }
 
@@ -93,10 +103,18 @@
             ids.emplace_back(id.cStr(), id.size());
         }
         m_identity->handlers.releaseUsage(m_peerId, std::move(ids));
+        countTraffic(context, false);
         return kj::READY_NOW;
     }
 
 private:
+    /// Empty answers are not counted.
+    template <typename Context>
+    void countTraffic(Context &context, bool answered) const
+    {
+        m_identity->handlers.onTraffic(bytesIn(context.getParams()), answered ? bytesIn(context.getResults().asReader()) : 0);
+    }
+
     identity_pointer m_identity;
     std::string m_peerId;
     std::uint64_t m_lastSequence = 0;
--- a/src/coordination/peer_server.h
+++ b/src/coordination/peer_server.h
@@ -18,6 +18,9 @@
     std::function<std::vector<config_patch>(std::uint64_t after, std::uint32_t limit)> fetchPatches;
     std::function<void(const std::string &sender, std::vector<usage_record>)> holdUsage;
     std::function<void(const std::string &sender, std::vector<std::string> requestIds)> releaseUsage;
+    /// Sizes of the messages of one call.
+    std::function<void(std::size_t received, std::size_t sent)> onTraffic = [](std::size_t, std::size_t) {
+    };
 };
 
 /// The bootstrap capability for connections to this daemon: login first, then the Peer interface.
--- a/src/state/metrics.cpp
+++ b/src/state/metrics.cpp
@@ -24,7 +24,11 @@
 constexpr std::array<std::string_view, static_cast<std::size_t>(metric_counter::Count)> counterNames{
     "lacewinglock_requests_total",
     "lacewinglock_refusals_total",
-    "lacewinglock_control_bytes_total",
+    "lacewinglock_control_bytes_sent_total",
+    "lacewinglock_control_bytes_received_total",
+    "lacewinglock_store_reads_total",
+    "lacewinglock_store_writes_total",
+    "lacewinglock_tick_cpu_us_total",
     "lacewinglock_store_errors_total",
     "lacewinglock_peer_failures_total",
     "lacewinglock_poll_failures_total",
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -19,7 +19,11 @@
 enum class metric_counter {
     Requests,
     Refusals,
-    ControlBytes,
+    ControlBytesSent,
+    ControlBytesReceived,
+    StoreReads,
+    StoreWrites,
+    TickMicroseconds,
     StoreErrors,
     PeerFailures,
     PollFailures,
--- a/src/state/table_store.cpp
+++ b/src/state/table_store.cpp
@@ -68,6 +68,7 @@
 {
     std::string host;
     int port = 0;
+    metrics *counters = nullptr;
     std::mutex mutex;
     std::vector<std::unique_ptr<httplib::Client>> idle;
 
@@ -94,6 +95,15 @@
         idle.push_back(std::move(client));
     }
 
+    void countCall(metric_counter kind, std::size_t sent, const httplib::Result &answer) const
+    {
+        if (counters != nullptr) {
+            counters->count(kind);
+            counters->count(metric_counter::ControlBytesSent, sent);
+            counters->count(metric_counter::ControlBytesReceived, answer ? answer->body.size() : 0);
+        }
+    }
+
     std::string peer() const
     {
         return "table service " + host + ":" + std::to_string(port);
@@ -103,6 +113,7 @@
     {
         auto client = take();
         const auto answer = client->Get(path);
+        countCall(metric_counter::StoreReads, path.size(), answer);
         if (!answer) {
             return makeError(absl::StatusCode::kUnavailable, step, peer(), httplib::to_string(answer.error()));
         }
@@ -118,11 +129,12 @@
     }
 };
 
-http_table::http_table(std::string host, int port)
+http_table::http_table(std::string host, int port, metrics *counters)
     : m_pool(std::make_unique<connection_pool>())
 {
     m_pool->host = std::move(host);
     m_pool->port = port;
+    m_pool->counters = counters;
 }
 
 http_table::~http_table() = default;
@@ -165,7 +177,9 @@
         body["writes"].push_back({{"key", key}, {"value", value ? nlohmann::json(*value) : nlohmann::json()}});
     }
     auto client = m_pool->take();
-    const auto answer = client->Post("/tables/commit", body.dump(), "application/json");
+    const std::string text = body.dump();
+    const auto answer = client->Post("/tables/commit", text, "application/json");
+    m_pool->countCall(metric_counter::StoreWrites, text.size(), answer);
     if (!answer) {
         return answer.error() == httplib::Error::Connection ? commit_outcome::Unavailable : commit_outcome::Unknown;
     }
--- a/src/state/table_store.h
+++ b/src/state/table_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "protocol/store_messages.h"
+#include "state/metrics.h"
 
 #include <absl/status/statusor.h>
 #include <map>
@@ -34,7 +35,8 @@
 class http_table
 {
 public:
-    http_table(std::string host, int port);
+    /// With `counters`, counts calls and body bytes in them; they must outlive the table.
+    http_table(std::string host, int port, metrics *counters = nullptr);
     ~http_table();
     http_table(http_table &&) noexcept;
     http_table &operator=(http_table &&) noexcept;
