Plan roles and endpoints in the running daemon, and follow the platform's fleet

Cause: the planners were not called, granted endpoints did not join the fleet, demand was an equal share, and a notice reached only those daemons that got a load report. Change: fleet_control builds the planners' inputs each 5 s on the holder of orders and provision, records the decisions and proposes them to the keepers. Endpoints that are due for an order or for release travel in heartbeats and take no new work for 5 s after the last mention. Each daemon reads the platform's GET /endpoints every 500 ms (304 without a body while unchanged): granted endpoints join, withdrawn ones leave, notices take effect at once. No store reads are needed for it, and a notice reaches a daemon without a lease holder. Open order intents of vanished endpoints are settled. Heartbeats carry the demand served per group; demandShare follows it with a floor of a quarter of an equal share. GET /operator/v1/status shows the holder of each lease, /metrics the new counters.

--- a/src/coordination/load_poller.cpp
+++ b/src/coordination/load_poller.cpp
@@ -37,10 +37,23 @@
     return hashes;
 }
 
+void countAnswer(const httplib::Result &answer, metrics *counters)
+{
+    if (counters == nullptr) {
+        return;
+    }
+    if (answer) {
+        counters->count(metric_counter::ControlBytesReceived, answer->body.size());
+    } else {
+        counters->count(metric_counter::PollFailures);
+    }
+}
+
 /// Reads the cache events since `next` into the table and returns where to go on. A failure leaves the position as it was.
-std::uint64_t visitCacheEvents(httplib::Client &client, const std::string &id, std::uint64_t next, endpoint_table &endpoints)
+std::uint64_t visitCacheEvents(httplib::Client &client, const std::string &id, std::uint64_t next, endpoint_table &endpoints, metrics *counters)
 {
     const auto answer = client.Get("/cache-events?since=" + std::to_string(next));
+    countAnswer(answer, counters);
     if (!answer || answer->status != 200) {
         return next;
     }
@@ -80,21 +93,22 @@
     }
 }
 
-load_poller::load_poller(std::string instanceId, endpoint_table &endpoints, std::function<instant()> now, int threads)
+load_poller::load_poller(std::string instanceId, endpoint_table &endpoints, std::function<instant()> now, int threads, metrics *counters)
     : m_instanceId(std::move(instanceId))
     , m_endpoints(endpoints)
     , m_now(std::move(now))
+    , m_counters(counters)
     , m_pool(threads)
 {
 }
 
-void load_poller::poll(const configuration &config, const std::vector<std::string> &members)
+void load_poller::poll(const configuration &config, const std::map<std::string, endpoint> &endpoints, const std::vector<std::string> &members)
 {
     const std::lock_guard lock(m_mutex);
     std::erase_if(m_visits, [&](const auto &item) {
-        return !item.second.running && (!config.endpoints.contains(item.first) || rendezvousRank(item.first, m_instanceId, members) != 0);
+        return !item.second.running && (!endpoints.contains(item.first) || rendezvousRank(item.first, m_instanceId, members) != 0);
     });
-    for (const auto &[id, target] : config.endpoints) {
+    for (const auto &[id, target] : endpoints) {
         // Without a roster the daemon polls everything, so that it can serve as soon as it is admitted.
         if (rendezvousRank(id, m_instanceId, members) != 0) {
             continue;
@@ -119,6 +133,7 @@
     // From before the request was sent: work sent while the answer travels must count as sent since the report.
     const instant takenAt = m_now();
     const auto answer = client.Get("/load");
+    countAnswer(answer, m_counters);
     auto report = answer && answer->status == 200 ? parseLoad(id, answer->body) : endpoint_report{.endpoint = id, .reachable = false};
     if (!report.ok()) {
         LOG(WARNING) << report.status().message();
@@ -126,7 +141,7 @@
     }
     m_endpoints.takeReport(*report, takenAt);
     if (report->reachable && kind == route_kind::Model) {
-        nextCacheEvent = visitCacheEvents(client, id, nextCacheEvent, m_endpoints);
+        nextCacheEvent = visitCacheEvents(client, id, nextCacheEvent, m_endpoints, m_counters);
     }
     const std::lock_guard lock(m_mutex);
     m_visits[id] = {.running = false, .nextCacheEvent = nextCacheEvent, .report = *report, .takenAt = takenAt, .polled = true};
--- a/src/coordination/load_poller.h
+++ b/src/coordination/load_poller.h
@@ -3,6 +3,7 @@
 #include "protocol/configuration.h"
 #include "protocol/core_time.h"
 #include "state/endpoint_table.h"
+#include "state/metrics.h"
 #include "transport/worker_pool.h"
 
 #include <functional>
@@ -21,10 +22,10 @@
 class load_poller
 {
 public:
-    load_poller(std::string instanceId, endpoint_table &endpoints, std::function<instant()> now, int threads);
+    load_poller(std::string instanceId, endpoint_table &endpoints, std::function<instant()> now, int threads, metrics *counters = nullptr);
 
     /// Starts one poll of each own endpoint whose last poll has ended; a hanging endpoint occupies one thread up to its timeout.
-    void poll(const configuration &config, const std::vector<std::string> &members);
+    void poll(const configuration &config, const std::map<std::string, endpoint> &endpoints, const std::vector<std::string> &members);
 
     /// Latest reports of the endpoints this daemon polls, with their age at `now`.
     std::vector<endpoint_report> reports(instant now) const;
@@ -44,6 +45,7 @@
     std::string m_instanceId;
     endpoint_table &m_endpoints;
     std::function<instant()> m_now;
+    metrics *m_counters;
     mutable std::mutex m_mutex;
     std::map<std::string, visit> m_visits;
     worker_pool m_pool; ///< Last, so that its threads end before the state they use.
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -5,6 +5,7 @@
 #include "protocol/errors.h"
 #include "protocol/invariant.h"
 #include "protocol/tunables.h"
+#include "state/process_gauges.h"
 #include "state/rendezvous.h"
 
 #include <algorithm>
@@ -49,18 +50,31 @@
     : m_settings(std::move(settings))
     , m_incarnation(makeIncarnation())
     , m_now(steadyNow)
-    , m_store(std::make_shared<http_table>(m_settings.platform.host, m_settings.platform.port))
+    , m_store(std::make_shared<http_table>(m_settings.platform.host, m_settings.platform.port, &m_metrics))
     , m_recentDecisions(recentDecisionBytes)
     , m_decisions(m_settings.decisionLog, &m_recentDecisions)
     , m_editor(storeCalls(m_store), m_config)
     , m_rosterKeeper(m_settings.cell, m_settings.instanceId)
     , m_orderKeeper(m_settings.cell)
     , m_provisionKeeper(m_settings.cell)
+    , m_fleetControl(m_orderKeeper,
+                     m_provisionKeeper,
+                     [this](const decision_record &record) {
+                         m_decisions.write(record);
+                     })
     , m_usageKeeper(m_settings.cell)
     , m_usageBatcher(m_settings.cell, m_settings.instanceId, m_incarnation, m_usage)
     , m_follower(m_config)
     , m_link(std::make_unique<peer_link>(m_loop, m_settings.instanceId, m_settings.clusterSecret, m_now, makeLinkCallbacks()))
-    , m_poller(std::make_unique<load_poller>(m_settings.instanceId, m_endpoints, m_now, tunables::pollThreads))
+    , m_poller(std::make_unique<load_poller>(m_settings.instanceId, m_endpoints, m_now, tunables::pollThreads, &m_metrics))
+    , m_fleetWatch(std::make_unique<fleet_watch>(
+          m_settings.platform,
+          [this] {
+              post([this](instant) {
+                  applyFleet();
+              });
+          },
+          &m_metrics))
     , m_runner(std::make_unique<effect_runner>(effect_runner::environment{.store = m_store,
                                                                           .platform = m_settings.platform,
                                                                           .now = m_now,
@@ -92,6 +106,7 @@
     stopControl();
     m_runner.reset();
     m_poller.reset();
+    m_fleetWatch.reset();
     m_link.reset();
 }
 
@@ -232,7 +247,7 @@
         return httplib::Server::HandlerResponse::Handled;
     });
     m_server->Get("/metrics", [this](const httplib::Request &, httplib::Response &response) {
-        response.set_content(m_metrics.text(), "text/plain; version=0.0.4");
+        response.set_content(m_metrics.text() + processGauges(), "text/plain; version=0.0.4");
     });
     registerOperatorRoutes(*m_server, m_operators);
     registerCallerRoutes(*m_server, m_serving);
@@ -300,19 +315,8 @@
 
 std::vector<lease_status> node::leaseStatus() const
 {
-    std::vector<lease_status> list;
     const std::lock_guard lock(m_mutex);
-    for (const auto &lease : m_leases) {
-        const auto held = m_epochs.find(lease->duty());
-        const bool here = held != m_epochs.end();
-        list.push_back({
-            .duty = lease->duty(),
-            .holder = here ? m_settings.instanceId : "",
-            .epoch = here ? held->second : 0,
-            .heldHere = here,
-        });
-    }
-    return list;
+    return m_leaseStatus;
 }
 
 void node::drain()
@@ -361,6 +365,18 @@
     return m_roster;
 }
 
+bool node::knowsEndpoint(const std::string &endpointId) const
+{
+    return m_endpoints.find(endpointId).has_value();
+}
+
+bool node::isLeaving(const std::string &endpointId) const
+{
+    const auto reports = m_endpoints.reports(m_now());
+    const auto found = std::ranges::find(reports, endpointId, &endpoint_report::endpoint);
+    return found != reports.end() && found->leaving;
+}
+
 std::vector<std::string> node::duties() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -4,6 +4,8 @@
 #include "coordination/config_follower.h"
 #include "coordination/decision_log.h"
 #include "coordination/effect_runner.h"
+#include "coordination/fleet_control.h"
+#include "coordination/fleet_watch.h"
 #include "coordination/lease_keeper.h"
 #include "coordination/load_poller.h"
 #include "coordination/operator_interface.h"
@@ -54,6 +56,9 @@
     int callerPort() const;
     int peerPort() const;
     cell_roster roster() const;
+    bool knowsEndpoint(const std::string &endpointId) const;
+    /// The endpoint is known here to be leaving, so it gets no new work.
+    bool isLeaving(const std::string &endpointId) const;
     /// Duties whose lease this daemon holds.
     std::vector<std::string> duties() const;
 
@@ -96,6 +101,11 @@
     void takeAnswers(std::unique_lock<std::mutex> &lock);
     void tickMachines(instant now);
     void everySecond(instant now);
+    void applyFleet();
+    void controlFleet(instant now);
+    std::vector<std::string> drainingEndpoints() const;
+    std::vector<group_demand> ownDemand(instant now) const;
+    std::map<std::string, demand_rates> cellDemand(instant now) const;
     void passReports(instant now);
     window_clock usageWindow() const;
     void catchUpFrom(const std::string &peerId, std::uint64_t peerVersion);
@@ -139,12 +149,15 @@
     roster_keeper m_rosterKeeper;
     order_keeper m_orderKeeper;
     provision_keeper m_provisionKeeper;
+    fleet_control m_fleetControl;
     usage_keeper m_usageKeeper;
     usage_batcher m_usageBatcher;
     std::vector<std::unique_ptr<lease_keeper>> m_leases;
     std::vector<machine> m_machines;
     std::vector<instance_info> m_listed;
+    std::map<std::string, endpoint> m_fleet; ///< Of the configuration and granted.
     instant m_nextListAt;
+    instant m_nextFleetPoll;
     op_id m_listOp = 0;
     bool m_released = false;
 
@@ -159,7 +172,7 @@
     std::map<std::string, std::string> m_usageHolders; ///< Request to the peer that holds its copy.
     cell_roster m_roster;
     std::vector<std::string> m_duties;
-    std::map<std::string, std::uint64_t> m_epochs; ///< Of the duties held here.
+    std::vector<lease_status> m_leaseStatus; ///< As the lease rows showed it last.
     bool m_stopping = false;
     bool m_handedOver = false;
 
@@ -174,6 +187,7 @@
     rpc_loop m_loop;
     std::unique_ptr<peer_link> m_link;
     std::unique_ptr<load_poller> m_poller;
+    std::unique_ptr<fleet_watch> m_fleetWatch;
     std::unique_ptr<effect_runner> m_runner;
     serving_context m_serving;
     operator_context m_operators;
--- a/src/coordination/node_control.cpp
+++ b/src/coordination/node_control.cpp
@@ -1,5 +1,6 @@
 #include "coordination/node.h"
 #include "protocol/tunables.h"
+#include "state/process_gauges.h"
 #include "state/rendezvous.h"
 
 #include <algorithm>
@@ -10,6 +11,13 @@
 namespace lacewinglock
 {
 
+namespace
+{
+
+constexpr auto fleetPollInterval = std::chrono::milliseconds(500); // A quarter of the time in which a notice must be in force.
+
+}
+
 // Machines run on this thread only; everything else reaches them through tasks and answers.
 void node::runControl()
 {
@@ -27,6 +35,7 @@
         }
         nextTick = now + tunables::controlTick;
         lock.unlock();
+        const std::int64_t cpuBefore = threadCpuMicroseconds();
         tickMachines(now);
         if (now >= nextSecond) {
             nextSecond = now + tunables::heartbeatInterval;
@@ -34,6 +43,7 @@
         }
         publish(now);
         handOverLeases(now);
+        m_metrics.count(metric_counter::TickMicroseconds, static_cast<std::uint64_t>(threadCpuMicroseconds() - cpuBefore));
         lock.lock();
     }
 }
@@ -84,6 +94,10 @@
     for (std::size_t index = 0; index < m_machines.size(); ++index) {
         deliver(index, tick_event{}, now);
     }
+    if (now >= m_nextFleetPoll) {
+        m_nextFleetPoll = now + fleetPollInterval;
+        m_fleetWatch->poll();
+    }
     m_usageWritten = m_usageBatcher.idle();
 }
 
@@ -99,29 +113,73 @@
 // Endpoint reports reach the order machine, which waits for drained endpoints and for the effect of its orders.
 void node::passReports(instant now)
 {
-    const auto config = m_config.current();
     for (const auto &report : m_endpoints.reports(now)) {
-        if (const auto settings = config->parsed.endpoints.find(report.endpoint); settings != config->parsed.endpoints.end()) {
+        if (const auto settings = m_fleet.find(report.endpoint); settings != m_fleet.end()) {
             const auto age = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(report.ageMs));
             m_orderKeeper.noteReport(report, now - age, settings->second.checksFencing);
         }
     }
 }
 
+// Brings the endpoint table in line with the configuration and the platform's list, and passes notices on.
+void node::applyFleet()
+{
+    const auto config = m_config.current();
+    if (config->parsed.version == 0) {
+        return;
+    }
+    m_fleet = m_fleetWatch->merge(config->parsed);
+    m_endpoints.configure(m_fleet);
+    for (const auto &endpoint : m_fleetWatch->leaving()) {
+        m_endpoints.markLeaving(endpoint);
+    }
+    std::set<std::string> known;
+    for (const auto &[id, settings] : m_fleet) {
+        known.insert(id);
+    }
+    m_orderKeeper.setFleet(std::move(known));
+}
+
+void node::controlFleet(instant now)
+{
+    const auto config = m_config.current();
+    if (config->parsed.version == 0) {
+        return;
+    }
+    fleet_facts facts{.config = config->parsed, .endpoints = m_fleet, .reports = m_endpoints.reports(now), .demand = cellDemand(now)};
+    for (const auto &lease : m_leases) {
+        const bool held = !m_handingOver && lease->grant(now).has_value();
+        facts.holdsOrders = facts.holdsOrders || (held && lease->duty() == "orders");
+        facts.holdsProvision = facts.holdsProvision || (held && lease->duty() == "provision");
+    }
+    m_fleetControl.tick(facts, now);
+}
+
+std::vector<std::string> node::drainingEndpoints() const
+{
+    auto ids = m_orderKeeper.draining();
+    const auto retiring = m_fleetControl.retiring();
+    ids.insert(ids.end(), retiring.begin(), retiring.end());
+    return ids;
+}
+
 void node::everySecond(instant now)
 {
     const auto &members = m_rosterKeeper.roster().members;
     for (auto &lease : m_leases) {
         lease->setRank(rendezvousRank(lease->duty(), m_settings.instanceId, members));
     }
-    const auto config = m_config.current();
-    m_endpoints.configure(config->parsed);
-    m_poller->poll(config->parsed, members);
+    applyFleet();
+    m_poller->poll(m_config.current()->parsed, m_fleet, members);
     passReports(now);
+    controlFleet(now);
     {
         const std::lock_guard lock(m_followerMutex);
         m_follower.setRoster(members, m_settings.instanceId);
     }
+    for (const auto &endpoint : drainingEndpoints()) {
+        m_endpoints.markDraining(endpoint, now + tunables::drainMarkTime);
+    }
     m_link->sendHeartbeats(makeHeartbeat(now));
     // Copies of a daemon that left the roster become records of this daemon, which writes them with its next batch.
     if (m_rosterKeeper.roster().version > 0) {
@@ -138,11 +196,14 @@
     const std::lock_guard lock(m_mutex);
     m_roster = m_rosterKeeper.roster();
     m_duties.clear();
-    m_epochs.clear();
+    m_leaseStatus.clear();
     for (const auto &lease : m_leases) {
-        if (const auto grant = lease->grant(now)) {
+        const bool here = lease->grant(now).has_value();
+        const auto &holder = lease->seenHolder();
+        // The row names the holder's process; operators know daemons by their instance.
+        m_leaseStatus.push_back({.duty = lease->duty(), .holder = holder.substr(0, holder.rfind('/')), .epoch = lease->seenEpoch(), .heldHere = here});
+        if (here) {
             m_duties.push_back(lease->duty());
-            m_epochs[lease->duty()] = grant->epoch;
         }
     }
 }
--- a/src/coordination/node_peers.cpp
+++ b/src/coordination/node_peers.cpp
@@ -48,6 +48,11 @@
             [this](const std::string &owner, const std::vector<std::string> &ids) {
                 m_usage.releaseHeld(owner, ids);
             },
+        .onTraffic =
+            [this](std::size_t received, std::size_t sent) {
+                m_metrics.count(metric_counter::ControlBytesReceived, received);
+                m_metrics.count(metric_counter::ControlBytesSent, sent);
+            },
     };
 }
 
@@ -71,6 +76,11 @@
                 m_metrics.count(metric_counter::PeerFailures);
                 LOG_EVERY_N(WARNING, 20) << "send heartbeat [" << peerId << "]: " << error;
             },
+        .onTraffic =
+            [this](std::size_t sent, std::size_t received) {
+                m_metrics.count(metric_counter::ControlBytesSent, sent);
+                m_metrics.count(metric_counter::ControlBytesReceived, received);
+            },
     };
 }
 
@@ -83,6 +93,9 @@
     for (const auto &suspect : message.suspects) {
         m_suspects.merge(suspect.fingerprint, suspect.crashes, now);
     }
+    for (const auto &endpoint : message.drainingEndpoints) {
+        m_endpoints.markDraining(endpoint, now + tunables::drainMarkTime);
+    }
     const std::uint64_t version = advertisedVersion();
     post([this, sender = message.sender, version = message.rosterVersion](instant at) {
         m_rosterKeeper.noteHeard(sender, at);
@@ -168,7 +181,8 @@
         .rosterVersion = m_rosterKeeper.roster().version,
         .draining = own.leaving,
         .reports = m_poller->reports(now),
-        // WIRING: .demand from the admission queues of the front.
+        .demand = ownDemand(now),
+        .drainingEndpoints = drainingEndpoints(),
     };
     for (const auto &suspect : m_suspects.entries(now)) {
         message.suspects.push_back({.fingerprint = suspect.fingerprint, .crashes = suspect.crashes});
@@ -189,18 +203,59 @@
     return live;
 }
 
-// Until demand is wired in, each live daemon of the roster takes an equal share.
-double node::demandShare(const std::string & /*group*/) const
+// The daemon's part of the demand that the live daemons of the roster serve. The floor lets a daemon without demand so far serve a
+// new caller at once.
+double node::demandShare(const std::string &group) const
+{
+    const instant now = m_now();
+    double own = 0;
+    for (const auto &demand : ownDemand(now)) {
+        own += demand.group == group ? demand.weightedTokens : 0;
+    }
+    double all = own;
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[id, peer] : m_peers) {
+        if (!m_roster.contains(id) || now - peer.heardAt > tunables::candidateHeardLimit) {
+            continue;
+        }
+        for (const auto &demand : peer.demand) {
+            all += demand.group == group ? demand.weightedTokens : 0;
+        }
+    }
+    const double equal = 1.0 / static_cast<double>(std::max<std::size_t>(1, m_roster.members.size()));
+    return all > 0 ? std::max(own / all, equal * tunables::demandShareFloor) : equal;
+}
+
+// WIRING: the admission gate's demand() also counts waiting requests; until it is there, this is the demand served.
+std::vector<group_demand> node::ownDemand(instant now) const
+{
+    std::vector<group_demand> demand;
+    for (const auto &[group, rates] : m_serving.demand->rates(now)) {
+        const double weighted
+            = rates.shortTerm.promptTokensPerSecond * tunables::promptTokenWeight + rates.shortTerm.outputTokensPerSecond * tunables::outputTokenWeight;
+        demand.push_back({.group = group, .weightedTokens = weighted, .rates = rates});
+    }
+    return demand;
+}
+
+std::map<std::string, demand_rates> node::cellDemand(instant now) const
 {
+    auto sum = m_serving.demand->rates(now);
     const std::lock_guard lock(m_mutex);
-    return 1.0 / static_cast<double>(std::max<std::size_t>(1, m_roster.members.size()));
+    for (const auto &[id, peer] : m_peers) {
+        if (now - peer.heardAt <= tunables::candidateHeardLimit) {
+            for (const auto &demand : peer.demand) {
+                sum[demand.group] += demand.rates;
+            }
+        }
+    }
+    return sum;
 }
 
 std::optional<std::string> node::addressOf(const std::string &endpointId) const
 {
-    const auto config = m_config.current();
-    const auto found = config->parsed.endpoints.find(endpointId);
-    return found == config->parsed.endpoints.end() ? std::nullopt : std::optional(found->second.address);
+    const auto settings = m_endpoints.find(endpointId);
+    return settings ? std::optional(settings->address) : std::nullopt;
 }
 
 // Live members in other failure domains, in the rendezvous order of the request.
--- a/src/coordination/order_keeper.cpp
+++ b/src/coordination/order_keeper.cpp
@@ -115,6 +115,16 @@
     }
 }
 
+void order_keeper::setFleet(std::set<std::string> endpoints)
+{
+    m_fleet = std::move(endpoints);
+}
+
+bool order_keeper::hasVanished(const std::string &endpointId) const
+{
+    return m_fleet && !m_fleet->contains(endpointId);
+}
+
 std::vector<std::string> order_keeper::draining() const
 {
     std::vector<std::string> ids;
@@ -190,6 +200,14 @@
     out.emplace_back(send_order_effect{.op = item.pending, .order = order, .validUntil = m_grant->validUntil});
 }
 
+void order_keeper::settle(entry &item, const std::string &endpointId, std::vector<control_effect> &out)
+{
+    auto next = *item.value;
+    next.state = order_state::Settled;
+    item.drainStarted.reset();
+    commitRow(item, endpointId, next, out);
+}
+
 /// Completes an open intent.
 ///  1. Take it over under the own epoch, so that the endpoint can refuse the former holder's orders.
 ///  2. Settle it when the endpoint reports its revision and the state that was ordered.
@@ -204,9 +222,7 @@
     }
     const bool taken = item.report && item.report->orderRevision >= next.order.revision && !item.report->changingRole;
     if (taken) {
-        next.state = order_state::Settled;
-        item.drainStarted.reset();
-        commitRow(item, endpointId, next, out);
+        settle(item, endpointId, out);
         return;
     }
     if (drained(item, now) && now >= item.nextSend) {
@@ -222,6 +238,12 @@
     if (item.mustRead) {
         item.pending = m_nextOp++;
         out.emplace_back(read_row_effect{.op = item.pending, .key = key(endpointId)});
+    } else if (hasVanished(endpointId)) {
+        item.wanted.reset();
+        // The endpoint may come back under the same name; by then no order of a former holder may be on its way.
+        if (item.value && item.value->state == order_state::Open && mayDiffer(item, now)) {
+            settle(item, endpointId, out);
+        }
     } else if (item.value && item.value->state == order_state::Open) {
         advanceOpen(item, endpointId, now, out);
     } else if (item.wanted && mayDiffer(item, now)) {
--- a/src/coordination/order_keeper.h
+++ b/src/coordination/order_keeper.h
@@ -42,6 +42,9 @@
     /// Takes what an endpoint reported. `takenAt` is when the report was taken at the endpoint.
     void noteReport(const endpoint_report &report, instant takenAt, bool checksFencing);
 
+    /// The endpoints of the fleet. Open intents of others are settled, because nobody is left to take them.
+    void setFleet(std::set<std::string> endpoints);
+
     /// Endpoints that must get no new work because an order is due.
     std::vector<std::string> draining() const;
     bool hasOpenOrder() const;
@@ -73,6 +76,8 @@
     void takeScan(const rows_scanned_event &event);
     void takeRow(entry &item, const row_read_event &event);
     entry *findPending(op_id op);
+    bool hasVanished(const std::string &endpointId) const;
+    void settle(entry &item, const std::string &endpointId, std::vector<control_effect> &out);
     std::string key(const std::string &endpointId) const;
     void forget();
 
@@ -80,6 +85,7 @@
     std::optional<lease_grant> m_grant;
     std::map<std::string, entry> m_entries;
     std::map<std::string, endpoint_order> m_sent; ///< Last order sent per endpoint in this process, for the invariant check.
+    std::optional<std::set<std::string>> m_fleet; ///< Empty until it is known.
     bool m_scanned = false;
     op_id m_scan = 0;
     op_id m_nextOp = 1;
--- a/src/coordination/peer_messages.cpp
+++ b/src/coordination/peer_messages.cpp
@@ -50,6 +50,30 @@
 
 }
 
+namespace
+{
+
+void writeDemand(rpc::GroupDemand::Builder target, const group_demand &demand)
+{
+    target.setGroup(demand.group);
+    target.setWeightedTokens(static_cast<float>(demand.weightedTokens));
+    target.setShortPrompt(static_cast<float>(demand.rates.shortTerm.promptTokensPerSecond));
+    target.setShortOutput(static_cast<float>(demand.rates.shortTerm.outputTokensPerSecond));
+    target.setLongPrompt(static_cast<float>(demand.rates.longTerm.promptTokensPerSecond));
+    target.setLongOutput(static_cast<float>(demand.rates.longTerm.outputTokensPerSecond));
+}
+
+group_demand readDemand(rpc::GroupDemand::Reader source)
+{
+    return {
+        .group = text(source.getGroup()),
+        .weightedTokens = source.getWeightedTokens(),
+        .rates = {.shortTerm = {source.getShortPrompt(), source.getShortOutput()}, .longTerm = {source.getLongPrompt(), source.getLongOutput()}},
+    };
+}
+
+}
+
 void write(rpc::Heartbeat::Builder target, const heartbeat &message)
 {
     target.setSequence(message.sequence);
@@ -72,7 +96,7 @@
     auto demand = target.initDemand(static_cast<unsigned>(message.demand.size()));
     for (unsigned i = 0; i < demand.size(); ++i) {
         demand[i].setGroup(message.demand[i].group);
-        demand[i].setWeightedTokens(static_cast<float>(message.demand[i].weightedTokens));
+        writeDemand(demand[i], message.demand[i]);
     }
     auto draining = target.initDrainingEndpoints(static_cast<unsigned>(message.drainingEndpoints.size()));
     for (unsigned i = 0; i < draining.size(); ++i) {
@@ -99,7 +123,7 @@
         message.suspects.push_back({.fingerprint = text(suspect.getFingerprint()), .crashes = static_cast<int>(suspect.getCrashes())});
     }
     for (const auto demand : source.getDemand()) {
-        message.demand.push_back({.group = text(demand.getGroup()), .weightedTokens = demand.getWeightedTokens()});
+        message.demand.push_back(readDemand(demand));
     }
     for (const auto endpoint : source.getDrainingEndpoints()) {
         message.drainingEndpoints.push_back(text(endpoint));
--- a/src/coordination/peer_messages.h
+++ b/src/coordination/peer_messages.h
@@ -3,6 +3,7 @@
 #include "protocol/endpoint_report.h"
 #include "protocol/peer.capnp.h"
 #include "protocol/usage_record.h"
+#include "state/demand_meter.h"
 
 #include <cstdint>
 #include <string>
@@ -20,7 +21,8 @@
 struct group_demand
 {
     std::string group;
-    double weightedTokens = 0;
+    double weightedTokens = 0; ///< Per second over the short horizon.
+    demand_rates rates;
 };
 
 /// What a daemon tells each peer every second.
--- a/src/coordination/serving_context.h
+++ b/src/coordination/serving_context.h
@@ -4,6 +4,7 @@
 #include "protocol/control.h"
 #include "protocol/core_time.h"
 #include "state/config_holder.h"
+#include "state/demand_meter.h"
 #include "state/endpoint_table.h"
 #include "state/suspect_table.h"
 #include "state/table_store.h"
@@ -36,6 +37,7 @@
     std::function<bool()> draining;
     std::function<std::vector<instance_info>()> instances; ///< Live daemons of the cell, for GET /v1/addresses.
     std::function<double(const std::string &group)> demandShare; ///< This daemon's share of a group's capacity, 0 to 1.
+    std::shared_ptr<demand_meter> demand = std::make_shared<demand_meter>();
     std::shared_ptr<std::atomic<int>> callerRequests = std::make_shared<std::atomic<int>>(0); ///< Requests of callers that are not yet answered.
 };
 
--- a/src/coordination/session_runner.cpp
+++ b/src/coordination/session_runner.cpp
@@ -199,9 +199,8 @@
         .freshConnection = !m_request.session.repeatable,
         .timeLeft = effect.deadline - m_context.now(),
     };
-    const auto config = m_context.config.current();
-    if (const auto found = config->parsed.endpoints.find(effect.endpoint); found != config->parsed.endpoints.end()) {
-        call.address = found->second.address;
+    if (const auto settings = m_context.endpoints.find(effect.endpoint)) {
+        call.address = settings->address;
     }
     if (m_request.session.kind == route_kind::Model) {
         nlohmann::json fields = m_request.fields;
@@ -266,6 +265,10 @@
 void session_runner::perform(const keep_usage_effect &effect)
 {
     m_context.usage.add(effect.record);
+    const auto &figures = effect.record.figures;
+    m_context.demand->add(m_request.session.group,
+                          {static_cast<double>(figures.promptTokens) - static_cast<double>(figures.cachedTokens), static_cast<double>(figures.outputTokens)},
+                          m_context.now());
     push(usage_kept_event{.op = effect.op});
 }
 
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -67,6 +67,11 @@
 struct GroupDemand {
   group @0 :Text;
   weightedTokens @1 :Float32;
+  # Tokens per second over the short and the long horizon.
+  shortPrompt @2 :Float32;
+  shortOutput @3 :Float32;
+  longPrompt @4 :Float32;
+  longOutput @5 :Float32;
 }
 
 struct Patch {
--- a/src/protocol/peer.capnp.h
+++ b/src/protocol/peer.capnp.h
@@ -393,7 +393,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b0264da796173f6e, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b0264da796173f6e, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2275,6 +2275,14 @@
 
   inline float getWeightedTokens() const;
 
+  inline float getShortPrompt() const;
+
+  inline float getShortOutput() const;
+
+  inline float getLongPrompt() const;
+
+  inline float getLongOutput() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2313,6 +2321,18 @@
   inline float getWeightedTokens();
   inline void setWeightedTokens(float value);
 
+  inline float getShortPrompt();
+  inline void setShortPrompt(float value);
+
+  inline float getShortOutput();
+  inline void setShortOutput(float value);
+
+  inline float getLongPrompt();
+  inline void setLongPrompt(float value);
+
+  inline float getLongOutput();
+  inline void setLongOutput(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3826,6 +3846,62 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline float GroupDemand::Reader::getShortPrompt() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float GroupDemand::Builder::getShortPrompt() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GroupDemand::Builder::setShortPrompt(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline float GroupDemand::Reader::getShortOutput() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float GroupDemand::Builder::getShortOutput() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void GroupDemand::Builder::setShortOutput(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline float GroupDemand::Reader::getLongPrompt() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline float GroupDemand::Builder::getLongPrompt() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void GroupDemand::Builder::setLongPrompt(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline float GroupDemand::Reader::getLongOutput() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline float GroupDemand::Builder::getLongOutput() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void GroupDemand::Builder::setLongOutput(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Patch::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -138,10 +138,16 @@
                     m_instances.change(body);
                     answerJson(response, 200, nlohmann::json::object());
                 }));
-    server.Get("/endpoints", [this](const httplib::Request &, httplib::Response &response) {
+    server.Get("/endpoints", [this](const httplib::Request &request, httplib::Response &response) {
         auto list = nlohmann::json::array();
         std::ranges::transform(m_fleet.list(), std::back_inserter(list), endpointJson);
-        answerJson(response, 200, list);
+        const std::string tag = "\"" + std::to_string(std::hash<std::string>()(list.dump())) + "\"";
+        response.set_header("ETag", tag);
+        if (request.get_header_value("If-None-Match") == tag) {
+            response.status = 304;
+        } else {
+            answerJson(response, 200, list);
+        }
     });
     server.Get("/endpoints/orders", [this](const httplib::Request &, httplib::Response &response) {
         answerJson(response, 200, m_provision.report());
--- a/src/state/endpoint_table.cpp
+++ b/src/state/endpoint_table.cpp
@@ -36,9 +36,19 @@
     return m_shards[XXH3_64bits(endpointId.data(), endpointId.size()) % shardCount];
 }
 
+const endpoint_table::shard &endpoint_table::shardOf(std::string_view endpointId) const
+{
+    return m_shards[XXH3_64bits(endpointId.data(), endpointId.size()) % shardCount];
+}
+
 void endpoint_table::configure(const configuration &config)
 {
-    for (const auto &[id, settings] : config.endpoints) {
+    configure(config.endpoints);
+}
+
+void endpoint_table::configure(const std::map<std::string, endpoint> &endpoints)
+{
+    for (const auto &[id, settings] : endpoints) {
         auto &part = shardOf(id);
         const std::lock_guard lock(part.mutex);
         auto &known = part.entries[id];
@@ -48,16 +58,24 @@
     for (auto &part : m_shards) {
         const std::lock_guard lock(part.mutex);
         for (auto &[id, known] : part.entries) {
-            if (!config.endpoints.contains(id)) {
+            if (!endpoints.contains(id)) {
                 known.leaving = true;
             }
         }
         std::erase_if(part.entries, [&](const auto &item) {
-            return !config.endpoints.contains(item.first) && item.second.inFlight == 0;
+            return !endpoints.contains(item.first) && item.second.inFlight == 0;
         });
     }
 }
 
+std::optional<endpoint> endpoint_table::find(std::string_view endpointId) const
+{
+    const auto &part = shardOf(endpointId);
+    const std::lock_guard lock(part.mutex);
+    const auto found = part.entries.find(std::string(endpointId));
+    return found == part.entries.end() ? std::nullopt : std::optional(found->second.settings);
+}
+
 void endpoint_table::takeReport(const endpoint_report &report, instant now)
 {
     auto &part = shardOf(report.endpoint);
@@ -89,6 +107,15 @@
     }
 }
 
+void endpoint_table::markDraining(std::string_view endpointId, instant until)
+{
+    auto &part = shardOf(endpointId);
+    const std::lock_guard lock(part.mutex);
+    if (const auto found = part.entries.find(std::string(endpointId)); found != part.entries.end()) {
+        found->second.drainingUntil = std::max(found->second.drainingUntil, until);
+    }
+}
+
 void endpoint_table::markUnreachable(std::string_view endpointId, instant now)
 {
     auto &part = shardOf(endpointId);
@@ -116,7 +143,7 @@
                 .reclaimable = known.settings.reclaimable,
                 .leaving = known.leaving,
                 .reachable = known.reachable,
-                .changingRole = known.report.changingRole,
+                .changingRole = known.report.changingRole || now < known.drainingUntil,
                 .reportAgeMs = toMs(now - known.reportTakenAt),
                 .queuedPromptTokens = known.report.queuedPromptTokens,
                 .runningStreams = known.report.runningStreams,
--- a/src/state/endpoint_table.h
+++ b/src/state/endpoint_table.h
@@ -6,7 +6,9 @@
 #include "protocol/endpoint_report.h"
 
 #include <array>
+#include <map>
 #include <mutex>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -23,10 +25,16 @@
 public:
     /// Aligns the table with the configuration: adds new endpoints and marks removed ones as leaving.
     void configure(const configuration &config);
+    /// The same for the endpoints of the configuration and those that the platform granted.
+    void configure(const std::map<std::string, endpoint> &endpoints);
+    /// Settings of an endpoint; empty when it is unknown.
+    std::optional<endpoint> find(std::string_view endpointId) const;
 
     /// Takes a load report that was `report.ageMs` old at `now`; older ones than the known one are ignored.
     void takeReport(const endpoint_report &report, instant now);
     void markLeaving(std::string_view endpointId);
+    /// An order to the endpoint is due: it takes no new work until `until`.
+    void markDraining(std::string_view endpointId, instant until);
     void markUnreachable(std::string_view endpointId, instant now);
 
     /// Endpoints of a group with the cache estimate for a prompt given as block hashes.
@@ -49,6 +57,7 @@
         endpoint_report report;
         instant reportTakenAt;
         bool leaving = false;
+        instant drainingUntil;
         bool reachable = true;
         int inFlight = 0;
         std::vector<std::pair<instant, double>> sentSince;
@@ -64,6 +73,7 @@
     static constexpr std::size_t shardCount = 16;
 
     shard &shardOf(std::string_view endpointId);
+    const shard &shardOf(std::string_view endpointId) const;
 
     std::array<shard, shardCount> m_shards;
 };
--- a/tests/order_keeper_test.cpp
+++ b/tests/order_keeper_test.cpp
@@ -143,4 +143,20 @@
     EXPECT_FALSE(keeper.hasOpenOrder());
 }
 
+// Guards against an intent that stays open for ever because its endpoint was removed, and against orders to such an endpoint.
+TEST_F(order_keeper_test, settles_the_intent_of_an_endpoint_that_left_the_fleet)
+{
+    keeper.setGrant(grant(1));
+    harness.run(keeper);
+    report(keeper, 0, 3);
+    ASSERT_TRUE(keeper.propose(toDecode));
+    harness.runFor(keeper, 1s);
+    ASSERT_TRUE(keeper.hasOpenOrder());
+    keeper.setFleet({"e2"});
+    harness.runFor(keeper, 10s);
+    EXPECT_FALSE(keeper.hasOpenOrder());
+    EXPECT_TRUE(keeper.draining().empty());
+    EXPECT_TRUE(harness.orders.empty());
+}
+
 }
