Test that metrics and lease holders are shown

Cause: the counters and the holders of leases in the status had no test. Change: the test with two daemons reads /metrics and the lease list.

No functional change

--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -61,6 +61,8 @@
     bool isLeaving(const std::string &endpointId) const;
     /// Duties whose lease this daemon holds.
     std::vector<std::string> duties() const;
+    /// All leases of the cell as their rows showed them last.
+    std::vector<lease_status> leaseStatus() const;
 
 private:
     /// A control machine as the control thread sees it.
@@ -113,7 +115,6 @@
     std::uint64_t advertisedVersion() const;
     bool configFresh() const;
     void announcePatch(std::uint64_t version, const nlohmann::json &patch);
-    std::vector<lease_status> leaseStatus() const;
     void publish(instant now);
     void handOverLeases(instant now);
     void post(std::function<void(instant)> task);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -118,7 +118,26 @@
         },
         std::chrono::seconds(20)));
     httplib::Client client("127.0.0.1", one.callerPort());
-    EXPECT_NE(client.Get("/metrics")->body.find("lacewinglock_first_token_ms_count"), std::string::npos);
+    const std::string shown = client.Get("/metrics")->body;
+    EXPECT_NE(shown.find("lacewinglock_first_token_ms_count"), std::string::npos);
+    // Each of them has counted something by now; a zero would mean that a part of the control traffic is not measured.
+    for (const std::string name : {"lacewinglock_control_bytes_sent_total",
+                                   "lacewinglock_control_bytes_received_total",
+                                   "lacewinglock_store_reads_total",
+                                   "lacewinglock_store_writes_total",
+                                   "lacewinglock_tick_cpu_us_total",
+                                   "process_resident_memory_bytes",
+                                   "process_cpu_seconds_total"}) {
+        const auto place = shown.find("\n" + name + " ");
+        ASSERT_NE(place, std::string::npos) << name;
+        EXPECT_GT(std::stod(shown.substr(place + name.size() + 2)), 0) << name;
+    }
+    const auto leases = two.leaseStatus();
+    ASSERT_EQ(leases.size(), 4U);
+    for (const auto &lease : leases) {
+        EXPECT_TRUE(lease.holder == "d1" || lease.holder == "d2") << lease.duty << " is held by '" << lease.holder << "'";
+        EXPECT_EQ(lease.heldHere, lease.holder == "d2") << lease.duty;
+    }
     one.drain();
     // Well below a lease term: the successor need not wait for the lease to lapse.
     EXPECT_TRUE(eventually(
