Find the next waiting request by an index and expose demand

Cause: each waiting thread scanned all others every 20 ms, each admission added up the weights of all organisations ever seen, and each leave woke all waiting threads.

Change: fair_queue keeps the first request of each organisation in order; a random test compares it with orderWaiting after every change. The weight of active organisations is counted in whole millionths, so it does not drift. Only the first request of a group is woken; the others look at their caller and deadline every 100 ms. The order follows orderWaiting (finish tags per group) instead of the former start tags over all groups. decideAdmission is unchanged. The gate is a part of serving_context, and demand() tells the weighted tokens waiting and running per group.

--- a/src/coordination/admission_gate.cpp
+++ b/src/coordination/admission_gate.cpp
@@ -1,9 +1,10 @@
 #include "coordination/admission_gate.h"
 
 #include "coordination/admission.h"
+#include "protocol/tunables.h"
 
 #include <algorithm>
-#include <iterator>
+#include <cmath>
 
 namespace lacewinglock
 {
@@ -11,87 +12,80 @@
 namespace
 {
 
-// Waiting threads look at the clock, their caller and their bucket this often when no other request leaves.
-constexpr auto waitStep = std::chrono::milliseconds(20);
+// The first waiting request of a group looks at the clock, its caller and its bucket this often when no other request leaves.
+constexpr auto firstWaitStep = std::chrono::milliseconds(20);
 
-// Output tokens occupy an engine longer than prompt tokens, which are processed in batches.
-constexpr double outputTokenWeight = 4;
+// The other waiting requests can't run yet and only look for their caller and their deadline.
+constexpr duration waitStep = std::chrono::milliseconds(100);
 
 // Bucket size of an organisation with a rate but without a burst.
 constexpr double defaultBurstSeconds = 10;
 
-double cost(const admit_input &input)
-{
-    return input.promptTokens + outputTokenWeight * input.maxOutputTokens;
-}
+constexpr double minWeight = 1e-6;
+constexpr double weightUnits = 1e6;
 
 double tokensOf(const admit_input &input)
 {
     return input.promptTokens + input.maxOutputTokens;
 }
 
-// The request waits for its own organisation or key, not for the group, so that others need not wait behind it.
-bool waitsForOwnLimit(const admit_input &input)
+double costOf(const admit_input &input)
 {
-    const auto &limits = input.limits;
-    return (limits.concurrentRequests > 0 && input.organisationInFlight >= limits.concurrentRequests)
-        || (input.keyLimit > 0 && input.keyInFlight >= input.keyLimit) || (limits.tokensPerSecond > 0 && input.bucketTokens < tokensOf(input));
+    return requestCost(input.promptTokens, input.maxOutputTokens);
 }
 
 }
 
 // Blocks until the request is admitted or refused. The decision and the counting happen under one lock, so that two requests never
-// take the same free place.
+// take the same free place. The caller's connection is looked at without the lock.
 admit_result admission_gate::enter(const admit_input &input, const arrival &who)
 {
-    std::unique_lock lock(m_mutex);
-    auto &organisation = m_organisations[input.organisation];
-    organisation.weight = std::max(input.weight, 1e-6);
-    const double startTag = std::max(m_virtualTime, organisation.lastFinishTag);
-    organisation.lastFinishTag = startTag + cost(input) / organisation.weight;
-    ++organisation.waiting;
-    const auto self = m_waiters.insert(m_waiters.end(), {.group = who.group, .startTag = startTag});
+    waiter self;
+    auto &group = join(input, who, self);
     admit_input seen;
     admit_result result{.verdict = admit_verdict::Wait};
-    while (true) {
+    while (result.verdict == admit_verdict::Wait) {
+        const bool gone = who.callerGone();
+        std::unique_lock lock(m_mutex);
         const instant now = who.now();
-        seen = fill(input, who, now);
-        if (who.callerGone()) {
+        const bool first = group.queue.first() == self.arrival;
+        if (gone) {
+            seen = fill(input, who, group, now);
             result = {.verdict = admit_verdict::Refuse, .reason = "caller left"};
-        } else if (isNext(self) || seen.remainingMs <= 0) {
+        } else if (first || now >= who.deadline) {
+            seen = fill(input, who, group, now);
             result = decideAdmission(seen);
-            self->passed = result.verdict == admit_verdict::Wait && waitsForOwnLimit(seen);
         }
         if (result.verdict != admit_verdict::Wait) {
-            break;
+            settle(input, group, self, result.verdict == admit_verdict::Admit);
+        } else if (first) {
+            self.changed.wait_for(lock, firstWaitStep);
+        } else {
+            self.changed.wait_for(lock, std::min<duration>(waitStep, who.deadline - now));
         }
-        m_changed.wait_for(lock, waitStep);
     }
-    m_waiters.erase(self);
-    --organisation.waiting;
-    if (result.verdict == admit_verdict::Admit) {
-        take(input, who.group, startTag);
-    } else {
-        organisation.lastFinishTag -= cost(input) / organisation.weight;
-    }
-    lock.unlock();
-    m_changed.notify_all();
     who.record(seen, result);
     return result;
 }
 
 void admission_gate::leave(const admit_input &input, const std::string &group)
 {
-    {
-        const std::lock_guard lock(m_mutex);
-        auto &organisation = m_organisations[input.organisation];
-        --organisation.inFlight;
-        organisation.tokensInFlight -= tokensOf(input);
-        --m_keysInFlight[input.keyId];
-        m_groups[group].tokensInFlight -= tokensOf(input);
-        --m_inFlight;
+    const std::lock_guard lock(m_mutex);
+    auto &organisation = m_organisations[input.organisation];
+    --organisation.inFlight;
+    organisation.tokensInFlight -= tokensOf(input);
+    countWeight(organisation);
+    if (const auto key = m_keysInFlight.find(input.keyId); key != m_keysInFlight.end() && --key->second <= 0) {
+        m_keysInFlight.erase(key);
     }
-    m_changed.notify_all();
+    auto &state = m_groups[group];
+    state.tokensInFlight -= tokensOf(input);
+    state.demandTokens -= costOf(input);
+    --m_inFlight;
+    if (--state.inFlight == 0) {
+        state.queue.endBusyPeriod();
+    }
+    wakeFirst(state);
 }
 
 int admission_gate::inFlight() const
@@ -103,11 +97,62 @@
 int admission_gate::waiting() const
 {
     const std::lock_guard lock(m_mutex);
-    return static_cast<int>(m_waiters.size());
+    return m_waiting;
+}
+
+std::vector<group_demand> admission_gate::demand() const
+{
+    std::vector<group_demand> list;
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[name, group] : m_groups) {
+        if (group.inFlight > 0 || group.queue.size() > 0) {
+            list.push_back({.group = name, .weightedTokens = group.demandTokens});
+        }
+    }
+    std::ranges::sort(list, {}, &group_demand::group);
+    return list;
+}
+
+// Counts the request as waiting. References to groups stay valid, since groups are never dropped.
+admission_gate::group_state &admission_gate::join(const admit_input &input, const arrival &who, waiter &self)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &organisation = m_organisations[input.organisation];
+    organisation.weight = std::max(input.weight, minWeight);
+    ++organisation.waiting;
+    countWeight(organisation);
+    auto &group = m_groups[who.group];
+    self.arrival = ++m_lastArrival;
+    group.waiters[self.arrival] = &self;
+    group.queue.add({.arrival = self.arrival, .organisation = input.organisation, .weight = input.weight, .costTokens = costOf(input), .late = input.late});
+    group.demandTokens += costOf(input);
+    ++m_waiting;
+    return group;
+}
+
+// Ends the waiting of a request and lets the next one of its group decide.
+void admission_gate::settle(const admit_input &input, group_state &group, const waiter &self, bool admitted)
+{
+    auto &organisation = m_organisations[input.organisation];
+    --organisation.waiting;
+    --m_waiting;
+    group.waiters.erase(self.arrival);
+    if (admitted) {
+        group.queue.serve(self.arrival);
+        take(input, group);
+    } else {
+        group.queue.remove(self.arrival);
+        group.demandTokens -= costOf(input);
+        if (group.inFlight == 0) {
+            group.queue.endBusyPeriod();
+        }
+    }
+    countWeight(organisation);
+    wakeFirst(group);
 }
 
 // Completes the decision's input with the counters as they are now.
-admit_input admission_gate::fill(const admit_input &input, const arrival &who, instant now)
+admit_input admission_gate::fill(const admit_input &input, const arrival &who, group_state &group, instant now)
 {
     admit_input seen = input;
     auto &organisation = m_organisations[input.organisation];
@@ -116,24 +161,22 @@
     organisation.bucketTokens = organisation.bucketKnown ? std::min(burst, organisation.bucketTokens + earned) : burst;
     organisation.bucketKnown = true;
     organisation.bucketAt = now;
+    const auto key = m_keysInFlight.find(input.keyId);
     seen.bucketTokens = organisation.bucketTokens;
     seen.organisationInFlight = organisation.inFlight;
     seen.organisationTokensInFlight = organisation.tokensInFlight;
-    seen.keyInFlight = m_keysInFlight[input.keyId];
-    seen.groupTokensInFlight = m_groups[who.group].tokensInFlight;
-    seen.groupTokenShare = groupLimit(who);
-    seen.waiting = static_cast<int>(m_waiters.size()) - 1;
+    seen.keyInFlight = key == m_keysInFlight.end() ? 0 : key->second;
+    seen.groupTokensInFlight = group.tokensInFlight;
+    seen.groupTokenShare = groupLimit(who, group);
+    seen.waiting = m_waiting - 1;
     seen.remainingMs = toMs(who.deadline - now);
-    for (const auto &[name, other] : m_organisations) {
-        seen.activeWeight += other.inFlight + other.waiting > 0 ? other.weight : 0;
-    }
+    seen.activeWeight = static_cast<double>(m_activeWeight) / weightUnits;
     return seen;
 }
 
 // Tokens that this daemon may have in flight at the group. Reports lag, so what was admitted since the last one counts against it.
-double admission_gate::groupLimit(const arrival &who)
+double admission_gate::groupLimit(const arrival &who, group_state &group)
 {
-    auto &group = m_groups[who.group];
     if (const double reported = who.freeGroupTokens(); reported != group.freeTokens) {
         group.freeTokens = reported;
         group.tokensAtReport = group.tokensInFlight;
@@ -141,26 +184,33 @@
     return group.freeTokens > 0 ? group.freeTokens + group.tokensAtReport : 0;
 }
 
-// A request is decided on when each one before it in virtual time waits for a limit of its own.
-bool admission_gate::isNext(waiter_list::const_iterator self) const
-{
-    return std::ranges::none_of(m_waiters, [&](const waiter &other) {
-        return !other.passed && other.group == self->group && other.startTag < self->startTag;
-    });
-}
-
-void admission_gate::take(const admit_input &input, const std::string &group, double startTag)
+void admission_gate::take(const admit_input &input, group_state &group)
 {
     auto &organisation = m_organisations[input.organisation];
-    m_virtualTime = std::max(m_virtualTime, startTag);
     ++organisation.inFlight;
-    organisation.tokensInFlight += input.promptTokens + input.maxOutputTokens;
+    organisation.tokensInFlight += tokensOf(input);
     if (input.limits.tokensPerSecond > 0) {
-        organisation.bucketTokens -= input.promptTokens + input.maxOutputTokens;
+        organisation.bucketTokens -= tokensOf(input);
     }
     ++m_keysInFlight[input.keyId];
-    m_groups[group].tokensInFlight += tokensOf(input);
+    group.tokensInFlight += tokensOf(input);
+    ++group.inFlight;
     ++m_inFlight;
 }
 
+void admission_gate::countWeight(organisation_state &organisation)
+{
+    const bool active = organisation.inFlight + organisation.waiting > 0;
+    const std::int64_t weight = active ? std::llround(organisation.weight * weightUnits) : 0;
+    m_activeWeight += weight - organisation.countedWeight;
+    organisation.countedWeight = weight;
+}
+
+void admission_gate::wakeFirst(const group_state &group)
+{
+    if (const auto first = group.queue.first()) {
+        group.waiters.at(*first)->changed.notify_one();
+    }
+}
+
 }
--- a/src/coordination/admission_gate.h
+++ b/src/coordination/admission_gate.h
@@ -1,20 +1,23 @@
 #pragma once
 
+#include "coordination/fair_queue.h"
+#include "coordination/peer_messages.h"
 #include "protocol/core_time.h"
 #include "protocol/decisions.h"
 
 #include <condition_variable>
 #include <functional>
-#include <list>
-#include <map>
 #include <mutex>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace lacewinglock
 {
 
 /// Admits requests under the limits of their organisations and keys and within the daemon's share of each group's capacity.
-/// Waiting requests are admitted in weighted fair order by virtual time.
+/// Waiting requests are admitted in the order of fair_queue. All counters are kept up to date by each change, so that an admission costs
+/// the same whatever the number of organisations and waiting requests.
 class admission_gate
 {
 public:
@@ -37,6 +40,9 @@
     int inFlight() const;
     int waiting() const;
 
+    /// Weighted tokens waiting and running per group, for the heartbeats. Groups without any are left out.
+    std::vector<group_demand> demand() const;
+
 private:
     struct organisation_state
     {
@@ -47,37 +53,41 @@
         int waiting = 0;
         double weight = 1;
         double tokensInFlight = 0;
-        double lastFinishTag = 0;
+        std::int64_t countedWeight = 0; ///< What m_activeWeight contains of it.
+    };
+
+    struct waiter
+    {
+        std::uint64_t arrival = 0;
+        std::condition_variable changed; ///< Signalled when the request became the first of its group or may now run.
     };
 
     struct group_state
     {
+        fair_queue queue;
+        std::unordered_map<std::uint64_t, waiter *> waiters; ///< By arrival.
         double tokensInFlight = 0;
+        int inFlight = 0;
         double freeTokens = 0; ///< As last reported.
         double tokensAtReport = 0; ///< In flight here when that report was first seen; only later admissions use up the free tokens.
+        double demandTokens = 0; ///< Weighted tokens waiting and running.
     };
 
-    struct waiter
-    {
-        std::string group;
-        double startTag = 0;
-        bool passed = false; ///< Its last decision was to wait for a limit of its own, so that others may go first.
-    };
-
-    using waiter_list = std::list<waiter>;
-
-    admit_input fill(const admit_input &input, const arrival &who, instant now);
-    bool isNext(waiter_list::const_iterator self) const;
-    double groupLimit(const arrival &who);
-    void take(const admit_input &input, const std::string &group, double startTag);
+    group_state &join(const admit_input &input, const arrival &who, waiter &self);
+    void settle(const admit_input &input, group_state &group, const waiter &self, bool admitted);
+    admit_input fill(const admit_input &input, const arrival &who, group_state &group, instant now);
+    static double groupLimit(const arrival &who, group_state &group);
+    void take(const admit_input &input, group_state &group);
+    void countWeight(organisation_state &organisation);
+    static void wakeFirst(const group_state &group);
 
     mutable std::mutex m_mutex;
-    std::condition_variable m_changed;
-    std::map<std::string, organisation_state> m_organisations;
-    std::map<std::string, int> m_keysInFlight;
-    std::map<std::string, group_state> m_groups;
-    waiter_list m_waiters;
-    double m_virtualTime = 0;
+    std::unordered_map<std::string, organisation_state> m_organisations;
+    std::unordered_map<std::string, int> m_keysInFlight;
+    std::unordered_map<std::string, group_state> m_groups;
+    std::uint64_t m_lastArrival = 0;
+    std::int64_t m_activeWeight = 0; ///< Sum over organisations with work waiting or running, in millionths: whole numbers don't drift.
+    int m_waiting = 0;
     int m_inFlight = 0;
 };
 
--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -29,7 +29,6 @@
 struct front_state
 {
     serving_context &context;
-    admission_gate gate;
     endpoint_client client;
     commit_batcher commits{context.store};
 };
@@ -44,7 +43,7 @@
         , id(routed.session.requestId)
         , model(routed.session.kind == route_kind::Model ? routed.fields.value("model", std::string()) : std::string())
         , chat(routed.chat)
-        , runner(front->context, front->gate, front->client, front->commits, std::move(routed), [this] {
+        , runner(front->context, *front->context.gate, front->client, front->commits, std::move(routed), [this] {
             return connection.gone();
         })
     {
--- /dev/null
+++ b/src/coordination/microbench.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <ostream>
+
+namespace lacewinglock
+{
+
+/// Prints the time of one admission (enter and leave) at several numbers of organisations and waiting requests.
+void benchAdmission(std::ostream &out);
+
+}
--- a/src/coordination/serving_context.h
+++ b/src/coordination/serving_context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/admission_gate.h"
 #include "coordination/decision_log.h"
 #include "protocol/control.h"
 #include "protocol/core_time.h"
@@ -38,6 +39,7 @@
     std::function<std::vector<instance_info>()> instances; ///< Live daemons of the cell, for GET /v1/addresses.
     std::function<double(const std::string &group)> demandShare; ///< This daemon's share of a group's capacity, 0 to 1.
     std::shared_ptr<std::atomic<int>> callerRequests = std::make_shared<std::atomic<int>>(0); ///< Requests of callers that are not yet answered.
+    std::shared_ptr<admission_gate> gate = std::make_shared<admission_gate>();
     metrics *measured = nullptr; ///< Null when nothing is measured.
 };
 
