--- a/src/coordination/microbench.cpp
+++ b/src/coordination/microbench.cpp
@@ -1,12 +1,14 @@
 #include "coordination/microbench.h"
 
 #include "coordination/admission_gate.h"
+#include "coordination/routing.h"
 
 #include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <ctime>
 #include <iomanip>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -20,6 +22,8 @@
 using wall_clock = std::chrono::steady_clock;
 
 constexpr int admissionRounds = 3000;
+constexpr int routingRounds = 2000;
+constexpr int routingDomains = 4;
 
 // A processor's time matters as well as the wall time, since waking threads is paid for on other processors.
 double processorUs()
@@ -75,6 +79,26 @@
     return {.organisation = "organisation-" + name, .keyId = "key-" + name, .promptTokens = 100, .maxOutputTokens = 100, .remainingMs = 60000};
 }
 
+// Endpoints in different states of load, a few of them not usable.
+route_input routeInput(int endpoints)
+{
+    std::mt19937_64 generator(1); // Fixed, so that all runs decide on the same input.
+    route_input input{
+        .requestId = "request", .group = "group", .organisation = "organisation", .promptTokens = 2000, .maxOutputTokens = 300, .remainingMs = 60000};
+    for (int index = 0; index < endpoints; ++index) {
+        input.endpoints.push_back({.id = "endpoint-" + std::to_string(index),
+                                   .failureDomain = "domain-" + std::to_string(index % routingDomains),
+                                   .reclaimable = index % 3 == 0,
+                                   .leaving = index % 50 == 49,
+                                   .reportAgeMs = static_cast<double>(generator() % 1000),
+                                   .queuedPromptTokens = static_cast<double>(generator() % 8000),
+                                   .runningStreams = static_cast<int>(generator() % 30),
+                                   .freeKvTokens = 100000,
+                                   .cachedPromptTokens = static_cast<double>(generator() % 2000)});
+    }
+    return input;
+}
+
 /// A gate that has seen many organisations and at which requests wait for a full group, while another group has room.
 class loaded_gate
 {
@@ -153,4 +177,20 @@
     }
 }
 
+void benchRouting(std::ostream &out)
+{
+    out << "route decision                                mean us      p99 us      cpu us\n";
+    for (const int endpoints : {13, 200, 2000}) {
+        route_input input = routeInput(endpoints);
+        std::size_t chosen = 0;
+        const auto figures = measure(routingRounds, [&](int round) {
+            input.seed = static_cast<std::uint64_t>(round);
+            chosen += decideRoute(input).endpoint.empty() ? 0 : 1;
+        });
+        print(out, std::to_string(endpoints) + " endpoints", figures);
+        out << "    " << std::setprecision(0) << 1e6 / figures.meanUs << " decisions a second on one core, " << chosen << " of " << routingRounds
+            << " found an endpoint\n";
+    }
+}
+
 }
