Bound hostile input, reserve suspects' endpoints, pass on service headers, delete old claims

Cause: slow or oversized headers held caller threads without limit; a suspect's idle endpoint could get other work; services' headers were lost; claim rows stayed for ever. Change: caller_server and caller_stream bound header and body time and size, also over TLS; noteSent reserves the endpoint of a suspect; passed_headers filters both directions; claim_cleaner deletes completed claims after 24 h at a bounded rate.

--- a/src/coordination/caller_request.cpp
+++ b/src/coordination/caller_request.cpp
@@ -1,8 +1,9 @@
 #include "coordination/caller_request.h"
 
+#include "coordination/passed_headers.h"
+#include "protocol/api_keys.h"
 #include "protocol/tunables.h"
 
-#include <absl/strings/ascii.h>
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -28,22 +29,6 @@
 constexpr double retryAfterNotFreshMs = 1000;
 constexpr int maxJsonDepth = 32; // Copying and printing JSON is recursive, so deep nesting would exhaust the stack.
 
-bool hasControlCharacter(std::string_view text)
-{
-    return std::ranges::any_of(text, [](char c) {
-        const auto byte = static_cast<unsigned char>(c);
-        return (byte < 0x20 && c != '\t') || byte == 0x7f;
-    });
-}
-
-std::string lower(std::string text)
-{
-    std::ranges::transform(text, text.begin(), [](unsigned char c) {
-        return static_cast<char>(std::tolower(c));
-    });
-    return text;
-}
-
 // Names under which callers send keys by mistake.
 bool isKeyName(const std::string &name)
 {
@@ -84,11 +69,15 @@
             return makeRefusal(400, "bad_header", "a header contains control characters");
         }
     }
-    for (const char *single : {"Authorization", "Idempotency-Key", "X-Deadline-Ms", "Host"}) {
+    for (const char *single : {"Authorization", "Idempotency-Key", "X-Deadline-Ms", "Host", "Content-Length"}) {
         if (request.get_header_value_count(single) > 1) {
             return makeRefusal(400, "repeated_header", std::string(single) + " may appear only once");
         }
     }
+    // Two statements of the body's length invite a reading in which a part of the body is another request.
+    if (request.has_header("Content-Length") && request.has_header("Transfer-Encoding")) {
+        return makeRefusal(400, "bad_header", "Content-Length and Transfer-Encoding exclude each other");
+    }
     const auto key = request.get_header_value("Idempotency-Key");
     if (key.size() > maxIdempotencyKeyBytes || (request.has_header("Idempotency-Key") && key.empty())) {
         return makeRefusal(400, "bad_idempotency_key", "Idempotency-Key must have 1 to 255 characters");
@@ -96,25 +85,21 @@
     return std::nullopt;
 }
 
-// The key may be in the Authorization header only, so that it never reaches an endpoint or a log of addresses.
-std::optional<refuse_effect> checkKeyPlace(const httplib::Request &request, std::string_view key)
+// The key may be in the Authorization header only, so that it never reaches an endpoint or a log of addresses. `key` is the one that
+// came there; other keys are known by their form.
+std::optional<refuse_effect> checkKeyPlace(const httplib::Request &request, std::string_view key, const configuration &config)
 {
-    const auto misplaced = makeRefusal(400, "key_in_wrong_place", "send the key in the Authorization header only");
-    for (const auto &[name, value] : request.params) {
-        if (isKeyName(name) || (!key.empty() && value.find(key) != std::string::npos)) {
-            return misplaced;
-        }
-    }
-    if (key.empty()) {
-        return std::nullopt;
-    }
-    if (request.body.find(key) != std::string::npos || request.target.find(key) != std::string::npos) {
-        return misplaced;
-    }
-    for (const auto &[name, value] : request.headers) {
-        if (lower(name) != "authorization" && value.find(key) != std::string::npos) {
-            return misplaced;
-        }
+    const auto carriesKey = [&](std::string_view text) {
+        return (!key.empty() && text.find(key) != std::string_view::npos) || mentionsKey(config, text);
+    };
+    const bool inQuery = std::ranges::any_of(request.params, [&](const auto &item) {
+        return isKeyName(item.first) || carriesKey(item.second);
+    });
+    const bool inHeader = std::ranges::any_of(request.headers, [&](const auto &item) {
+        return lower(item.first) != "authorization" && carriesKey(item.second);
+    });
+    if (inQuery || inHeader || carriesKey(request.target) || carriesKey(request.path) || carriesKey(request.body)) {
+        return makeRefusal(400, "key_in_wrong_place", "send the key in the Authorization header only");
     }
     return std::nullopt;
 }
@@ -312,36 +297,6 @@
         || closed.find("/./") != std::string::npos || closed.find("/../") != std::string::npos;
 }
 
-// Headers that end at this hop, carry keys, or are set by the daemon itself.
-bool isForwarded(const std::string &name, const std::set<std::string, std::less<>> &namedByConnection)
-{
-    static const std::set<std::string, std::less<>> stopped = {
-        "connection", "keep-alive",     "proxy-connection", "te",           "trailer",     "transfer-encoding", "upgrade",    "host",
-        "expect",     "content-length", "accept-encoding",  "x-attempt-id", "remote_addr", "remote_port",       "local_addr", "local_port",
-        "cookie",     "x-deadline-ms",  "idempotency-key",
-    };
-    constexpr std::array<std::string_view, 7> keyParts = {"auth", "api-key", "apikey", "api_key", "token", "secret", "credential"};
-    return !stopped.contains(name) && !namedByConnection.contains(name) && std::ranges::none_of(keyParts, [&](std::string_view part) {
-        return name.find(part) != std::string::npos;
-    });
-}
-
-httplib::Headers forwardedHeaders(const httplib::Request &request)
-{
-    std::set<std::string, std::less<>> namedByConnection;
-    std::istringstream names(lower(request.get_header_value("Connection")));
-    for (std::string name; std::getline(names, name, ',');) {
-        namedByConnection.insert(std::string(absl::StripAsciiWhitespace(name)));
-    }
-    httplib::Headers kept;
-    for (const auto &[name, value] : request.headers) {
-        if (isForwarded(lower(name), namedByConnection)) {
-            kept.emplace(name, value);
-        }
-    }
-    return kept;
-}
-
 }
 
 std::string makeRequestId()
@@ -366,7 +321,7 @@
     const auto header = request.get_header_value("Authorization");
     const bool bearer = lower(header.substr(0, scheme.size())) == scheme && header.size() > scheme.size();
     const std::string_view key = bearer ? std::string_view(header).substr(scheme.size()) : std::string_view();
-    if (const auto refused = checkKeyPlace(request, key)) {
+    if (const auto refused = checkKeyPlace(request, key, config)) {
         return *refused;
     }
     if (header.empty()) {
@@ -427,7 +382,7 @@
     }
     routed.method = request.method;
     routed.path = request.target;
-    routed.headers = forwardedHeaders(request);
+    routed.headers = passedToEndpoint(request.headers);
     routed.body = request.body;
     return routed;
 }
--- a/src/coordination/endpoint_client.cpp
+++ b/src/coordination/endpoint_client.cpp
@@ -1,5 +1,6 @@
 #include "coordination/endpoint_client.h"
 
+#include "coordination/passed_headers.h"
 #include "protocol/tunables.h"
 
 #include <algorithm>
@@ -309,7 +310,10 @@
         }
         emit(service_answer_event{
             .attemptId = call.attemptId,
-            .answer = {.status = status, .contentType = done.response.get_header_value("Content-Type"), .body = std::move(body)},
+            .answer = {.status = status,
+                       .contentType = done.response.get_header_value("Content-Type"),
+                       .body = std::move(body),
+                       .headers = passedToCaller(done.response.headers)},
         });
     }
 }
@@ -335,6 +339,7 @@
         link->set_keep_alive(!call.freshConnection);
         link->set_tcp_nodelay(true);
         link->set_connection_timeout(connectTimeout);
+        link->set_decompress(false); // An encoded answer is passed on as it is, with its Content-Encoding.
     }
     const duration patience = std::clamp<duration>(call.timeLeft, minReadTimeout, tunables::attemptIdleTimeout);
     link->set_read_timeout(patience);
--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -263,6 +263,9 @@
         answerRefusal(response, *refused);
     } else if (const auto *delivered = std::get_if<deliver_answer_effect>(&output)) {
         response.status = delivered->answer.status;
+        for (const auto &[name, value] : delivered->answer.headers) {
+            response.headers.emplace(name, value);
+        }
         response.set_content(delivered->answer.body, delivered->answer.contentType.empty() ? "application/octet-stream" : delivered->answer.contentType);
     }
 }
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -7,6 +7,7 @@
 #include "protocol/tunables.h"
 #include "state/process_gauges.h"
 #include "state/rendezvous.h"
+#include "transport/caller_server.h"
 
 #include <algorithm>
 #include <glog/logging.h>
@@ -122,6 +123,7 @@
     addMachine("provision", m_provisionKeeper, &provisionLease);
     addMachine("usage", m_usageKeeper, &usageLease);
     addMachine("usage batches", m_usageBatcher);
+    addMachine("claims", m_claimCleaner);
     m_machines.push_back({.name = "configuration", .handle = [this](const auto &event, instant now, auto &out) {
                               const std::lock_guard lock(m_followerMutex);
                               m_follower.handle(event, now, out);
@@ -207,9 +209,9 @@
 {
     const auto &tls = m_settings.tls;
     if (tls.certificateFile.empty()) {
-        m_server = std::make_unique<httplib::Server>();
+        m_server = std::make_unique<caller_server>();
     } else {
-        m_server = std::make_unique<httplib::SSLServer>(tls.certificateFile.c_str(), tls.keyFile.c_str());
+        m_server = std::make_unique<caller_server>(tls.certificateFile, tls.keyFile);
     }
     if (!m_server->is_valid()) {
         return makeError(absl::StatusCode::kInvalidArgument, "open caller interface", "local", "certificate or key can't be used");
@@ -283,6 +285,7 @@
             [this](const std::string &group) {
                 return demandShare(group);
             },
+        .claims = &m_claimCleaner,
         .measured = &m_metrics,
     };
 }
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/claim_cleaner.h"
 #include "coordination/config_editor.h"
 #include "coordination/config_follower.h"
 #include "coordination/decision_log.h"
@@ -153,6 +154,7 @@
     fleet_control m_fleetControl;
     usage_keeper m_usageKeeper;
     usage_batcher m_usageBatcher;
+    claim_cleaner m_claimCleaner;
     std::vector<std::unique_ptr<lease_keeper>> m_leases;
     std::vector<machine> m_machines;
     std::vector<instance_info> m_listed;
--- a/src/coordination/node_control.cpp
+++ b/src/coordination/node_control.cpp
@@ -169,6 +169,7 @@
     for (auto &lease : m_leases) {
         lease->setRank(rendezvousRank(lease->duty(), m_settings.instanceId, members));
     }
+    m_claimCleaner.setDaemons(members.size());
     applyFleet();
     m_poller->poll(m_config.current()->parsed, m_fleet, members);
     passReports(now);
--- a/src/coordination/request_session.cpp
+++ b/src/coordination/request_session.cpp
@@ -26,6 +26,18 @@
     return failure == attempt_failure::NotSent || failure == attempt_failure::Refused;
 }
 
+// Rows written before headers were stored have none.
+std::vector<std::pair<std::string, std::string>> storedHeaders(const nlohmann::json &content)
+{
+    std::vector<std::pair<std::string, std::string>> headers;
+    for (const auto &item : content.value("headers", nlohmann::json::array())) {
+        if (item.is_array() && item.size() == 2 && item[0].is_string() && item[1].is_string()) {
+            headers.emplace_back(item[0].get<std::string>(), item[1].get<std::string>());
+        }
+    }
+    return headers;
+}
+
 std::string_view stringField(const nlohmann::json &object, const char *name)
 {
     const auto found = object.find(name);
@@ -199,6 +211,16 @@
     }
 }
 
+// Chooses again. The endpoint is not excluded: the next view shows whether it is still taken.
+void request_session::on(const attempt_not_started_event &event, instant, effects &out)
+{
+    if (isCurrent(event.attemptId)) {
+        --m_started;
+        m_attemptId.clear();
+        requestView(out);
+    }
+}
+
 // Cancels the work of a caller that has gone. A claimed request that is already running goes on, so that its outcome is stored and
 // the caller's retry with the same key gets it.
 void request_session::on(const caller_gone_event &, instant, effects &out)
@@ -344,6 +366,7 @@
         value["status"] = m_outcome->status;
         value["content_type"] = m_outcome->contentType;
         value["body"] = m_outcome->body;
+        value["headers"] = m_outcome->headers;
     }
     return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
@@ -396,9 +419,11 @@
     }
     const auto status = content.find("status");
     if (stringField(content, "state") == "done" && status != content.end() && status->is_number_integer()) {
-        replayOutcome(
-            {.status = status->get<int>(), .contentType = std::string(stringField(content, "content_type")), .body = std::string(stringField(content, "body"))},
-            out);
+        replayOutcome({.status = status->get<int>(),
+                       .contentType = std::string(stringField(content, "content_type")),
+                       .body = std::string(stringField(content, "body")),
+                       .headers = storedHeaders(content)},
+                      out);
         return;
     }
     m_foreignClaim = true;
@@ -426,7 +451,8 @@
     m_attemptId = m_request.requestId + "-" + std::to_string(m_started);
     m_resumedAt = m_delivered;
     m_phase = phase::Running;
-    out.emplace_back(start_attempt_effect{.attemptId = m_attemptId, .endpoint = m_endpoint, .resumeFrom = m_delivered, .deadline = m_request.deadline});
+    out.emplace_back(
+        start_attempt_effect{.attemptId = m_attemptId, .endpoint = m_endpoint, .resumeFrom = m_delivered, .deadline = m_request.deadline, .alone = m_suspect});
 }
 
 bool request_session::isCurrent(const std::string &attemptId) const
@@ -583,6 +609,9 @@
 void request_session::releaseFinal(effects &out)
 {
     m_phase = phase::Done;
+    if (m_claimHeld) {
+        out.emplace_back(claim_ended_effect{.key = claimKey(), .nonce = m_nonce});
+    }
     out.push_back(m_callerGone ? session_effect(abandon_effect{}) : std::move(*m_final));
 }
 
--- a/src/coordination/request_session.h
+++ b/src/coordination/request_session.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -88,6 +89,7 @@
     int status = 0;
     std::string contentType;
     std::string body;
+    std::vector<std::pair<std::string, std::string>> headers; ///< End-to-end ones beside the content type.
 
     bool operator==(const service_answer &) const = default;
 };
@@ -114,6 +116,12 @@
     std::string detail;
 };
 
+/// The endpoint was taken between the choice and the sending: nothing was sent.
+struct attempt_not_started_event
+{
+    std::string attemptId;
+};
+
 struct caller_gone_event
 {
 };
@@ -134,6 +142,7 @@
                                    stream_finished_event,
                                    service_answer_event,
                                    attempt_failed_event,
+                                   attempt_not_started_event,
                                    caller_gone_event,
                                    usage_kept_event>;
 
@@ -157,6 +166,7 @@
     std::string endpoint;
     std::uint64_t resumeFrom = 0;
     instant deadline;
+    bool alone = false; ///< The request is suspect: the endpoint is reserved for it until the attempt ends.
 };
 
 struct cancel_attempt_effect
@@ -212,6 +222,13 @@
 {
 };
 
+/// The session is over and held a claim; the row may be deleted after tunables::claimKeepTime if it is completed.
+struct claim_ended_effect
+{
+    std::string key;
+    std::string nonce;
+};
+
 struct record_decision_effect
 {
     decision_record record;
@@ -231,6 +248,7 @@
                                     keep_usage_effect,
                                     note_crash_effect,
                                     clear_suspect_effect,
+                                    claim_ended_effect,
                                     record_decision_effect>;
 
 /// State machine of one caller request, from routing to the last byte. It does no I/O and reads no clock.
@@ -270,6 +288,7 @@
     void on(const stream_finished_event &event, instant now, effects &out);
     void on(const service_answer_event &event, instant now, effects &out);
     void on(const attempt_failed_event &event, instant now, effects &out);
+    void on(const attempt_not_started_event &event, instant now, effects &out);
     void on(const caller_gone_event &event, instant now, effects &out);
     void on(const usage_kept_event &event, instant now, effects &out);
 
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -37,6 +37,9 @@
     if (!view.reachable) {
         return "unreachable";
     }
+    if (view.reserved) {
+        return "reserved for a suspect request";
+    }
     if (view.changingRole) {
         return "changing role";
     }
--- a/src/coordination/serving_context.h
+++ b/src/coordination/serving_context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/admission_gate.h"
+#include "coordination/claim_cleaner.h"
 #include "coordination/decision_log.h"
 #include "protocol/control.h"
 #include "protocol/core_time.h"
@@ -42,6 +43,7 @@
     std::shared_ptr<demand_meter> demand = std::make_shared<demand_meter>();
     std::shared_ptr<std::atomic<int>> callerRequests = std::make_shared<std::atomic<int>>(0); ///< Requests of callers that are not yet answered.
     std::shared_ptr<admission_gate> gate = std::make_shared<admission_gate>();
+    claim_cleaner *claims = nullptr; ///< Null when claim rows are never deleted.
     metrics *measured = nullptr; ///< Null when nothing is measured.
 };
 
--- a/src/coordination/session_runner.cpp
+++ b/src/coordination/session_runner.cpp
@@ -215,7 +215,10 @@
 void session_runner::perform(const start_attempt_effect &effect)
 {
     const endpoint_call call = makeCall(effect);
-    m_context.endpoints.noteSent(effect.endpoint, m_request.session.promptTokens, m_context.now());
+    if (!m_context.endpoints.noteSent(effect.endpoint, m_request.session.promptTokens, m_context.now(), effect.alone)) {
+        push(attempt_not_started_event{.attemptId = effect.attemptId});
+        return;
+    }
     auto &started = m_attempts.emplace_back();
     started.id = effect.attemptId;
     started.thread = std::thread([this, &started, call, endpointId = effect.endpoint] {
@@ -286,6 +289,13 @@
     m_context.suspects.clear(m_request.session.fingerprint);
 }
 
+void session_runner::perform(const claim_ended_effect &effect)
+{
+    if (m_context.claims != nullptr) {
+        m_context.claims->noteEnded(effect.key, effect.nonce, m_context.now());
+    }
+}
+
 void session_runner::perform(const record_decision_effect &effect)
 {
     m_context.decisions.write(effect.record);
--- a/src/coordination/session_runner.h
+++ b/src/coordination/session_runner.h
@@ -79,6 +79,7 @@
     void perform(const keep_usage_effect &effect);
     void perform(const note_crash_effect &effect);
     void perform(const clear_suspect_effect &effect);
+    void perform(const claim_ended_effect &effect);
     void perform(const record_decision_effect &effect);
     template <typename Output>
     void perform(const Output &effect);
--- a/src/protocol/api_keys.cpp
+++ b/src/protocol/api_keys.cpp
@@ -67,6 +67,22 @@
     return result;
 }
 
+bool mentionsKey(const configuration &config, std::string_view text)
+{
+    constexpr std::size_t maxIdBytes = 128; // Bounds the work per occurrence; longer text is no identifier.
+    constexpr std::string_view keyCharacters = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789_-.";
+    for (auto at = text.find(keyPrefix); at != std::string_view::npos; at = text.find(keyPrefix, at + keyPrefix.size())) {
+        auto word = text.substr(at + keyPrefix.size(), maxIdBytes);
+        word = word.substr(0, word.find_first_not_of(keyCharacters));
+        for (const auto separator : {word.find('_'), word.rfind('_')}) {
+            if (separator < word.size() && config.keys.contains(std::string(word.substr(0, separator)))) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 std::optional<key_match> findKey(const configuration &config, std::string_view presentedKey)
 {
     // An unknown identifier is hashed and compared too, so that timing does not tell which identifiers exist.
--- a/src/protocol/api_keys.h
+++ b/src/protocol/api_keys.h
@@ -18,6 +18,9 @@
 /// Makes a key with a random secret. Its text is lw_ID_SECRET: the identifier is public and finds the entry without trying every key.
 created_key createKey(std::string_view keyId, std::string_view organisation);
 
+/// The text carries something that begins like a key of the configuration, whether its secret is right or not.
+bool mentionsKey(const configuration &config, std::string_view text);
+
 /// SHA-256 in lower-case hex.
 std::string sha256Hex(std::string_view text);
 
--- a/src/protocol/decisions.h
+++ b/src/protocol/decisions.h
@@ -20,6 +20,7 @@
     bool reclaimable = false;
     bool leaving = false;
     bool reachable = true;
+    bool reserved = false; ///< Another request of this daemon that may crash it runs there alone.
     bool changingRole = false;
     double reportAgeMs = 0;
     double queuedPromptTokens = 0; ///< As reported.
--- a/src/protocol/tunables.h
+++ b/src/protocol/tunables.h
@@ -52,6 +52,9 @@
 constexpr auto claimBatchDelay = 10ms;
 constexpr auto noEndpointWait = 2s; // A request that has not started waits this long for an endpoint; a started or suspect one until its deadline.
 constexpr auto routeValidity = 100ms; // An older choice of an endpoint is made again before sending.
+constexpr auto claimKeepTime = 24h; // Callers may retry a completed request with its idempotency key for so long.
+constexpr auto claimDeleteInterval = 500ms; // Least time between two deletes of one daemon.
+constexpr int claimDeletesPerSecond = 20; // Of all daemons of a cell, a few percent of the store's several hundred writes.
 constexpr int maxClaimTries = 3; // Commits of a claim row whose effect is in doubt, and writes of its outcome.
 
 // Fleet.
--- a/src/state/endpoint_table.cpp
+++ b/src/state/endpoint_table.cpp
@@ -143,6 +143,7 @@
                 .reclaimable = known.settings.reclaimable,
                 .leaving = known.leaving,
                 .reachable = known.reachable,
+                .reserved = known.reserved,
                 .changingRole = known.report.changingRole || now < known.drainingUntil,
                 .reportAgeMs = toMs(now - known.reportTakenAt),
                 .queuedPromptTokens = known.report.queuedPromptTokens,
@@ -169,14 +170,22 @@
     return views;
 }
 
-void endpoint_table::noteSent(std::string_view endpointId, double promptTokens, instant now)
+bool endpoint_table::noteSent(std::string_view endpointId, double promptTokens, instant now, bool alone)
 {
     auto &part = shardOf(endpointId);
     const std::lock_guard lock(part.mutex);
-    if (const auto found = part.entries.find(std::string(endpointId)); found != part.entries.end()) {
-        ++found->second.inFlight;
-        found->second.sentSince.emplace_back(now, promptTokens);
+    const auto found = part.entries.find(std::string(endpointId));
+    if (found == part.entries.end()) {
+        return true;
+    }
+    auto &known = found->second;
+    if (known.reserved || (alone && known.inFlight > 0)) {
+        return false;
     }
+    ++known.inFlight;
+    known.reserved = alone;
+    known.sentSince.emplace_back(now, promptTokens);
+    return true;
 }
 
 void endpoint_table::noteFinished(std::string_view endpointId,
@@ -193,6 +202,7 @@
     }
     auto &known = found->second;
     known.inFlight = std::max(0, known.inFlight - 1);
+    known.reserved = known.reserved && known.inFlight > 0;
     if (known.settings.group.empty() || promptTokens <= 0 || now < known.reportTakenAt) {
         return;
     }
--- a/src/state/endpoint_table.h
+++ b/src/state/endpoint_table.h
@@ -40,8 +40,9 @@
     /// Endpoints of a group with the cache estimate for a prompt given as block hashes.
     std::vector<endpoint_view> viewGroup(std::string_view group, std::span<const std::uint64_t> promptBlocks, instant now) const;
 
-    /// A request was sent to an endpoint; `noteFinished` must follow once.
-    void noteSent(std::string_view endpointId, double promptTokens, instant now);
+    /// Counts a request that is about to be sent to an endpoint; `noteFinished` must follow once. `alone` reserves the endpoint until then,
+    /// for a request that may crash it. Returns false, and counts nothing, when the endpoint is reserved or `alone` finds it busy.
+    bool noteSent(std::string_view endpointId, double promptTokens, instant now, bool alone = false);
     /// `cachedTokens` is what the answer reported, negative when it reported nothing.
     void noteFinished(std::string_view endpointId, std::span<const std::uint64_t> promptBlocks, double promptTokens, double cachedTokens, instant now);
 
@@ -60,6 +61,7 @@
         instant drainingUntil;
         bool reachable = true;
         int inFlight = 0;
+        bool reserved = false; ///< The only request in flight must run alone.
         std::vector<std::pair<instant, double>> sentSince;
         std::unordered_map<std::uint64_t, double> cachedBlocks; ///< Block hash to weight, 0 to 1.
     };
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -1,253 +1,11 @@
-#include "coordination/front.h"
-
 #include "coordination/address_planner.h"
-#include "protocol/api_keys.h"
+#include "front_fixture.h"
 #include "protocol/decision_codec.h"
 #include "protocol/tunables.h"
 
-#include <arpa/inet.h>
-#include <atomic>
-#include <chrono>
-#include <gtest/gtest.h>
-#include <httplib.h>
-#include <netinet/in.h>
-#include <nlohmann/json.hpp>
-#include <sys/socket.h>
-#include <thread>
-#include <unistd.h>
-
 namespace lacewinglock
 {
 
-namespace
-{
-
-using namespace std::chrono_literals;
-
-instant monotonicNow()
-{
-    return instant(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
-}
-
-/// A server on a port chosen by the system.
-struct loopback_server
-{
-    httplib::Server server;
-    int port = 0;
-    std::thread thread;
-
-    void start()
-    {
-        port = server.bind_to_any_port("127.0.0.1");
-        thread = std::thread([this] {
-            server.listen_after_bind();
-        });
-        while (!server.is_running()) {
-            std::this_thread::yield();
-        }
-    }
-    ~loopback_server()
-    {
-        server.stop();
-        thread.join();
-    }
-};
-
-/// Holds a port without listening, so that connecting to it is refused and no other process is given it.
-class refusing_port
-{
-public:
-    explicit refusing_port(int port)
-        : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
-    {
-        const int on = 1;
-        ::setsockopt(m_socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-        sockaddr_in address{.sin_family = AF_INET, .sin_port = htons(static_cast<std::uint16_t>(port)), .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)}};
-        m_held = ::bind(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
-    }
-    ~refusing_port()
-    {
-        ::close(m_socket);
-    }
-    refusing_port(const refusing_port &) = delete;
-    refusing_port &operator=(const refusing_port &) = delete;
-
-    bool held() const
-    {
-        return m_held;
-    }
-
-private:
-    int m_socket;
-    bool m_held = false;
-};
-
-/// An engine that answers `total` tokens "t0 t1 ..." and can break in the ways the tests ask for.
-struct fake_engine
-{
-    static constexpr std::uint64_t total = 6;
-    std::atomic<int> breakAfter = -1; ///< Breaks off once before this token.
-    std::atomic<int> tokenDelayMs = 0;
-    std::atomic<int> calls = 0;
-    std::atomic<int> cut = 0; ///< Streams whose receiver went away.
-    std::atomic<bool> wrongId = false;
-    std::atomic<bool> sawKey = false;
-    loopback_server http;
-
-    fake_engine()
-    {
-        http.server.Post("/v1/completions", [this](const httplib::Request &request, httplib::Response &response) {
-            serve(request, response);
-        });
-        http.server.Post("/bookings", [this](const httplib::Request &request, httplib::Response &response) {
-            ++calls;
-            sawKey = sawKey || request.has_header("Authorization") || request.has_header("X-Api-Key");
-            response.set_header("X-Attempt-Id", request.get_header_value("X-Attempt-Id"));
-            response.status = 201;
-            response.set_content("booked " + std::to_string(calls), "text/plain");
-        });
-        http.start();
-    }
-
-    void serve(const httplib::Request &request, httplib::Response &response)
-    {
-        ++calls;
-        const auto id = request.get_header_value("X-Attempt-Id");
-        const auto from = nlohmann::json::parse(request.body)["resume_from"].get<std::uint64_t>();
-        response.set_header("X-Attempt-Id", wrongId.exchange(false) ? "other" : id);
-        response.set_chunked_content_provider("text/event-stream", [this, id, index = from](std::size_t, httplib::DataSink &sink) mutable {
-            std::this_thread::sleep_for(std::chrono::milliseconds(tokenDelayMs));
-            if (static_cast<int>(index) == breakAfter) {
-                breakAfter = -1;
-                return false;
-            }
-            nlohmann::json choice = {{"text", "t" + std::to_string(index) + " "}};
-            nlohmann::json chunk = {{"id", id}, {"index", index}};
-            if (++index == total) {
-                choice["finish_reason"] = "stop";
-                chunk["usage"] = {{"prompt_tokens", 3}, {"completion_tokens", total}, {"cached_tokens", 1}};
-            }
-            chunk["choices"] = nlohmann::json::array({choice});
-            const std::string text = "data: " + chunk.dump() + "\n\n" + (index == total ? "data: [DONE]\n\n" : "");
-            const bool written = sink.write(text.data(), text.size());
-            cut += written ? 0 : 1;
-            if (index == total) {
-                sink.done();
-            }
-            return written;
-        });
-    }
-};
-
-/// One daemon's caller side in front of two fake engines.
-struct daemon
-{
-    fake_engine engines[2];
-    config_holder config;
-    endpoint_table endpoints;
-    suspect_table suspects;
-    usage_ledger usage;
-    table_store store{std::make_shared<memory_table>()};
-    decision_ring recent{1U << 20U};
-    decision_log decisions{"/dev/null", &recent};
-    std::atomic<bool> fresh = true;
-    metrics measured;
-    serving_context context{
-        .instanceId = "d1",
-        .incarnation = "i1",
-        .cell = "main",
-        .config = config,
-        .endpoints = endpoints,
-        .suspects = suspects,
-        .usage = usage,
-        .store = store,
-        .decisions = decisions,
-        .now = monotonicNow,
-        .fresh =
-            [this] {
-                return fresh.load();
-            },
-        .draining =
-            [] {
-                return false;
-            },
-        .instances =
-            [] {
-                return std::vector<instance_info>{{.id = "a", .callerAddress = "1.1.1.1:1", .leaving = true}, {.id = "b", .callerAddress = "1.1.1.2:1"}};
-            },
-        .demandShare =
-            [](const std::string &) {
-                return 1.0;
-            },
-        .measured = &measured};
-    loopback_server http;
-
-    daemon()
-    {
-        configuration parsed{.version = 1};
-        parsed.organisations["dial"] = {};
-        parsed.keys["k1"] = {.organisation = "dial", .salt = "00", .hash = sha256Hex("00lw_k1_secretkey1")};
-        parsed.groups["g"] = {};
-        parsed.routes["open"] = {.open = true, .group = "g", .model = "reader"};
-        parsed.routes["keyed"] = {.group = "g", .model = "keyed-reader"};
-        parsed.routes["book"] = {.kind = route_kind::Service, .pathPrefix = "/bookings", .methods = {"POST"}, .open = true, .repeatable = false, .group = "g"};
-        for (int i = 0; i < 2; ++i) {
-            parsed.endpoints["e" + std::to_string(i)] = {.group = "g", .address = "127.0.0.1:" + std::to_string(engines[i].http.port)};
-        }
-        config.install({.parsed = parsed});
-        endpoints.configure(parsed);
-        registerCallerRoutes(http.server, context);
-        http.start();
-    }
-
-    httplib::Client client() const
-    {
-        httplib::Client made("127.0.0.1", http.port);
-        made.set_read_timeout(5s);
-        return made;
-    }
-    /// Reports a long queue at the second engine, so that the first attempt goes to the first one.
-    void preferFirstEngine()
-    {
-        endpoints.takeReport({.endpoint = "e0", .freeKvTokens = 100000}, monotonicNow());
-        endpoints.takeReport({.endpoint = "e1", .queuedPromptTokens = 50000, .freeKvTokens = 100000}, monotonicNow());
-    }
-    int engineCalls() const
-    {
-        return engines[0].calls + engines[1].calls;
-    }
-};
-
-std::string textOf(const std::string &stream)
-{
-    std::string text;
-    std::istringstream lines(stream);
-    for (std::string line; std::getline(lines, line);) {
-        if (line.starts_with("data: {") && line.find("\"error\"") == std::string::npos) {
-            text += nlohmann::json::parse(line.substr(6)).at("choices").at(0).value("text", "");
-        }
-    }
-    return text;
-}
-
-bool hasLine(const std::string &text, const std::string &line)
-{
-    return ("\n" + text).find("\n" + line + "\n") != std::string::npos;
-}
-
-bool eventually(const std::function<bool()> &condition)
-{
-    for (int i = 0; i < 300 && !condition(); ++i) {
-        std::this_thread::sleep_for(10ms);
-    }
-    return condition();
-}
-
-constexpr const char *streamBody = R"({"model":"reader","prompt":"hello","stream":true})";
-constexpr const char *wholeText = "t0 t1 t2 t3 t4 t5 ";
-
-}
-
 // Guards against a stream that loses, repeats or reorders tokens on its way through the daemon.
 TEST(front, streams_a_completion)
 {
@@ -329,6 +87,32 @@
     EXPECT_FALSE(daemon.endpoints.viewGroup("g", {}, monotonicNow()).front().reachable);
 }
 
+// Guards against a suspect request that takes other requests of this daemon down with its endpoint.
+TEST(front, keeps_others_away_from_the_endpoint_of_a_suspect)
+{
+    daemon daemon;
+    daemon.preferFirstEngine();
+    daemon.engines[0].breakAfter = 0;
+    daemon.engines[1].tokenDelayMs = 150;
+    std::thread suspect([&] {
+        const auto result = daemon.client().Post("/v1/completions", R"({"model":"reader","prompt":"suspect"})", "application/json");
+        EXPECT_TRUE(result && result->status == 200);
+    });
+    ASSERT_TRUE(eventually([&] {
+        return daemon.engines[1].calls == 1;
+    }));
+    daemon.endpoints.takeReport({.endpoint = "e0", .queuedPromptTokens = 50000, .freeKvTokens = 100000}, monotonicNow());
+    daemon.endpoints.takeReport({.endpoint = "e1", .freeKvTokens = 100000}, monotonicNow());
+    for (int i = 0; i < 3; ++i) {
+        ASSERT_EQ(daemon.client().Post("/v1/completions", streamBody, "application/json")->status, 200);
+    }
+    EXPECT_EQ(daemon.engines[0].calls, 4);
+    EXPECT_EQ(daemon.engines[1].calls, 1);
+    suspect.join();
+    ASSERT_EQ(daemon.client().Post("/v1/completions", streamBody, "application/json")->status, 200);
+    EXPECT_EQ(daemon.engines[1].calls, 2);
+}
+
 // Guards against engines that go on working for a caller that has left, before the first token and between tokens.
 TEST(front, cancels_the_attempt_when_the_caller_leaves)
 {
@@ -434,7 +218,8 @@
     EXPECT_EQ(daemon.client().Get("/healthz")->status, 200);
 }
 
-// Guards against a second run of a booking that is retried with its key, and against keys that reach a service.
+// Guards against a second run of a booking that is retried with its key, against keys that reach a service, and against headers of its
+// answer that are lost, or passed on although they belong to the hop, at the first time and from the stored outcome.
 TEST(front, runs_a_booking_once_and_replays_its_outcome)
 {
     daemon daemon;
@@ -444,6 +229,15 @@
         ASSERT_TRUE(result);
         EXPECT_EQ(result->status, 201);
         EXPECT_EQ(result->body, "booked 1");
+        EXPECT_EQ(result->get_header_value("Location"), "/bookings/7");
+        EXPECT_EQ(result->get_header_value("ETag"), "\"v7\"");
+        EXPECT_EQ(result->get_header_value("Cache-Control"), "private");
+        EXPECT_EQ(result->get_header_value("X-Unlisted"), "kept");
+        for (const char *stopped : {"Set-Cookie", "X-Hop", "Proxy-Authenticate", "X-Attempt-Id"}) {
+            EXPECT_FALSE(result->has_header(stopped)) << stopped;
+        }
+        EXPECT_EQ(result->get_header_value_count("X-Request-Id"), 1U);
+        EXPECT_TRUE(result->get_header_value("X-Request-Id").starts_with("req-"));
     }
     EXPECT_EQ(daemon.engineCalls(), 1);
     EXPECT_FALSE(daemon.engines[0].sawKey || daemon.engines[1].sawKey);
--- a/tests/request_session_test.cpp
+++ b/tests/request_session_test.cpp
@@ -6,6 +6,7 @@
 #include "coordination/endpoint_client.h"
 #include "protocol/invariant.h"
 #include "protocol/tunables.h"
+#include "state/endpoint_table.h"
 #include "state/suspect_table.h"
 #include "state/table_store.h"
 
@@ -54,6 +55,7 @@
     std::optional<service_answer> answer;
     std::optional<refuse_effect> refusal;
     std::vector<usage_record> usage;
+    std::vector<std::string> endedClaims;
     bool abandoned = false;
 
     explicit session_driver(memory_table &store)
@@ -189,6 +191,10 @@
     {
         suspects.clear(request.fingerprint);
     }
+    void perform(const claim_ended_effect &effect)
+    {
+        endedClaims.push_back(effect.key);
+    }
     void perform(const record_decision_effect &) { }
 };
 
@@ -330,6 +336,7 @@
     driver.start();
     ASSERT_EQ(driver.attempts.size(), 1U);
     driver.answerBooking();
+    EXPECT_EQ(driver.endedClaims, std::vector<std::string>{"claim/dial/h"});
     ASSERT_TRUE(driver.answer);
     EXPECT_EQ(driver.answer->body, "booked");
 
@@ -463,6 +470,42 @@
     EXPECT_EQ(committed, 3);
 }
 
+// Guards against a choice that lost its endpoint being counted as an attempt, which would use up the attempts or make a true `not_run` unknown.
+TEST(request_session, chooses_again_when_the_endpoint_was_taken)
+{
+    memory_table table;
+    session_driver driver(table);
+    driver.start();
+    for (int i = 0; i < 10; ++i) {
+        ASSERT_EQ(driver.attempts.size(), static_cast<std::size_t>(i) + 1);
+        driver.send(attempt_not_started_event{.attemptId = driver.attempts.back().attemptId});
+    }
+    driver.advance(60s);
+    ASSERT_TRUE(driver.refusal);
+    EXPECT_EQ(driver.cancelled.size(), 1U);
+}
+
+// Guards against two requests at the endpoint that a suspect request must have for itself, whichever comes first.
+TEST(endpoint_table, reserves_an_idle_endpoint)
+{
+    configuration config;
+    config.groups["g"] = {};
+    config.endpoints["e"] = {.group = "g", .address = "127.0.0.1:1"};
+    endpoint_table table;
+    table.configure(config);
+    const instant now{1s};
+    ASSERT_TRUE(table.noteSent("e", 1, now));
+    EXPECT_FALSE(table.noteSent("e", 1, now, true));
+    table.noteFinished("e", {}, 0, -1, now);
+    ASSERT_TRUE(table.noteSent("e", 1, now, true));
+    EXPECT_TRUE(table.viewGroup("g", {}, now).front().reserved);
+    EXPECT_FALSE(table.noteSent("e", 1, now));
+    EXPECT_EQ(table.viewGroup("g", {}, now).front().ownInFlight, 1);
+    table.noteFinished("e", {}, 0, -1, now);
+    EXPECT_FALSE(table.viewGroup("g", {}, now).front().reserved);
+    EXPECT_TRUE(table.noteSent("e", 1, now));
+}
+
 // Guards against a large organisation that keeps a small one waiting behind all of its own requests.
 TEST(admission_gate, admits_waiting_requests_in_weighted_fair_order)
 {
