Track own requests per endpoint for routing; lower estimates by lost events

A gap in the cache events halved all estimates of an endpoint, however few events were lost.

Change: own_requests keeps the attempts of a daemon at an endpoint with the times of sending, first token and end, so that counts belong to the moment when a report was taken. The session runner tells the table of the first token, and the route decision gets the daemon's demand share. Lost cache events lower the estimates in proportion to their number.

front.goes_to_the_other_engine_when_one_is_down sent two requests and expected one of them to meet the stopped engine. It now asks until the stopped engine was met, at most 64 times, expects every answer to be whole and the engine to be marked, and asks once more after that.

--- a/src/coordination/load_poller.cpp
+++ b/src/coordination/load_poller.cpp
@@ -4,6 +4,7 @@
 #include "protocol/tunables.h"
 #include "state/rendezvous.h"
 
+#include <algorithm>
 #include <charconv>
 #include <glog/logging.h>
 #include <httplib.h>
@@ -37,6 +38,17 @@
     return hashes;
 }
 
+/// Events between two positions that an answer does not list. An answer with a gap has lost at least one; blocks listed once for several
+/// events count as lost, which only makes the estimates more careful.
+std::uint64_t lostEvents(const nlohmann::json &answer, std::uint64_t since, std::uint64_t listed)
+{
+    if (!answer.value("gap", false)) {
+        return 0;
+    }
+    const std::uint64_t passed = std::max(answer.value("next", since), since) - since;
+    return passed > listed ? passed - listed : 1;
+}
+
 /// Reads the cache events since `next` into the table and returns where to go on. A failure leaves the position as it was.
 std::uint64_t visitCacheEvents(httplib::Client &client, const std::string &id, std::uint64_t next, endpoint_table &endpoints)
 {
@@ -48,7 +60,7 @@
         const auto json = nlohmann::json::parse(answer->body);
         const auto stored = parseHashes(json.value("stored", nlohmann::json::array()));
         const auto evicted = parseHashes(json.value("evicted", nlohmann::json::array()));
-        endpoints.noteCacheEvent(id, stored, evicted, json.value("gap", false));
+        endpoints.noteCacheEvent(id, stored, evicted, lostEvents(json, next, stored.size() + evicted.size()));
         return json.value("next", next);
     } catch (const nlohmann::json::exception &error) {
         LOG(WARNING) << "read cache events [" << id << "]: " << error.what();
--- a/src/coordination/request_session.cpp
+++ b/src/coordination/request_session.cpp
@@ -240,6 +240,7 @@
         .excluded = m_excluded,
         .seed = XXH3_64bits(m_request.requestId.data(), m_request.requestId.size()),
         .endpoints = event.endpoints,
+        .demandShare = event.demandShare,
     };
 }
 
--- a/src/coordination/request_session.h
+++ b/src/coordination/request_session.h
@@ -56,6 +56,7 @@
     op_id op = 0;
     std::vector<endpoint_view> endpoints;
     int crashes = 0; ///< Of the request's fingerprint, in the suspect table.
+    double demandShare = 1; ///< Part of the group's demand that comes through this daemon.
 };
 
 /// Answers admit_effect, after any waiting.
--- a/src/coordination/session_runner.cpp
+++ b/src/coordination/session_runner.cpp
@@ -136,6 +136,7 @@
         .op = effect.op,
         .endpoints = m_context.endpoints.viewGroup(m_request.session.group, m_promptBlocks, now),
         .crashes = m_context.suspects.crashes(m_request.session.fingerprint, now),
+        .demandShare = m_context.demandShare(m_request.session.group),
     });
 }
 
@@ -216,7 +217,7 @@
 void session_runner::perform(const start_attempt_effect &effect)
 {
     const endpoint_call call = makeCall(effect);
-    m_context.endpoints.noteSent(effect.endpoint, m_request.session.promptTokens, m_context.now());
+    m_context.endpoints.noteSent(effect.endpoint, effect.attemptId, m_promptBlocks, m_request.session.promptTokens, m_context.now());
     auto &started = m_attempts.emplace_back();
     started.id = effect.attemptId;
     started.thread = std::thread([this, &started, call, endpointId = effect.endpoint] {
@@ -228,8 +229,12 @@
 void session_runner::runAttempt(attempt &running, const endpoint_call &call, const std::string &endpointId)
 {
     std::optional<session_event> last;
+    bool started = false;
     const auto emit = [&](session_event event) {
         if (std::holds_alternative<token_event>(event)) {
+            if (!std::exchange(started, true)) {
+                m_context.endpoints.noteFirstToken(endpointId, call.attemptId, m_context.now());
+            }
             push(std::move(event));
         } else {
             last = std::move(event);
@@ -243,7 +248,7 @@
     const instant now = m_context.now();
     const auto *finished = std::get_if<stream_finished_event>(&*last);
     const double cached = finished != nullptr ? static_cast<double>(finished->cachedTokens) : -1;
-    m_context.endpoints.noteFinished(endpointId, m_promptBlocks, finished != nullptr ? m_request.session.promptTokens : 0, cached, now);
+    m_context.endpoints.noteFinished(endpointId, call.attemptId, m_promptBlocks, finished != nullptr ? m_request.session.promptTokens : 0, cached, now);
     if (const auto *failed = std::get_if<attempt_failed_event>(&*last); failed != nullptr && !running.control.cancelled()) {
         LOG(WARNING) << "attempt " << call.attemptId << " at endpoint " << endpointId << " failed: " << failed->detail;
         if (failed->failure == attempt_failure::NotSent) {
--- a/src/state/endpoint_table.cpp
+++ b/src/state/endpoint_table.cpp
@@ -14,9 +14,23 @@
 
 // Confidence in blocks that this daemon sent itself; eviction at the endpoint is not always announced.
 constexpr double ownPrefixWeight = 0.9;
-constexpr double gapFactor = 0.5;
+constexpr double missFactor = 0.5; // An answer without cached tokens shows that blocks are evicted early there.
 constexpr std::size_t maxTrackedBlocks = 200000; // Per endpoint, about 50 MB of prompts; bounds this daemon's memory.
 
+/// Prompt tokens in the leading blocks that an endpoint is expected to hold, by weight.
+double cachedTokensOf(const std::unordered_map<std::uint64_t, double> &cachedBlocks, std::span<const std::uint64_t> promptBlocks)
+{
+    double tokens = 0;
+    for (const auto block : promptBlocks) {
+        const auto cached = cachedBlocks.find(block);
+        if (cached == cachedBlocks.end()) {
+            break;
+        }
+        tokens += cached->second * static_cast<double>(tunables::prefixBlockBytes) / tunables::bytesPerToken;
+    }
+    return tokens;
+}
+
 }
 
 std::vector<std::uint64_t> hashPromptBlocks(std::string_view prompt)
@@ -53,7 +67,7 @@
             }
         }
         std::erase_if(part.entries, [&](const auto &item) {
-            return !config.endpoints.contains(item.first) && item.second.inFlight == 0;
+            return !config.endpoints.contains(item.first) && item.second.own.now().inFlight == 0;
         });
     }
 }
@@ -75,9 +89,7 @@
     known.reportTakenAt = takenAt;
     known.reachable = report.reachable;
     known.leaving = known.leaving || report.leaving;
-    std::erase_if(known.sentSince, [&](const auto &sent) {
-        return sent.first <= takenAt;
-    });
+    known.own.markReport(takenAt);
 }
 
 void endpoint_table::markLeaving(std::string_view endpointId)
@@ -109,7 +121,8 @@
             if (known.settings.group != group) {
                 continue;
             }
-            endpoint_view view{
+            const auto own = known.own.now();
+            views.push_back({
                 .id = id,
                 .failureDomain = known.settings.failureDomain,
                 .role = known.report.role,
@@ -121,38 +134,46 @@
                 .queuedPromptTokens = known.report.queuedPromptTokens,
                 .runningStreams = known.report.runningStreams,
                 .freeKvTokens = known.report.freeKvTokens,
-                .ownStreamsSince = static_cast<int>(known.sentSince.size()),
-                .ownInFlight = known.inFlight,
+                .ownPromptTokensSince = known.own.promptTokensSince(),
+                .ownStreamsSince = known.own.sentSince(),
+                .ownInFlight = own.inFlight,
+                .cachedPromptTokens = cachedTokensOf(known.cachedBlocks, promptBlocks),
                 .prefillTokensPerSecond = known.report.prefillTokensPerSecond,
-            };
-            for (const auto &[sentAt, tokens] : known.sentSince) {
-                view.ownPromptTokensSince += tokens;
-            }
-            for (const auto block : promptBlocks) {
-                const auto cached = known.cachedBlocks.find(block);
-                if (cached == known.cachedBlocks.end()) {
-                    break;
-                }
-                view.cachedPromptTokens += cached->second * static_cast<double>(tunables::prefixBlockBytes) / tunables::bytesPerToken;
-            }
-            views.push_back(std::move(view));
+                .ownInFlightAtReport = known.own.atReport().inFlight,
+                .ownPromptTokensWaiting = own.promptTokensWaiting,
+                .ownPromptTokensWaitingAtReport = known.own.atReport().promptTokensWaiting,
+            });
         }
     }
     std::ranges::sort(views, {}, &endpoint_view::id);
     return views;
 }
 
-void endpoint_table::noteSent(std::string_view endpointId, double promptTokens, instant now)
+void endpoint_table::noteSent(std::string_view endpointId,
+                              std::string_view attemptId,
+                              std::span<const std::uint64_t> promptBlocks,
+                              double promptTokens,
+                              instant now)
+{
+    auto &part = shardOf(endpointId);
+    const std::lock_guard lock(part.mutex);
+    if (const auto found = part.entries.find(std::string(endpointId)); found != part.entries.end()) {
+        const double cached = cachedTokensOf(found->second.cachedBlocks, promptBlocks);
+        found->second.own.sent(attemptId, promptTokens, std::max(0.0, promptTokens - cached), now);
+    }
+}
+
+void endpoint_table::noteFirstToken(std::string_view endpointId, std::string_view attemptId, instant now)
 {
     auto &part = shardOf(endpointId);
     const std::lock_guard lock(part.mutex);
     if (const auto found = part.entries.find(std::string(endpointId)); found != part.entries.end()) {
-        ++found->second.inFlight;
-        found->second.sentSince.emplace_back(now, promptTokens);
+        found->second.own.firstToken(attemptId, now);
     }
 }
 
 void endpoint_table::noteFinished(std::string_view endpointId,
+                                  std::string_view attemptId,
                                   std::span<const std::uint64_t> promptBlocks,
                                   double promptTokens,
                                   double cachedTokens,
@@ -165,7 +186,7 @@
         return;
     }
     auto &known = found->second;
-    known.inFlight = std::max(0, known.inFlight - 1);
+    known.own.finished(attemptId, now);
     if (known.settings.group.empty() || promptTokens <= 0 || now < known.reportTakenAt) {
         return;
     }
@@ -173,13 +194,16 @@
         known.cachedBlocks.clear();
     }
     // An answer that reported no cached tokens at all shows that an expected prefix had been evicted before this prompt stored it again.
-    const double weight = cachedTokens < 0 ? ownPrefixWeight * gapFactor : ownPrefixWeight;
+    const double weight = cachedTokens < 0 ? ownPrefixWeight * missFactor : ownPrefixWeight;
     for (const auto block : promptBlocks) {
         known.cachedBlocks[block] = weight;
     }
 }
 
-void endpoint_table::noteCacheEvent(std::string_view endpointId, std::span<const std::uint64_t> stored, std::span<const std::uint64_t> evicted, bool gap)
+void endpoint_table::noteCacheEvent(std::string_view endpointId,
+                                    std::span<const std::uint64_t> stored,
+                                    std::span<const std::uint64_t> evicted,
+                                    std::uint64_t lost)
 {
     auto &part = shardOf(endpointId);
     const std::lock_guard lock(part.mutex);
@@ -188,9 +212,12 @@
         return;
     }
     auto &blocks = found->second.cachedBlocks;
-    if (gap) {
+    if (lost > 0) {
+        // Each lost event concerns one block, most likely one of those that are known.
+        const auto count = static_cast<double>(blocks.size());
+        const double kept = count / (count + static_cast<double>(lost));
         for (auto &[block, weight] : blocks) {
-            weight *= gapFactor;
+            weight *= kept;
         }
     }
     for (const auto block : stored) {
--- a/src/state/endpoint_table.h
+++ b/src/state/endpoint_table.h
@@ -4,6 +4,7 @@
 #include "protocol/core_time.h"
 #include "protocol/decisions.h"
 #include "protocol/endpoint_report.h"
+#include "state/own_requests.h"
 
 #include <array>
 #include <mutex>
@@ -32,13 +33,20 @@
     /// Endpoints of a group with the cache estimate for a prompt given as block hashes.
     std::vector<endpoint_view> viewGroup(std::string_view group, std::span<const std::uint64_t> promptBlocks, instant now) const;
 
-    /// A request was sent to an endpoint; `noteFinished` must follow once.
-    void noteSent(std::string_view endpointId, double promptTokens, instant now);
+    /// An attempt was sent to an endpoint; `noteFinished` must follow once.
+    void noteSent(std::string_view endpointId, std::string_view attemptId, std::span<const std::uint64_t> promptBlocks, double promptTokens, instant now);
+    /// The first token of an attempt came, so its prompt no longer waits.
+    void noteFirstToken(std::string_view endpointId, std::string_view attemptId, instant now);
     /// `cachedTokens` is what the answer reported, negative when it reported nothing.
-    void noteFinished(std::string_view endpointId, std::span<const std::uint64_t> promptBlocks, double promptTokens, double cachedTokens, instant now);
+    void noteFinished(std::string_view endpointId,
+                      std::string_view attemptId,
+                      std::span<const std::uint64_t> promptBlocks,
+                      double promptTokens,
+                      double cachedTokens,
+                      instant now);
 
-    /// Cache events of an endpoint: blocks stored or evicted. After a gap all estimates of the endpoint are halved in weight.
-    void noteCacheEvent(std::string_view endpointId, std::span<const std::uint64_t> stored, std::span<const std::uint64_t> evicted, bool gap);
+    /// Cache events of an endpoint: blocks stored or evicted. `lost` events that are missing lower all estimates of the endpoint in proportion.
+    void noteCacheEvent(std::string_view endpointId, std::span<const std::uint64_t> stored, std::span<const std::uint64_t> evicted, std::uint64_t lost);
 
     std::vector<endpoint_report> reports(instant now) const;
 
@@ -50,8 +58,7 @@
         instant reportTakenAt;
         bool leaving = false;
         bool reachable = true;
-        int inFlight = 0;
-        std::vector<std::pair<instant, double>> sentSince;
+        own_requests own;
         std::unordered_map<std::uint64_t, double> cachedBlocks; ///< Block hash to weight, 0 to 1.
     };
 
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -275,12 +275,48 @@
 {
     daemon daemon;
     daemon.engines[0].http.server.stop();
-    for (int i = 0; i < 2; ++i) {
+    const auto found = [&] {
+        return !daemon.endpoints.viewGroup("g", {}, monotonicNow()).front().reachable;
+    };
+    const auto ask = [&] {
         const auto result = daemon.client().Post("/v1/completions", streamBody, "application/json");
         ASSERT_TRUE(result);
         EXPECT_EQ(textOf(result->body), wholeText);
+    };
+    // Idle engines cost the same, so the random request id chooses; 64 requests miss the stopped engine once in 2^64 runs.
+    for (int i = 0; i < 64 && !found(); ++i) {
+        ask();
+    }
+    EXPECT_TRUE(found());
+    ask();
+}
+
+// Guards against prompts that count as waiting until their whole answer has come, which makes engines with long answers look busy.
+TEST(front, a_prompt_waits_until_its_first_token)
+{
+    daemon daemon;
+    for (auto &engine : daemon.engines) {
+        engine.tokenDelayMs = 300;
     }
-    EXPECT_FALSE(daemon.endpoints.viewGroup("g", {}, monotonicNow()).front().reachable);
+    std::thread caller([&] {
+        daemon.client().Post("/v1/completions", streamBody, "application/json");
+    });
+    const auto seen = [&](bool waits) {
+        int inFlight = 0;
+        double waiting = 0;
+        for (const auto &view : daemon.endpoints.viewGroup("g", {}, monotonicNow())) {
+            inFlight += view.ownInFlight;
+            waiting += view.ownPromptTokensWaiting;
+        }
+        return inFlight == 1 && (waiting > 0) == waits;
+    };
+    EXPECT_TRUE(eventually([&] {
+        return seen(true);
+    }));
+    EXPECT_TRUE(eventually([&] {
+        return seen(false);
+    }));
+    caller.join();
 }
 
 // Guards against engines that go on working for a caller that has left, before the first token and between tokens.
