--- a/src/coordination/session_runner.cpp
+++ b/src/coordination/session_runner.cpp
@@ -136,6 +136,7 @@
         .op = effect.op,
         .endpoints = m_context.endpoints.viewGroup(m_request.session.group, m_promptBlocks, now),
         .crashes = m_context.suspects.crashes(m_request.session.fingerprint, now),
+        .demandShare = m_context.demandShare(m_request.session.group),
     });
 }
 
@@ -215,7 +216,10 @@
 void session_runner::perform(const start_attempt_effect &effect)
 {
     const endpoint_call call = makeCall(effect);
-    if (!m_context.endpoints.noteSent(effect.endpoint, m_request.session.promptTokens, m_context.now(), effect.alone)) {
+    if (!m_context.endpoints.noteSent(effect.endpoint,
+                                      {.attemptId = effect.attemptId, .promptTokens = m_request.session.promptTokens, .alone = effect.alone},
+                                      m_promptBlocks,
+                                      m_context.now())) {
         push(attempt_not_started_event{.attemptId = effect.attemptId});
         return;
     }
@@ -230,8 +234,12 @@
 void session_runner::runAttempt(attempt &running, const endpoint_call &call, const std::string &endpointId)
 {
     std::optional<session_event> last;
+    bool started = false;
     const auto emit = [&](session_event event) {
         if (std::holds_alternative<token_event>(event)) {
+            if (!std::exchange(started, true)) {
+                m_context.endpoints.noteFirstToken(endpointId, call.attemptId, m_context.now());
+            }
             push(std::move(event));
         } else {
             last = std::move(event);
@@ -245,7 +253,7 @@
     const instant now = m_context.now();
     const auto *finished = std::get_if<stream_finished_event>(&*last);
     const double cached = finished != nullptr ? static_cast<double>(finished->cachedTokens) : -1;
-    m_context.endpoints.noteFinished(endpointId, m_promptBlocks, finished != nullptr ? m_request.session.promptTokens : 0, cached, now);
+    m_context.endpoints.noteFinished(endpointId, call.attemptId, m_promptBlocks, finished != nullptr ? m_request.session.promptTokens : 0, cached, now);
     if (const auto *failed = std::get_if<attempt_failed_event>(&*last); failed != nullptr && !running.control.cancelled()) {
         LOG(WARNING) << "attempt " << call.attemptId << " at endpoint " << endpointId << " failed: " << failed->detail;
         if (failed->failure == attempt_failure::NotSent) {
--- a/src/standin/virtual_daemon_requests.cpp
+++ b/src/standin/virtual_daemon_requests.cpp
@@ -233,7 +233,15 @@
     const auto &call = open.call;
     open.attemptId = effect.attemptId;
     open.endpoint = effect.endpoint;
-    life.endpoints.noteSent(effect.endpoint, 10, now());
+    if (!life.endpoints.noteSent(effect.endpoint, {.attemptId = effect.attemptId, .promptTokens = 10, .alone = effect.alone}, {}, now())) {
+        m_world.clock.after(
+            duration(1), effect.attemptId + " not started", [this, id = call->requestId, attemptId = effect.attemptId, owner = std::weak_ptr(m_life)] {
+                run(owner, [this, id, attemptId](daemon_life &same) {
+                    step(same, id, attempt_not_started_event{.attemptId = attemptId});
+                });
+            });
+        return;
+    }
     virtual_attempt attempt{
         .attemptId = effect.attemptId,
         .requestId = call->requestId,
@@ -263,7 +271,7 @@
     if (std::holds_alternative<token_event>(event)) {
         return;
     }
-    life.endpoints.noteFinished(endpointId, {}, 0, -1, now());
+    life.endpoints.noteFinished(endpointId, *attemptOf(event), {}, 0, -1, now());
     const auto *failed = std::get_if<attempt_failed_event>(&event);
     if (failed != nullptr && failed->failure == attempt_failure::NotSent) {
         life.endpoints.markUnreachable(endpointId, now());
--- a/src/state/endpoint_table.h
+++ b/src/state/endpoint_table.h
@@ -4,6 +4,7 @@
 #include "protocol/core_time.h"
 #include "protocol/decisions.h"
 #include "protocol/endpoint_report.h"
+#include "state/own_requests.h"
 
 #include <array>
 #include <map>
@@ -18,6 +19,14 @@
 namespace lacewinglock
 {
 
+/// An attempt as the endpoint table counts it.
+struct sent_attempt
+{
+    std::string_view attemptId;
+    double promptTokens = 0;
+    bool alone = false; ///< Reserves the endpoint until it has finished, for a request that may crash it.
+};
+
 /// What this daemon knows of the endpoints: their reports, what it sent them since, and which prompt prefixes they cache.
 /// State is kept in shards by endpoint, each under its own lock.
 class endpoint_table
@@ -40,14 +49,21 @@
     /// Endpoints of a group with the cache estimate for a prompt given as block hashes.
     std::vector<endpoint_view> viewGroup(std::string_view group, std::span<const std::uint64_t> promptBlocks, instant now) const;
 
-    /// Counts a request that is about to be sent to an endpoint; `noteFinished` must follow once. `alone` reserves the endpoint until then,
-    /// for a request that may crash it. Returns false, and counts nothing, when the endpoint is reserved or `alone` finds it busy.
-    bool noteSent(std::string_view endpointId, double promptTokens, instant now, bool alone = false);
+    /// Counts an attempt that is about to be sent to an endpoint; `noteFinished` must follow once. Returns false, and counts nothing, when the
+    /// endpoint is reserved by another attempt, or the attempt must run alone and the endpoint is busy.
+    bool noteSent(std::string_view endpointId, const sent_attempt &attempt, std::span<const std::uint64_t> promptBlocks, instant now);
+    /// The first token of an attempt came, so its prompt no longer waits.
+    void noteFirstToken(std::string_view endpointId, std::string_view attemptId, instant now);
     /// `cachedTokens` is what the answer reported, negative when it reported nothing.
-    void noteFinished(std::string_view endpointId, std::span<const std::uint64_t> promptBlocks, double promptTokens, double cachedTokens, instant now);
+    void noteFinished(std::string_view endpointId,
+                      std::string_view attemptId,
+                      std::span<const std::uint64_t> promptBlocks,
+                      double promptTokens,
+                      double cachedTokens,
+                      instant now);
 
-    /// Cache events of an endpoint: blocks stored or evicted. After a gap all estimates of the endpoint are halved in weight.
-    void noteCacheEvent(std::string_view endpointId, std::span<const std::uint64_t> stored, std::span<const std::uint64_t> evicted, bool gap);
+    /// Cache events of an endpoint: blocks stored or evicted. `lost` events that are missing lower all estimates of the endpoint in proportion.
+    void noteCacheEvent(std::string_view endpointId, std::span<const std::uint64_t> stored, std::span<const std::uint64_t> evicted, std::uint64_t lost);
 
     std::vector<endpoint_report> reports(instant now) const;
 
@@ -60,9 +76,8 @@
         bool leaving = false;
         instant drainingUntil;
         bool reachable = true;
-        int inFlight = 0;
         bool reserved = false; ///< The only request in flight must run alone.
-        std::vector<std::pair<instant, double>> sentSince;
+        own_requests own;
         std::unordered_map<std::uint64_t, double> cachedBlocks; ///< Block hash to weight, 0 to 1.
     };
 
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -87,6 +87,34 @@
     EXPECT_FALSE(daemon.endpoints.viewGroup("g", {}, monotonicNow()).front().reachable);
 }
 
+// Guards against prompts that count as waiting until their whole answer has come, which makes engines with long answers look busy.
+TEST(front, a_prompt_waits_until_its_first_token)
+{
+    daemon daemon;
+    for (auto &engine : daemon.engines) {
+        engine.tokenDelayMs = 300;
+    }
+    std::thread caller([&] {
+        daemon.client().Post("/v1/completions", streamBody, "application/json");
+    });
+    const auto seen = [&](bool waits) {
+        int inFlight = 0;
+        double waiting = 0;
+        for (const auto &view : daemon.endpoints.viewGroup("g", {}, monotonicNow())) {
+            inFlight += view.ownInFlight;
+            waiting += view.ownPromptTokensWaiting;
+        }
+        return inFlight == 1 && (waiting > 0) == waits;
+    };
+    EXPECT_TRUE(eventually([&] {
+        return seen(true);
+    }));
+    EXPECT_TRUE(eventually([&] {
+        return seen(false);
+    }));
+    caller.join();
+}
+
 // Guards against a suspect request that takes other requests of this daemon down with its endpoint.
 TEST(front, keeps_others_away_from_the_endpoint_of_a_suspect)
 {
--- a/tests/request_session_test.cpp
+++ b/tests/request_session_test.cpp
@@ -494,16 +494,16 @@
     endpoint_table table;
     table.configure(config);
     const instant now{1s};
-    ASSERT_TRUE(table.noteSent("e", 1, now));
-    EXPECT_FALSE(table.noteSent("e", 1, now, true));
-    table.noteFinished("e", {}, 0, -1, now);
-    ASSERT_TRUE(table.noteSent("e", 1, now, true));
+    ASSERT_TRUE(table.noteSent("e", {.attemptId = "other", .promptTokens = 1}, {}, now));
+    EXPECT_FALSE(table.noteSent("e", {.attemptId = "suspect", .promptTokens = 1, .alone = true}, {}, now));
+    table.noteFinished("e", "other", {}, 0, -1, now);
+    ASSERT_TRUE(table.noteSent("e", {.attemptId = "suspect", .promptTokens = 1, .alone = true}, {}, now));
     EXPECT_TRUE(table.viewGroup("g", {}, now).front().reserved);
-    EXPECT_FALSE(table.noteSent("e", 1, now));
+    EXPECT_FALSE(table.noteSent("e", {.attemptId = "other", .promptTokens = 1}, {}, now));
     EXPECT_EQ(table.viewGroup("g", {}, now).front().ownInFlight, 1);
-    table.noteFinished("e", {}, 0, -1, now);
+    table.noteFinished("e", "suspect", {}, 0, -1, now);
     EXPECT_FALSE(table.viewGroup("g", {}, now).front().reserved);
-    EXPECT_TRUE(table.noteSent("e", 1, now));
+    EXPECT_TRUE(table.noteSent("e", {.attemptId = "other", .promptTokens = 1}, {}, now));
 }
 
 // Guards against a large organisation that keeps a small one waiting behind all of its own requests.
