--- a/src/standin/virtual_cell.cpp
+++ b/src/standin/virtual_cell.cpp
@@ -228,7 +228,7 @@
 
 std::shared_ptr<virtual_call> virtual_cell::send(const call_options &options)
 {
-    const auto call = std::make_shared<virtual_call>();
+    auto call = std::make_shared<virtual_call>();
     const std::string number = "q" + std::to_string(++m_totals.calls);
     call->number = number;
     call->id = options.booking.empty() ? number : options.booking;
@@ -284,7 +284,7 @@
                                accepting.life()->config);
     static constexpr std::array<const char *, 5> names = {"stored", "conflict", "invalid", "unavailable", "unknown"};
     const auto result = editor.apply({.baseVersion = base, .patch = change, .author = "operator" + std::to_string(++m_operators)});
-    const std::string outcome = names.at(static_cast<std::size_t>(result.outcome));
+    std::string outcome = names.at(static_cast<std::size_t>(result.outcome));
     m_world.clock.note("patch through " + daemonId + ": " + outcome + ", version " + std::to_string(result.version));
     if (result.outcome == edit_outcome::Stored && result.version > base) {
         accepting.announce(result.version, change);
@@ -295,7 +295,7 @@
 std::string virtual_cell::patch(const std::string &daemonId, const nlohmann::json &change)
 {
     const auto *life = daemon(daemonId).life();
-    const std::string outcome = life == nullptr ? "unreachable" : edit(daemonId, change, life->config.current()->parsed.version, nullptr);
+    std::string outcome = life == nullptr ? "unreachable" : edit(daemonId, change, life->config.current()->parsed.version, nullptr);
     ++m_totals.edits[outcome];
     return outcome;
 }
@@ -306,7 +306,7 @@
     if (life == nullptr) {
         return "unreachable";
     }
-    const std::string outcome = edit(daemonId, change, life->config.current()->parsed.version, [&] {
+    std::string outcome = edit(daemonId, change, life->config.current()->parsed.version, [&] {
         patch(rivalId, rivalChange);
     });
     ++m_totals.edits[outcome];
