Let members heard lately poll the endpoints

Cause: when the member that polls an endpoint dies, nobody saw the endpoint's leaving notice until the roster dropped the member. Change: the polling order counts members heard within 1.5 s; lint findings fixed.

--- a/src/coordination/node_control.cpp
+++ b/src/coordination/node_control.cpp
@@ -171,7 +171,7 @@
     }
     m_claimCleaner.setDaemons(members.size());
     applyFleet();
-    m_poller->poll(m_config.current()->parsed, m_fleet, members);
+    m_poller->poll(m_config.current()->parsed, m_fleet, m_rosterKeeper.recentMembers(now));
     passReports(now);
     controlFleet(now);
     {
--- a/src/coordination/passed_headers.cpp
+++ b/src/coordination/passed_headers.cpp
@@ -108,7 +108,7 @@
     });
 }
 
-std::string lower(std::string text)
+std::string lower(const std::string &text)
 {
     return absl::AsciiStrToLower(text);
 }
--- a/src/coordination/passed_headers.h
+++ b/src/coordination/passed_headers.h
@@ -20,6 +20,6 @@
 bool hasControlCharacter(std::string_view text);
 
 /// ASCII lower case.
-std::string lower(std::string text);
+std::string lower(const std::string &text);
 
 }
--- a/src/coordination/roster_keeper.cpp
+++ b/src/coordination/roster_keeper.cpp
@@ -62,6 +62,16 @@
     return m_roster;
 }
 
+std::vector<std::string> roster_keeper::recentMembers(instant now) const
+{
+    std::vector<std::string> recent;
+    std::ranges::copy_if(m_roster.members, std::back_inserter(recent), [&](const std::string &member) {
+        const auto heard = m_heard.find(member);
+        return member == m_instanceId || (heard != m_heard.end() && now - heard->second <= tunables::pollerSilenceLimit);
+    });
+    return recent;
+}
+
 void roster_keeper::onTick(instant now, std::vector<control_effect> &out)
 {
     if (!m_pendingOp && now >= m_nextReadAt) {
--- a/src/coordination/roster_keeper.h
+++ b/src/coordination/roster_keeper.h
@@ -40,6 +40,10 @@
 
     const cell_roster &roster() const;
 
+    /// Members heard lately, this daemon included. They share the polling of endpoints, so that a dead member leaves none unpolled until it
+    /// is dropped from the roster.
+    std::vector<std::string> recentMembers(instant now) const;
+
 private:
     void onTick(instant now, std::vector<control_effect> &out);
     void onRead(const row_read_event &event, instant now, std::vector<control_effect> &out);
--- a/src/protocol/tunables.h
+++ b/src/protocol/tunables.h
@@ -23,6 +23,7 @@
 constexpr auto memberSilenceLimit = 10s;
 constexpr auto instanceListInterval = 2s;
 constexpr auto loadPollInterval = 1s;
+constexpr auto pollerSilenceLimit = 1500ms; // Longer than a heartbeat interval with its jitter; then another member polls the endpoints.
 constexpr auto rosterReadInterval = 1s;
 constexpr auto candidateHeardLimit = 3s; // A daemon joins the roster only while its heartbeats arrive.
 constexpr auto peerCallTimeout = 1s;
--- a/src/standin/virtual_daemon_peers.cpp
+++ b/src/standin/virtual_daemon_peers.cpp
@@ -19,10 +19,10 @@
 
 }
 
-// Each endpoint is polled by the first member in its rendezvous order.
+// Each endpoint is polled by the first member in its rendezvous order that was heard lately.
 void virtual_daemon::pollEndpoints(daemon_life &life)
 {
-    const auto &members = life.roster.roster().members;
+    const auto members = life.roster.recentMembers(now());
     for (const auto &[id, settings] : life.config.current()->parsed.endpoints) {
         const auto found = m_around.endpoints.find(id);
         if (found == m_around.endpoints.end() || rendezvousRank(id, m_id, members) != 0) {
--- a/src/standin/virtual_platform.cpp
+++ b/src/standin/virtual_platform.cpp
@@ -58,7 +58,7 @@
 }
 
 // A call that does not get through fails after a short or the whole timeout; so does an answer that comes after the timeout.
-void virtual_platform::read(const std::string &client, const std::string &key, std::function<void(absl::StatusOr<std::optional<row>>)> done)
+void virtual_platform::read(const std::string &client, const std::string &key, const std::function<void(absl::StatusOr<std::optional<row>>)> &done)
 {
     const duration there = travel();
     const duration back = travel();
@@ -76,7 +76,7 @@
     });
 }
 
-void virtual_platform::scan(const std::string &client, const std::string &prefix, std::function<void(absl::StatusOr<std::vector<row>>)> done)
+void virtual_platform::scan(const std::string &client, const std::string &prefix, const std::function<void(absl::StatusOr<std::vector<row>>)> &done)
 {
     if (!reachable(client)) {
         m_world.clock.after(tunables::storeTimeout, client + " scan failed", [done] {
@@ -116,7 +116,7 @@
 }
 
 // The effect of a slow commit may come after the client has given up on its answer.
-void virtual_platform::commit(const std::string &client, const transaction &change, std::function<void(commit_outcome)> done)
+void virtual_platform::commit(const std::string &client, const transaction &change, const std::function<void(commit_outcome)> &done)
 {
     const duration there = travel();
     const duration back = travel();
@@ -149,7 +149,7 @@
     });
 }
 
-void virtual_platform::order(const std::string &client, const provision_order &order, std::function<void(delivery_event)> done)
+void virtual_platform::order(const std::string &client, const provision_order &order, const std::function<void(delivery_event)> &done)
 {
     if (!m_world.reaches(client, storeName)) {
         m_world.clock.after(tunables::orderSendDeadline, client + " order not sent", [done] {
@@ -171,7 +171,7 @@
     });
 }
 
-void virtual_platform::report(const std::string &client, const usage_report &report, std::function<void(delivery)> done)
+void virtual_platform::report(const std::string &client, const usage_report &report, const std::function<void(delivery)> &done)
 {
     if (!m_world.reaches(client, storeName)) {
         m_world.clock.after(tunables::orderSendDeadline, client + " report not sent", [done] {
--- a/src/standin/virtual_platform.h
+++ b/src/standin/virtual_platform.h
@@ -26,11 +26,11 @@
 public:
     explicit virtual_platform(virtual_world &world);
 
-    void read(const std::string &client, const std::string &key, std::function<void(absl::StatusOr<std::optional<row>>)> done);
-    void scan(const std::string &client, const std::string &prefix, std::function<void(absl::StatusOr<std::vector<row>>)> done);
-    void commit(const std::string &client, const transaction &change, std::function<void(commit_outcome)> done);
-    void order(const std::string &client, const provision_order &order, std::function<void(delivery_event)> done);
-    void report(const std::string &client, const usage_report &report, std::function<void(delivery)> done);
+    void read(const std::string &client, const std::string &key, const std::function<void(absl::StatusOr<std::optional<row>>)> &done);
+    void scan(const std::string &client, const std::string &prefix, const std::function<void(absl::StatusOr<std::vector<row>>)> &done);
+    void commit(const std::string &client, const transaction &change, const std::function<void(commit_outcome)> &done);
+    void order(const std::string &client, const provision_order &order, const std::function<void(delivery_event)> &done);
+    void report(const std::string &client, const usage_report &report, const std::function<void(delivery)> &done);
 
     /// Effect of a commit at once, with the faults that apply to it.
     commit_outcome commitNow(const std::string &client, const transaction &change);
--- a/tests/front_fixture.h
+++ b/tests/front_fixture.h
@@ -105,7 +105,7 @@
         http.server.set_pre_routing_handler([this](const httplib::Request &request, httplib::Response &) {
             const std::lock_guard lock(mutex);
             for (const auto &[name, value] : request.headers) {
-                headers += request.target + ' ' + name + ": " + value + '\n';
+                headers.append(request.target).append(" ").append(name).append(": ").append(value).append("\n");
             }
             return httplib::Server::HandlerResponse::Unhandled;
         });
