Send an order only when every daemon has confirmed the draining

Change: the holder waits until each member of the roster has answered a heartbeat that names the endpoint, and until a report taken after that shows no work; the limit of 120 s is gone.

--- a/src/coordination/node_control.cpp
+++ b/src/coordination/node_control.cpp
@@ -173,6 +173,7 @@
     applyFleet();
     m_poller->poll(m_config.current()->parsed, m_fleet, m_rosterKeeper.recentMembers(now));
     passReports(now);
+    m_orderKeeper.noteDrainConfirmed(m_rosterKeeper.allAnsweredSince());
     controlFleet(now);
     {
         const std::lock_guard lock(m_followerMutex);
--- a/src/coordination/node_peers.cpp
+++ b/src/coordination/node_peers.cpp
@@ -68,8 +68,9 @@
                     const std::lock_guard lock(m_followerMutex);
                     m_follower.notePeer(peerId, reply.configVersion, sentAt);
                 }
-                post([this, peerId, reply](instant) {
+                post([this, peerId, reply, sentAt](instant) {
                     m_rosterKeeper.noteVersion(peerId, reply.rosterVersion);
+                    m_rosterKeeper.noteAnswered(peerId, sentAt);
                     catchUpFrom(peerId, reply.configVersion);
                 });
             },
--- a/src/coordination/order_keeper.cpp
+++ b/src/coordination/order_keeper.cpp
@@ -16,8 +16,8 @@
 constexpr auto resendInterval = std::chrono::seconds(3);
 // Peers learn of the draining state with the next heartbeat, and requests that they were just sending arrive shortly after it.
 constexpr auto drainNoticeTime = std::chrono::seconds(2);
-// Longest wait for running streams; what still runs then is resumed at another endpoint.
-constexpr auto drainLimit = std::chrono::seconds(120);
+// A request that a daemon was just sending when it learned of the draining has reached the endpoint by then.
+constexpr auto lastArrivalTime = std::chrono::milliseconds(500);
 
 std::string orderPrefix(const std::string &cell)
 {
@@ -87,6 +87,7 @@
         item.value.reset();
         item.wanted.reset();
         item.drainStarted.reset();
+        item.drainConfirmed.reset();
         item.mustRead = true;
         item.pending = 0;
     }
@@ -125,6 +126,11 @@
     return m_fleet && !m_fleet->contains(endpointId);
 }
 
+void order_keeper::noteDrainConfirmed(std::optional<instant> since)
+{
+    m_confirmedSince = since;
+}
+
 std::vector<std::string> order_keeper::draining() const
 {
     std::vector<std::string> ids;
@@ -172,16 +178,29 @@
     return item.checksFencing || now >= m_grant->acquiredAt + tunables::leaseTerm + tunables::orderSendDeadline;
 }
 
+/// Whether every daemon of the cell has marked the endpoint, and no mark ends before an order sent now has arrived. A daemon that does not
+/// hear of the draining would send requests that the order then cuts.
+bool order_keeper::drainConfirmed(const entry &item, instant now) const
+{
+    return m_confirmedSince && *m_confirmedSince >= *item.drainStarted + drainNoticeTime
+        && now + tunables::orderSendDeadline < *m_confirmedSince + tunables::drainMarkTime;
+}
+
+/// Whether the endpoint has no work and gets none. The waiting has no limit but the deadlines of the running requests.
 bool order_keeper::drained(entry &item, instant now) const
 {
     if (!item.drainStarted) {
         item.drainStarted = now;
     }
-    if (now >= *item.drainStarted + drainLimit) {
-        return true;
+    if (!drainConfirmed(item, now)) {
+        item.drainConfirmed.reset();
+        return false;
+    }
+    if (!item.drainConfirmed) {
+        item.drainConfirmed = now;
     }
-    const instant noticed = *item.drainStarted + drainNoticeTime;
-    return now >= noticed && item.report && item.reportTakenAt >= noticed && item.report->runningStreams == 0 && item.report->queuedPromptTokens == 0;
+    const bool recentReport = item.report && item.reportTakenAt >= *item.drainConfirmed + lastArrivalTime;
+    return recentReport && item.report->runningStreams == 0 && item.report->queuedPromptTokens == 0;
 }
 
 void order_keeper::send(entry &item, instant now, std::vector<control_effect> &out)
--- a/src/coordination/order_keeper.h
+++ b/src/coordination/order_keeper.h
@@ -45,6 +45,10 @@
     /// The endpoints of the fleet. Open intents of others are settled, because nobody is left to take them.
     void setFleet(std::set<std::string> endpoints);
 
+    /// Every daemon of the cell has confirmed the endpoints named by `draining` in heartbeats sent at this time or later; nothing when some
+    /// daemon has not.
+    void noteDrainConfirmed(std::optional<instant> since);
+
     /// Endpoints that must get no new work because an order is due.
     std::vector<std::string> draining() const;
     bool hasOpenOrder() const;
@@ -58,6 +62,7 @@
         std::optional<order_row> value;
         std::optional<endpoint_order> wanted;
         std::optional<instant> drainStarted;
+        std::optional<instant> drainConfirmed; ///< Since when no daemon of the cell sends new work.
         std::optional<endpoint_report> report;
         instant reportTakenAt;
         instant nextSend;
@@ -72,6 +77,7 @@
     void commitRow(entry &item, const std::string &endpointId, const order_row &next, std::vector<control_effect> &out);
     void send(entry &item, instant now, std::vector<control_effect> &out);
     bool drained(entry &item, instant now) const;
+    bool drainConfirmed(const entry &item, instant now) const;
     bool mayDiffer(const entry &item, instant now) const;
     void takeScan(const rows_scanned_event &event);
     void takeRow(entry &item, const row_read_event &event);
@@ -86,6 +92,7 @@
     std::map<std::string, entry> m_entries;
     std::map<std::string, endpoint_order> m_sent; ///< Last order sent per endpoint in this process, for the invariant check.
     std::optional<std::set<std::string>> m_fleet; ///< Empty until it is known.
+    std::optional<instant> m_confirmedSince;
     bool m_scanned = false;
     op_id m_scan = 0;
     op_id m_nextOp = 1;
--- a/src/coordination/roster_keeper.cpp
+++ b/src/coordination/roster_keeper.cpp
@@ -62,6 +62,28 @@
     return m_roster;
 }
 
+void roster_keeper::noteAnswered(std::string_view instanceId, instant sentAt)
+{
+    auto &last = m_answered[std::string(instanceId)];
+    last = std::max(last, sentAt);
+}
+
+std::optional<instant> roster_keeper::allAnsweredSince() const
+{
+    instant earliest = instant::max();
+    for (const auto &member : m_roster.members) {
+        const auto answered = m_answered.find(member);
+        if (member == m_instanceId) {
+            continue;
+        }
+        if (answered == m_answered.end()) {
+            return std::nullopt;
+        }
+        earliest = std::min(earliest, answered->second);
+    }
+    return earliest;
+}
+
 std::vector<std::string> roster_keeper::recentMembers(instant now) const
 {
     std::vector<std::string> recent;
--- a/src/coordination/roster_keeper.h
+++ b/src/coordination/roster_keeper.h
@@ -44,6 +44,11 @@
     /// is dropped from the roster.
     std::vector<std::string> recentMembers(instant now) const;
 
+    /// The instance answered a heartbeat that was sent at `sentAt`.
+    void noteAnswered(std::string_view instanceId, instant sentAt);
+    /// Every member of the roster has answered a heartbeat sent at this time or later; nothing when some member never answered.
+    std::optional<instant> allAnsweredSince() const;
+
 private:
     void onTick(instant now, std::vector<control_effect> &out);
     void onRead(const row_read_event &event, instant now, std::vector<control_effect> &out);
@@ -65,6 +70,7 @@
     std::vector<instance_info> m_instances;
     std::map<std::string, instant, std::less<>> m_heard;
     std::map<std::string, std::uint64_t, std::less<>> m_versions;
+    std::map<std::string, instant, std::less<>> m_answered; ///< When the last answered heartbeat to an instance was sent.
     op_id m_nextOp = 1;
     std::optional<op_id> m_pendingOp;
     instant m_nextReadAt;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -161,6 +161,7 @@
             for (auto &report : facts.reports) {
                 report.ageMs = 0;
                 orders.noteReport(report, harness.now, true);
+                orders.noteDrainConfirmed(harness.now);
             }
             control.tick(facts, harness.now);
             harness.run(orders);
--- a/tests/order_keeper_test.cpp
+++ b/tests/order_keeper_test.cpp
@@ -28,6 +28,7 @@
     void report(order_keeper &to, std::uint64_t revision, int streams, bool checksFencing = true)
     {
         to.noteReport({.endpoint = "e1", .orderRevision = revision, .runningStreams = streams}, harness.now, checksFencing);
+        to.noteDrainConfirmed(harness.now);
     }
 
     /// Runs the keeper with an idle endpoint that takes each order at once.
@@ -60,6 +61,24 @@
     EXPECT_FALSE(keeper.hasOpenOrder());
 }
 
+// Guards against an order that cuts the requests of a daemon that did not hear of the draining.
+TEST_F(order_keeper_test, waits_until_every_daemon_has_confirmed_the_draining)
+{
+    keeper.setGrant(grant(1));
+    harness.run(keeper);
+    report(keeper, 0, 0);
+    ASSERT_TRUE(keeper.propose(toDecode));
+    const instant lastAnswer = harness.now;
+    for (int i = 0; i < 40; ++i) {
+        report(keeper, 0, 0);
+        keeper.noteDrainConfirmed(i < 20 ? std::optional<instant>() : lastAnswer);
+        harness.runFor(keeper, 500ms);
+    }
+    EXPECT_TRUE(harness.orders.empty());
+    runWithReports(keeper, 6s);
+    EXPECT_EQ(harness.orders.size(), 1U);
+}
+
 // Guards against two different orders in flight to one endpoint.
 TEST_F(order_keeper_test, refuses_a_second_order_while_one_is_open)
 {
