--- a/scenarios/key_withdrawn.lua
+++ b/scenarios/key_withdrawn.lua
@@ -1,6 +1,6 @@
 -- A key is withdrawn while its requests run: no new one is admitted, running ones finish.
 cell{daemons=9, domains=3}
-run(6)
+run(15) -- Every daemon is in the roster by then; others admit nothing.
 send{name="running", key="k2", tokens=60}
 run(0.5)
 expect(withdraw_key("d4", "k2") == "stored")
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -136,6 +136,7 @@
     daemon_settings m_settings;
     std::string m_incarnation;
     std::function<instant()> m_now;
+    instant m_startedAt;
 
     config_holder m_config;
     endpoint_table m_endpoints;
--- a/src/coordination/node_peers.cpp
+++ b/src/coordination/node_peers.cpp
@@ -149,8 +149,14 @@
     return m_follower.advertisedVersion();
 }
 
+// A process that has just started knows of no draining endpoint, although its predecessor may have confirmed one. It admits nothing until
+// every order that relied on such a confirmation has arrived.
 bool node::configFresh() const
 {
+    // The same holds for a process that is not in the roster, as its confirmation is not waited for.
+    if (m_now() < m_startedAt + tunables::drainMarkTime || !roster().contains(m_settings.instanceId)) {
+        return false;
+    }
     const std::lock_guard lock(m_followerMutex);
     return m_follower.fresh(m_now());
 }
--- a/src/standin/virtual_daemon.cpp
+++ b/src/standin/virtual_daemon.cpp
@@ -51,6 +51,7 @@
     m_pausedUntil = {};
     m_ticks = 0;
     m_life = std::make_shared<daemon_life>(m_id, m_id + "run" + std::to_string(++m_starts));
+    m_life->startedAt = now();
     buildMachines(*m_life);
     m_life->usage.setReplicate([this](const usage_record &record) {
         return replicate(*m_life, record);
--- a/src/standin/virtual_daemon.h
+++ b/src/standin/virtual_daemon.h
@@ -101,6 +101,7 @@
     bool handingOver = false;
     bool released = false;
     instant handOverAt;
+    instant startedAt;
 };
 
 class virtual_daemon
