--- a/bench/control_cost.sh
+++ b/bench/control_cost.sh
@@ -8,7 +8,7 @@
 
 processor_ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
 resident_kb() { awk '/^VmRSS/ {print $2}' "/proc/$1/status"; }
-control_bytes() { curl -s -m 2 "http://$(caller_address "$1")/metrics" | awk '/^lacewinglock_control_bytes_total/ {sum += $NF} END {printf "%d", sum}'; }
+control_bytes() { curl -s -m 2 "http://$(caller_address "$1")/metrics" | awk '/^lacewinglock_control_bytes_(sent|received)_total/ {sum += $NF} END {printf "%d", sum}'; }
 roster_size() { cli status 2>/dev/null | sed -n '/"roster"/,/\]/p' | grep -c '"entry-' || true; }
 
 # The roster takes one member per step.
