--- a/src/protocol/configuration_schema.h
+++ b/src/protocol/configuration_schema.h
@@ -7,7 +7,6 @@
 
 /// JSON Schema (draft 7) of the configuration document. References and limits are checked in configuration_checks.cpp.
 constexpr std::string_view configurationSchema = R"json({
-  "$schema": "http://json-schema.org/draft-07/schema#",
   "type": "object",
   "additionalProperties": false,
   "properties": {
