Check the notices of an endpoint again right before a request is sent

Cause: a daemon that is paused between choosing an endpoint and sending could send to one that has begun to drain or leave meanwhile. Change: noteSent refuses a leaving or draining endpoint, and the session chooses again.

--- a/src/standin/virtual_daemon_requests.cpp
+++ b/src/standin/virtual_daemon_requests.cpp
@@ -235,7 +235,9 @@
     const auto &call = open.call;
     open.attemptId = effect.attemptId;
     open.endpoint = effect.endpoint;
-    if (!life.endpoints.noteSent(effect.endpoint, {.attemptId = effect.attemptId, .promptTokens = 10, .alone = effect.alone}, {}, now())) {
+    const auto draining = life.drainingEndpoints.find(effect.endpoint);
+    const bool closed = draining != life.drainingEndpoints.end() && now() - draining->second <= tunables::drainMarkTime;
+    if (closed || !life.endpoints.noteSent(effect.endpoint, {.attemptId = effect.attemptId, .promptTokens = 10, .alone = effect.alone}, {}, now())) {
         m_world.clock.after(
             duration(1), effect.attemptId + " not started", [this, id = call->requestId, attemptId = effect.attemptId, owner = std::weak_ptr(m_life)] {
                 run(owner, [this, id, attemptId](daemon_life &same) {
--- a/src/state/endpoint_table.cpp
+++ b/src/state/endpoint_table.cpp
@@ -186,7 +186,9 @@
         return true;
     }
     auto &known = found->second;
-    if (known.reserved || (attempt.alone && known.own.now().inFlight > 0)) {
+    // The daemon may have been paused since it chose the endpoint, so the notices count again right before the request is sent.
+    const bool closed = known.leaving || now < known.drainingUntil;
+    if (closed || known.reserved || (attempt.alone && known.own.now().inFlight > 0)) {
         return false;
     }
     known.reserved = attempt.alone;
--- a/src/state/endpoint_table.h
+++ b/src/state/endpoint_table.h
@@ -50,7 +50,7 @@
     std::vector<endpoint_view> viewGroup(std::string_view group, std::span<const std::uint64_t> promptBlocks, instant now) const;
 
     /// Counts an attempt that is about to be sent to an endpoint; `noteFinished` must follow once. Returns false, and counts nothing, when the
-    /// endpoint is reserved by another attempt, or the attempt must run alone and the endpoint is busy.
+    /// endpoint is leaving, draining or reserved by another attempt, or the attempt must run alone and the endpoint is busy.
     bool noteSent(std::string_view endpointId, const sent_attempt &attempt, std::span<const std::uint64_t> promptBlocks, instant now);
     /// The first token of an attempt came, so its prompt no longer waits.
     void noteFirstToken(std::string_view endpointId, std::string_view attemptId, instant now);
