--- a/bench/control_cost.sh
+++ b/bench/control_cost.sh
@@ -45,6 +45,6 @@
     wait_for_roster
     sleep 3
     measure
-    stop_processes '*' 20
+    stop_processes all 20
 done
 exit "$FAILED"
--- a/src/coordination/node_peers.cpp
+++ b/src/coordination/node_peers.cpp
@@ -238,7 +238,7 @@
     return all > 0 ? std::max(own / all, equal * tunables::demandShareFloor) : equal;
 }
 
-// WIRING: the admission gate's demand() also counts waiting requests; until it is there, this is the demand served.
+// Counts the demand served; requests that wait in the admission gate are not in it.
 std::vector<group_demand> node::ownDemand(instant now) const
 {
     std::vector<group_demand> demand;
--- a/src/state/usage_ledger.cpp
+++ b/src/state/usage_ledger.cpp
@@ -37,12 +37,6 @@
     return std::exchange(m_records, {});
 }
 
-void usage_ledger::restore(std::vector<usage_record> records)
-{
-    const std::lock_guard lock(m_mutex);
-    m_records.insert(m_records.end(), std::make_move_iterator(records.begin()), std::make_move_iterator(records.end()));
-}
-
 std::size_t usage_ledger::size() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/state/usage_ledger.h
+++ b/src/state/usage_ledger.h
@@ -27,9 +27,8 @@
     /// Keeps the record here and at a peer before it returns. Returns false when no peer could take it; the record is kept here all the same.
     bool add(const usage_record &record);
 
-    /// Takes all records for one batch. The caller puts them back with `restore` when the batch certainly did not commit.
+    /// Takes all records for one batch.
     std::vector<usage_record> take();
-    void restore(std::vector<usage_record> records);
     std::size_t size() const;
 
     /// Tells the peers that these records are in the table service. Called after their batch certainly committed.
--- a/tools/local_cell.sh
+++ b/tools/local_cell.sh
@@ -30,14 +30,14 @@
 row() { ROWS+=("$(printf '%-34s %s' "$1" "$2")"); }
 fail() { FAILED=1; row "FAILED" "$*"; note "failed: $*"; }
 
-# Ends the processes whose name matches a pattern: SIGTERM, then SIGKILL after a number of seconds.
+# Ends the daemons and loads, or all processes: SIGTERM, then SIGKILL after a number of seconds. Usage: stop_processes daemons|all SECONDS
 stop_processes() {
-    local pattern=$1 limit=$2 name left
+    local which=$1 limit=$2 name left
     local -a chosen=()
     for name in "${!PROCESSES[@]}"; do
         case $name in
             daemon-* | load-*) chosen+=("$name") ;;
-            *) [[ $pattern == '*' ]] && chosen+=("$name") ;;
+            *) [[ $which == all ]] && chosen+=("$name") ;;
         esac
     done
     for name in "${chosen[@]}"; do
@@ -64,7 +64,7 @@
     [[ -n ${WATCHDOG:-} ]] && kill "$WATCHDOG" 2>/dev/null || true
     # The daemons end first, as they still hand over leases and write usage through the platform.
     stop_processes daemons 25
-    stop_processes '*' 5
+    stop_processes all 5
     echo
     if ((${#ROWS[@]})); then
         printf '%s\n' "${ROWS[@]}"
