--- a/src/coordination/address_book.cpp
+++ b/src/coordination/address_book.cpp
@@ -1,6 +1,6 @@
 #include "coordination/address_book.h"
 
-#include "protocol/core_time.h"
+#include "transport/core_time.h"
 #include "protocol/tunables.h"
 
 #include <algorithm>
--- a/src/coordination/admission_gate.h
+++ b/src/coordination/admission_gate.h
@@ -2,7 +2,7 @@
 
 #include "coordination/fair_queue.h"
 #include "coordination/peer_messages.h"
-#include "protocol/core_time.h"
+#include "transport/core_time.h"
 #include "protocol/decisions.h"
 
 #include <condition_variable>
--- a/src/coordination/bench_control.cpp
+++ b/src/coordination/bench_control.cpp
@@ -1,7 +1,7 @@
 #include "coordination/bench_state.h"
 #include "coordination/fleet_planner.h"
 #include "coordination/role_planner.h"
-#include "protocol/core_time.h"
+#include "transport/core_time.h"
 #include "protocol/decision_codec.h"
 #include "protocol/tunables.h"
 
--- a/src/coordination/bench_score.cpp
+++ b/src/coordination/bench_score.cpp
@@ -1,5 +1,5 @@
 #include "coordination/bench_state.h"
-#include "protocol/core_time.h"
+#include "transport/core_time.h"
 #include "protocol/tunables.h"
 
 #include <algorithm>
--- a/src/coordination/bench_session.cpp
+++ b/src/coordination/bench_session.cpp
@@ -1,7 +1,7 @@
 #include "coordination/admission.h"
 #include "coordination/bench_state.h"
 #include "coordination/routing.h"
-#include "protocol/core_time.h"
+#include "transport/core_time.h"
 #include "protocol/tunables.h"
 
 #include <algorithm>
--- a/src/coordination/endpoint_cost.cpp
+++ b/src/coordination/endpoint_cost.cpp
@@ -1,7 +1,7 @@
 #include "coordination/endpoint_cost.h"
 
 #include "coordination/routing.h"
-#include "protocol/core_time.h"
+#include "transport/core_time.h"
 #include "protocol/tunables.h"
 
 #include <algorithm>
--- a/src/coordination/load_poller.h
+++ b/src/coordination/load_poller.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "protocol/configuration.h"
-#include "protocol/core_time.h"
+#include "transport/core_time.h"
 #include "state/endpoint_table.h"
 #include "state/metrics.h"
 #include "transport/worker_pool.h"
--- a/src/coordination/peer_link.h
+++ b/src/coordination/peer_link.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "coordination/peer_messages.h"
-#include "protocol/core_time.h"
+#include "transport/core_time.h"
 #include "transport/rpc_loop.h"
 
 #include <absl/status/status.h>
--- a/src/coordination/request_session.h
+++ b/src/coordination/request_session.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "protocol/control.h"
-#include "protocol/core_time.h"
+#include "transport/core_time.h"
 #include "protocol/decisions.h"
 #include "protocol/usage_record.h"
 
--- a/src/coordination/role_planner.cpp
+++ b/src/coordination/role_planner.cpp
@@ -1,6 +1,6 @@
 #include "coordination/role_planner.h"
 
-#include "protocol/core_time.h"
+#include "transport/core_time.h"
 #include "protocol/tunables.h"
 
 #include <algorithm>
--- a/src/coordination/serving_context.h
+++ b/src/coordination/serving_context.h
@@ -4,7 +4,7 @@
 #include "coordination/claim_cleaner.h"
 #include "coordination/decision_log.h"
 #include "protocol/control.h"
-#include "protocol/core_time.h"
+#include "transport/core_time.h"
 #include "state/config_holder.h"
 #include "state/demand_meter.h"
 #include "state/endpoint_table.h"
--- a/src/protocol/control.h
+++ b/src/protocol/control.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "protocol/configuration.h"
-#include "protocol/core_time.h"
+#include "transport/core_time.h"
 #include "protocol/endpoint_report.h"
 #include "protocol/store_messages.h"
 #include "protocol/usage_record.h"
--- /dev/null
+++ b/src/protocol/summary.cpp
@@ -0,0 +1,89 @@
+#include "protocol/summary.h"
+
+#include "protocol/summary.capnp.h"
+
+#include <algorithm>
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+constexpr std::uint64_t maxMessageWords = 32U << 10U; // 256 KB: far above a datagram, so that a hostile one can't make us allocate more.
+
+}
+
+std::string encodeSummary(const daemon_summary &summary)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::Summary>();
+    root.setSender(summary.sender);
+    root.setSequence(summary.sequence);
+    root.setIncarnation(summary.incarnation);
+    root.setCallerAddress(summary.callerAddress);
+    root.setFailureDomain(summary.failureDomain);
+    root.setServing(summary.serving);
+    root.setConfigVersion(summary.configVersion);
+    root.setWallMs(summary.wallMs);
+    root.setCapacity(static_cast<float>(summary.capacity));
+    auto loads = root.initLoads(static_cast<unsigned>(summary.loads.size()));
+    for (unsigned i = 0; i < loads.size(); ++i) {
+        const auto &load = summary.loads[i];
+        loads[i].setEndpoint(load.endpoint);
+        loads[i].setRunning(static_cast<std::uint16_t>(std::clamp(load.running, 0, 65535)));
+        loads[i].setPromptTokens(static_cast<std::uint32_t>(std::clamp(load.promptTokens, 0.0, 4e9)));
+    }
+    auto parts = root.initParts(static_cast<unsigned>(summary.parts.size()));
+    for (unsigned i = 0; i < parts.size(); ++i) {
+        parts[i].setPart(summary.parts[i].part);
+        parts[i].setEngine(summary.parts[i].engine);
+    }
+    auto suspects = root.initSuspects(static_cast<unsigned>(summary.suspects.size()));
+    for (unsigned i = 0; i < suspects.size(); ++i) {
+        suspects[i].setFingerprint(summary.suspects[i].fingerprint);
+        suspects[i].setCrashes(static_cast<std::uint16_t>(summary.suspects[i].crashes));
+    }
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, message);
+    const auto bytes = out.getArray();
+    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+}
+
+absl::StatusOr<daemon_summary> parseSummary(std::string_view datagram)
+{
+    try {
+        kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte *>(datagram.data()), datagram.size()));
+        capnp::PackedMessageReader message(in, capnp::ReaderOptions{.traversalLimitInWords = maxMessageWords});
+        const auto root = message.getRoot<wire::Summary>();
+        daemon_summary out{
+            .sender = root.getSender(),
+            .sequence = root.getSequence(),
+            .incarnation = root.getIncarnation(),
+            .callerAddress = root.getCallerAddress(),
+            .failureDomain = root.getFailureDomain(),
+            .serving = root.getServing(),
+            .configVersion = root.getConfigVersion(),
+            .wallMs = root.getWallMs(),
+            .capacity = root.getCapacity(),
+        };
+        for (const auto load : root.getLoads()) {
+            out.loads.push_back({load.getEndpoint(), load.getRunning(), static_cast<double>(load.getPromptTokens())});
+        }
+        for (const auto part : root.getParts()) {
+            out.parts.push_back({part.getPart(), part.getEngine()});
+        }
+        for (const auto suspect : root.getSuspects()) {
+            out.suspects.push_back({suspect.getFingerprint(), suspect.getCrashes()});
+        }
+        return out;
+    } catch (const kj::Exception &error) {
+        return absl::InvalidArgumentError("datagram is no summary: " + std::string(error.getDescription().cStr()));
+    }
+}
+
+}
--- /dev/null
+++ b/src/serving/caller_exchange.cpp
@@ -0,0 +1,298 @@
+#include "serving/caller_exchange.h"
+
+#include "transport/boot_clock.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <absl/strings/str_split.h>
+#include <algorithm>
+#include <charconv>
+#include <xxhash.h>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+constexpr int maxCrashes = 3; // After that many crashed endpoints the request is refused for a time.
+constexpr double crashRetryAfterMs = 5000;
+constexpr double unconfiguredRetryAfterMs = 300; // The first configuration arrives within a few store calls.
+constexpr double staleKeyRetryAfterMs = 500;
+constexpr double stoppingRetryAfterMs = 50; // Another daemon can take it at once.
+constexpr auto stopReserve = std::chrono::milliseconds(1500); // Kept between the last answer and the kill.
+
+bool sameField(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() && std::ranges::equal(left, right, [](char a, char b) {
+               const auto fold = [](char letter) {
+                   return letter == '_' ? '-' : absl::ascii_tolower(static_cast<unsigned char>(letter));
+               };
+               return fold(a) == fold(b);
+           });
+}
+
+bool isHopByHop(http::field name)
+{
+    switch (name) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::expect:
+    case http::field::content_length:
+        return true;
+    default:
+        return false;
+    }
+}
+
+// Fields that the Connection field names concern this connection only, but a caller can't use it to drop what identifies the request.
+std::vector<std::string> namedByConnection(const edge_context &context, const http::request_header<> &head)
+{
+    std::vector<std::string> out;
+    const auto &fields = context.platform.wire.fields;
+    for (const auto &piece : absl::StrSplit(std::string(toView(head[http::field::connection])), ',', absl::SkipWhitespace())) {
+        std::string name(absl::StripAsciiWhitespace(piece));
+        if (!sameField(name, fields.requestId) && !sameField(name, "Host") && !absl::StartsWithIgnoreCase(name, "x-")) {
+            out.push_back(std::move(name));
+        }
+    }
+    return out;
+}
+
+std::optional<std::int64_t> parseWhole(std::string_view text)
+{
+    std::int64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::string_view pathOf(std::string_view target)
+{
+    return target.substr(0, std::min(target.find('?'), target.size()));
+}
+
+std::string fingerprintOf(const caller_request &request)
+{
+    const auto &message = request.received->message;
+    const auto target = toView(message.target());
+    const auto seed = XXH3_64bits_withSeed(request.organisation.data(), request.organisation.size(), XXH3_64bits(target.data(), target.size()));
+    return absl::StrCat(absl::Hex(XXH3_64bits_withSeed(message.body().data(), message.body().size(), seed)));
+}
+
+/// Why a request gets no further, as an answer of our own.
+struct intake_refusal
+{
+    http::status status;
+    std::string_view code;
+    std::string_view message;
+    double retryAfterMs = -1;
+};
+
+// A single valid key decides; a request with several different keys belongs to nobody.
+std::optional<intake_refusal> checkKey(const edge_context &context, caller_request &request)
+{
+    const auto &configuration = *request.configuration;
+    if (!configuration.needsKeys || request.route->open) {
+        return std::nullopt;
+    }
+    if (!context.keysFresh(bootNow())) {
+        return intake_refusal{http::status::service_unavailable, "keys_unknown", "the daemon can't tell which keys are valid now", staleKeyRetryAfterMs};
+    }
+    const auto range = request.received->message.equal_range(fromView(context.platform.wire.fields.apiKey));
+    if (std::distance(range.first, range.second) != 1) {
+        return intake_refusal{http::status::unauthorized, "no_key", "the request needs exactly one key"};
+    }
+    const auto found = configuration.keys.find(std::string(toView(range.first->value())));
+    if (found == configuration.keys.end()) {
+        return intake_refusal{http::status::unauthorized, "wrong_key", "the key is not valid"};
+    }
+    const auto &organisation = configuration.organisations[found->second];
+    request.organisation = organisation.name;
+    if (organisation.priority >= 0) {
+        request.priority = organisation.priority;
+    }
+    return std::nullopt;
+}
+
+std::optional<intake_refusal> routeRequest(edge_context &context, caller_request &request)
+{
+    if (!context.configuration) {
+        return intake_refusal{http::status::service_unavailable, "no_configuration", "the daemon has no configuration yet", unconfiguredRetryAfterMs};
+    }
+    request.configuration = context.configuration;
+    const auto &message = request.received->message;
+    request.route = findRoute(*request.configuration, toView(message[http::field::host]), pathOf(toView(message.target())));
+    if (request.route == nullptr) {
+        return intake_refusal{http::status::not_found, "no_route", "no route leads to this host and path"};
+    }
+    request.priority = request.route->priority;
+    if (auto refusal = checkKey(context, request)) {
+        return refusal;
+    }
+    request.service = pickService(*request.route, context.roll());
+    const auto wanted = parseWhole(toView(message[fromView(context.platform.wire.fields.deadlineMs)]));
+    request.callerDeadline = wanted && *wanted >= 0 ? request.arrivedAt + std::chrono::milliseconds(std::min<std::int64_t>(*wanted, 3'600'000))
+                                                    : request.arrivedAt + request.route->timeout;
+    request.deadline = std::min(request.callerDeadline, request.arrivedAt + request.route->timeout);
+    // What cannot end before the kill goes to another daemon.
+    if (context.stopping) {
+        const instant kill = context.stoppingSince + context.settings.shutdownGrace;
+        if (bootNow() + std::min<duration>(request.deadline - bootNow(), 4 * request.route->target) + stopReserve > kill) {
+            return intake_refusal{http::status::service_unavailable, "stopping", "the daemon is shutting down", stoppingRetryAfterMs};
+        }
+    }
+    request.fingerprint = fingerprintOf(request);
+    if (context.suspects.crashes(request.fingerprint, bootNow()) >= maxCrashes) {
+        return intake_refusal{http::status::service_unavailable, "crashes_endpoints", "the request crashed several endpoints", crashRetryAfterMs};
+    }
+    return std::nullopt;
+}
+
+void logOutcome(edge_context &context, const caller_request &request, const caller_outcome &outcome)
+{
+    const instant now = bootNow();
+    auto line = context.line("request");
+    line.add("id", request.id).add("status", outcome.status).add("reason", outcome.reason).add("ms", toMs(now - request.arrivedAt));
+    if (request.route != nullptr) {
+        line.add("config", request.configuration->version).add("route", request.route->name).add("service", request.service);
+        line.add("org", request.organisation).add("attempts", outcome.attempts);
+    }
+    if (!outcome.endpoint.empty()) {
+        line.add("endpoint", outcome.endpoint);
+    }
+    if (outcome.firstByteMs >= 0) {
+        line.add("first_ms", outcome.firstByteMs);
+    }
+    context.log.write(line);
+    context.counters.count(metric_counter::Requests);
+    context.counters.observe(metric_histogram::RequestMs, toMs(now - request.arrivedAt));
+    if (outcome.status == 503 || outcome.status == 429) {
+        context.counters.count(metric_counter::RefusalsNotRun);
+    } else if (outcome.status == 502 || outcome.status == 504) {
+        context.counters.count(metric_counter::RefusalsUnknown);
+    }
+}
+
+}
+
+http_response makeRefusal(const edge_context &context, http::status status, std::string_view code, std::string_view message, double retryAfterMs)
+{
+    http_response answer(status, 11);
+    answer.set(http::field::content_type, "application/json");
+    if (retryAfterMs >= 0) {
+        answer.set(http::field::retry_after, absl::StrFormat("%.3f", retryAfterMs / 1000));
+    }
+    answer.body() = context.platform.wire.errorBody(code, message);
+    return answer;
+}
+
+http_request makeForwarded(const edge_context &context, const caller_request &request, const endpoint_entry &endpoint, instant now)
+{
+    const auto &wire = context.platform.wire.fields;
+    const auto &message = request.received->message;
+    http_request out;
+    out.method_string(message.method_string());
+    out.target(message.target());
+    out.version(11);
+    const auto dropped = namedByConnection(context, message);
+    for (const auto &field : message) {
+        const auto name = toView(field.name_string());
+        const auto matches = [&](const std::string &other) {
+            return sameField(name, other);
+        };
+        if (isHopByHop(field.name()) || std::ranges::any_of(wire.setBySystem, matches) || std::ranges::any_of(dropped, matches)) {
+            continue;
+        }
+        out.insert(field.name_string(), field.value());
+    }
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - now).count();
+    out.set(fromView(wire.deadlineMs), std::to_string(std::max<std::int64_t>(left, 1)));
+    out.set(fromView(wire.expectedEndpoint), endpoint.id);
+    if (!request.organisation.empty()) {
+        out.set(fromView(wire.organisation), request.organisation);
+    }
+    out.body() = message.body();
+    if (!out.body().empty() || message.has_content_length() || message.chunked()) {
+        out.content_length(out.body().size());
+    }
+    return out;
+}
+
+http::response_header<> makeAnswerHead(const http::response_header<> &head)
+{
+    http::response_header<> out;
+    out.version(11);
+    out.result(head.result_int());
+    out.reason(head.reason());
+    for (const auto &field : head) {
+        if (!isHopByHop(field.name())) {
+            out.insert(field.name_string(), field.value());
+        }
+    }
+    return out;
+}
+
+bool saysNotRun(const edge_context &context, const http::response_header<> &head)
+{
+    return head.result() == http::status::misdirected_request || head.find(fromView(context.platform.wire.fields.notExecuted)) != head.end();
+}
+
+bool isSealed(const edge_context &context, const http::response_header<> &head)
+{
+    return head.find(fromView(context.platform.wire.fields.answerSeal)) != head.end();
+}
+
+void noteReportedLoad(const edge_context &context, endpoint_state &endpoint, const http::response_header<> &head)
+{
+    const auto text = toView(head[fromView(context.platform.wire.fields.load)]);
+    if (text.empty()) {
+        return;
+    }
+    if (const auto load = context.platform.wire.parseLoad(text)) {
+        endpoint.reportedRunning = load->running;
+        endpoint.reportedWaiting = load->waiting;
+        endpoint.reportedAt = bootNow();
+    }
+}
+
+exchange_options forwardOptions(const edge_context &context, const caller_request &request, instant deadline)
+{
+    exchange_options options;
+    options.deadline = deadline;
+    options.answerIdField = context.platform.wire.fields.requestId;
+    // A kept connection that breaks as the request is sent leaves a call that may not be repeated without an answer.
+    options.keptMargin = request.route->repeatable ? std::chrono::milliseconds(300) : std::chrono::milliseconds(1000);
+    return options;
+}
+
+task<void> serveCaller(edge_context &context, received_request &received, server_reply &reply)
+{
+    caller_request request{.received = &received, .reply = &reply, .arrivedAt = received.readAt};
+    request.id = toView(received.message[fromView(context.platform.wire.fields.requestId)]);
+    caller_outcome outcome;
+    if (const auto refusal = routeRequest(context, request)) {
+        outcome = {.status = static_cast<int>(refusal->status), .reason = refusal->code};
+        co_await reply.send(makeRefusal(context, refusal->status, refusal->code, refusal->message, refusal->retryAfterMs));
+    } else {
+        context.budget.noteRequest(request.service, request.arrivedAt);
+        context.counters.change(metric_gauge::RequestsInFlight, 1);
+        if (request.route->stream) {
+            outcome = co_await forwardStream(context, request);
+        } else {
+            outcome = co_await forwardService(context, request);
+        }
+        context.counters.change(metric_gauge::RequestsInFlight, -1);
+    }
+    logOutcome(context, request, outcome);
+}
+
+}
--- /dev/null
+++ b/src/serving/edge_daemon.cpp
@@ -0,0 +1,317 @@
+#include "serving/edge_daemon.h"
+
+#include "serving/address_answer.h"
+#include "serving/caller_exchange.h"
+#include "serving/lease_runner.h"
+#include "serving/peer_summaries.h"
+#include "serving/table_follower.h"
+#include "serving/usage_duty.h"
+#include "transport/boot_clock.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <csignal>
+#include <sys/resource.h>
+#include <unistd.h>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+constexpr std::size_t maxAddresses = 64; // Callers take no more out of one answer.
+constexpr auto housekeepingInterval = std::chrono::milliseconds(250);
+constexpr auto stopExitReserve = std::chrono::milliseconds(700); // Between the last answer and the kill, for the hand-over of leases.
+constexpr auto callersLeaveTime = std::chrono::milliseconds(3500); // Callers hold an address answer for its life, some of them longer.
+
+class edge_daemon
+{
+public:
+    edge_daemon(asio::io_context &loop, const edge_settings &settings, const platform_factory &makePlatform, line_log &log, settings_reader reread);
+    void start();
+
+private:
+    server_limits limits() const;
+    server_hooks hooks(std::function<task<void>(received_request &, server_reply &)> handle);
+    task<void> answerReady(received_request &request, server_reply &reply);
+    task<void> answerAddresses(received_request &request, server_reply &reply);
+    task<void> answerMetrics(received_request &request, server_reply &reply);
+    void listen(http_server &server, const std::string &address);
+    task<void> watchSignals();
+    task<void> keepHouse();
+    task<void> stop();
+    void reload();
+    std::string metricsText() const;
+
+    edge_context m_context;
+    settings_reader m_reread;
+    http_server m_callers;
+    http_server m_ready;
+    http_server m_addresses;
+    http_server m_metrics;
+    udp::socket m_peers;
+    asio::signal_set m_signals;
+    lease_runner m_usageLease;
+};
+
+edge_daemon::edge_daemon(asio::io_context &loop, const edge_settings &settings, const platform_factory &makePlatform, line_log &log, settings_reader reread)
+    : m_context(loop, settings, makePlatform, log)
+    , m_reread(std::move(reread))
+    , m_callers(loop, hooks([this](received_request &request, server_reply &reply) {
+                    return serveCaller(m_context, request, reply);
+                }))
+    , m_ready(loop, hooks([this](received_request &request, server_reply &reply) {
+                  return answerReady(request, reply);
+              }))
+    , m_addresses(loop, hooks([this](received_request &request, server_reply &reply) {
+                      return answerAddresses(request, reply);
+                  }))
+    , m_metrics(loop, hooks([this](received_request &request, server_reply &reply) {
+                    return answerMetrics(request, reply);
+                }))
+    , m_peers(loop)
+    , m_signals(loop, SIGTERM, SIGHUP, SIGINT)
+    , m_usageLease(m_context, "usage")
+{
+}
+
+server_limits edge_daemon::limits() const
+{
+    server_limits out;
+    out.maxConnections = m_context.settings.maxConnections;
+    if (const auto &configuration = m_context.configuration) {
+        out.headerBytes = configuration->maxHeaderBytes;
+        out.bodyBytes = configuration->maxBodyBytes;
+        out.headerTime = configuration->headerTimeout;
+        out.idleTime = configuration->idleTimeout;
+    }
+    return out;
+}
+
+server_hooks edge_daemon::hooks(std::function<task<void>(received_request &, server_reply &)> handle)
+{
+    return {
+        .handle = std::move(handle),
+        .limits =
+            [this] {
+                return limits();
+            },
+        .closing =
+            [this] {
+                return m_context.stopping;
+            },
+        .errorBody =
+            [this](std::string_view reason) {
+                return m_context.platform.wire.errorBody("bad_request", reason);
+            },
+    };
+}
+
+void edge_daemon::listen(http_server &server, const std::string &address)
+{
+    if (address.empty()) {
+        return;
+    }
+    const auto parsed = parseAddress(address);
+    if (!parsed.ok()) {
+        throw std::runtime_error("listen address: " + parsed.status().ToString());
+    }
+    server.listen(*parsed);
+}
+
+void edge_daemon::start()
+{
+    const auto &settings = m_context.settings;
+    auto line = m_context.line("start");
+    line.add("daemon", settings.id).add("domain", settings.failureDomain).add("incarnation", m_context.incarnation).add("callers", settings.callerAddress);
+    m_context.log.write(line);
+    if (const auto peers = parseAddress(settings.peerAddress); peers.ok()) {
+        m_peers.open(udp::v4());
+        m_peers.bind(udp::endpoint(peers->address(), peers->port()));
+        m_peers.non_blocking(true);
+    }
+    listen(m_ready, settings.readyAddress);
+    listen(m_addresses, settings.addressesAddress);
+    listen(m_callers, settings.callerAddress);
+    listen(m_metrics, settings.metricsAddress);
+    auto &loop = m_context.loop;
+    asio::co_spawn(loop, watchSignals(), asio::detached);
+    asio::co_spawn(loop, followConfiguration(m_context), asio::detached);
+    asio::co_spawn(loop, followEndpoints(m_context), asio::detached);
+    asio::co_spawn(loop, keepMembership(m_context), asio::detached);
+    if (m_peers.is_open()) {
+        asio::co_spawn(loop, sendSummaries(m_context, m_peers), asio::detached);
+        asio::co_spawn(loop, receiveSummaries(m_context, m_peers), asio::detached);
+    }
+    if (settings.reportsUsage) {
+        asio::co_spawn(loop, storeUsage(m_context), asio::detached);
+        asio::co_spawn(loop, m_usageLease.run(), asio::detached);
+        asio::co_spawn(loop, reportUsage(m_context, m_usageLease), asio::detached);
+    }
+    asio::co_spawn(loop, keepHouse(), asio::detached);
+}
+
+task<void> edge_daemon::answerReady(received_request &request, server_reply &reply)
+{
+    const bool known = toView(request.message.target()).starts_with(m_context.platform.wire.readyPath);
+    if (known && m_context.serving()) {
+        http_response answer(http::status::ok, 11);
+        answer.body() = "ready\n";
+        co_await reply.send(std::move(answer));
+    } else {
+        co_await reply.send(makeRefusal(m_context, known ? http::status::service_unavailable : http::status::not_found, "not_ready", "not ready"));
+    }
+}
+
+std::string queryValue(std::string_view target, std::string_view name)
+{
+    const auto question = target.find('?');
+    std::string_view rest = question == std::string_view::npos ? std::string_view() : target.substr(question + 1);
+    while (!rest.empty()) {
+        const auto end = std::min(rest.find('&'), rest.size());
+        const auto pair = rest.substr(0, end);
+        if (const auto equals = pair.find('='); equals != std::string_view::npos && pair.substr(0, equals) == name) {
+            return std::string(pair.substr(equals + 1));
+        }
+        rest.remove_prefix(std::min(end + 1, rest.size()));
+    }
+    return {};
+}
+
+task<void> edge_daemon::answerAddresses(received_request &request, server_reply &reply)
+{
+    const auto &wire = m_context.platform.wire;
+    const auto target = toView(request.message.target());
+    if (!target.starts_with(wire.addressesPath)) {
+        co_await reply.send(makeRefusal(m_context, http::status::not_found, "not_found", "no such call"));
+        co_return;
+    }
+    const instant now = bootNow();
+    std::vector<daemon_view> daemons;
+    daemons.push_back({
+        .id = m_context.settings.id,
+        .callerAddress = m_context.settings.callerAddress,
+        .failureDomain = m_context.settings.failureDomain,
+        .serving = m_context.serving(),
+        .capacity = m_context.settings.capacity,
+    });
+    for (const auto &[id, peer] : m_context.peers) {
+        if (peer.heard) {
+            daemons.push_back({id, peer.last.callerAddress, peer.last.failureDomain, peer.last.serving, toMs(now - peer.heardAt), peer.last.capacity});
+        }
+    }
+    const auto addresses = chooseAddresses(daemons, queryValue(target, wire.callerDomainParameter), maxAddresses);
+    if (addresses.empty()) {
+        co_await reply.send(makeRefusal(m_context, http::status::service_unavailable, "no_daemon", "no daemon is ready", 500));
+        co_return;
+    }
+    http_response answer(http::status::ok, 11);
+    answer.set(http::field::content_type, "application/json");
+    answer.body() = wire.addressAnswer(addresses, m_context.settings.addressLife);
+    co_await reply.send(std::move(answer));
+}
+
+std::string edge_daemon::metricsText() const
+{
+    std::string text = m_context.counters.text();
+    absl::StrAppend(&text, "lacewinglock_log_lines_dropped_total ", m_context.log.dropped(), "\n");
+    absl::StrAppend(&text, "lacewinglock_caller_connections ", m_callers.connections(), "\n");
+    absl::StrAppend(&text, "lacewinglock_members ", m_context.members.size(), "\n");
+    absl::StrAppend(&text, "lacewinglock_configuration_version ", m_context.configuration ? m_context.configuration->version : 0, "\n");
+    return text;
+}
+
+task<void> edge_daemon::answerMetrics(received_request & /*request*/, server_reply &reply)
+{
+    http_response answer(http::status::ok, 11);
+    answer.set(http::field::content_type, "text/plain; version=0.0.4");
+    answer.body() = metricsText();
+    co_await reply.send(std::move(answer));
+}
+
+task<void> edge_daemon::watchSignals()
+{
+    while (true) {
+        boost::system::error_code error;
+        const int number = co_await m_signals.async_wait(errorTo(error));
+        if (error) {
+            co_return;
+        }
+        if (number == SIGHUP) {
+            reload();
+        } else if (!m_context.stopping) {
+            m_context.stopping = true;
+            m_context.stoppingSince = bootNow();
+            asio::co_spawn(m_context.loop, stop(), asio::detached);
+        }
+    }
+}
+
+void edge_daemon::reload()
+{
+    auto settings = m_reread();
+    auto line = m_context.line("reload");
+    if (!settings.ok()) {
+        line.add("error", settings.status().ToString());
+    } else {
+        // Addresses and names are those of the running process; bounds and figures change at once.
+        settings->id = m_context.settings.id;
+        settings->callerAddress = m_context.settings.callerAddress;
+        settings->peerAddress = m_context.settings.peerAddress;
+        m_context.settings = std::move(*settings);
+        line.add("ok", true);
+    }
+    m_context.log.write(line);
+}
+
+task<void> edge_daemon::keepHouse()
+{
+    while (true) {
+        co_await sleepFor(housekeepingInterval);
+        m_context.pool.expire();
+        m_context.log.flush();
+    }
+}
+
+// Step 1: not ready any more, and out of the address answers of all daemons with the next summary. Step 2: callers leave; what comes is still
+// answered. Step 3: idle connections close. Step 4: exit once nothing is being answered, or shortly before the kill.
+task<void> edge_daemon::stop()
+{
+    auto begin = m_context.line("stopping");
+    begin.add("requests", static_cast<std::uint64_t>(m_callers.requests())).add("connections", static_cast<std::uint64_t>(m_callers.connections()));
+    m_context.log.write(begin);
+    asio::co_spawn(m_context.loop, leaveMembership(m_context), asio::detached);
+    const instant last = m_context.stoppingSince + m_context.settings.shutdownGrace - stopExitReserve;
+    bool closed = false;
+    while (bootNow() < last) {
+        if (!closed && bootNow() - m_context.stoppingSince > callersLeaveTime) {
+            closed = true;
+            m_callers.closeIdle();
+        }
+        if (closed && m_callers.connections() == 0) {
+            break;
+        }
+        co_await sleepFor(std::chrono::milliseconds(50));
+    }
+    auto end = m_context.line("stop");
+    end.add("requests", static_cast<std::uint64_t>(m_callers.requests()));
+    m_context.log.write(end);
+    m_context.log.flush();
+    m_context.loop.stop();
+}
+
+}
+
+int runEdgeDaemon(const edge_settings &settings, const settings_reader &reread, const platform_factory &makePlatform)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    asio::io_context loop(1);
+    line_log log(STDOUT_FILENO);
+    edge_daemon daemon(loop, settings, makePlatform, log, reread);
+    daemon.start();
+    loop.run();
+    return 0;
+}
+
+}
--- /dev/null
+++ b/src/serving/endpoint_registry.cpp
@@ -0,0 +1,228 @@
+#include "serving/endpoint_registry.h"
+
+#include <algorithm>
+#include <utility>
+#include <xxhash.h>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+constexpr auto firstBackoff = std::chrono::milliseconds(200); // Restarted endpoints listen again after some hundred milliseconds at the earliest.
+constexpr auto maxBackoff = std::chrono::seconds(2); // Bounds how long a recovered endpoint stays unused.
+constexpr double failureWeight = 0.1; // Ten attempts tell a failing endpoint from one that failed once.
+
+std::uint64_t hashOf(const endpoint_entry &entry)
+{
+    return XXH3_64bits_withSeed(entry.id.data(), entry.id.size(), static_cast<std::uint64_t>(entry.bornMs));
+}
+
+}
+
+bool endpoint_state::usable(instant now) const
+{
+    return !entry.draining && now >= downUntil;
+}
+
+void endpoint_registry::update(endpoint_entry entry)
+{
+    const auto hash = hashOf(entry);
+    auto &slot = m_byId[entry.id];
+    if (slot && slot->hash != hash) {
+        m_byHash.erase(slot->hash);
+        slot = nullptr;
+    }
+    if (!slot) {
+        slot = std::make_shared<endpoint_state>();
+        slot->hash = hash;
+        m_byHash[hash] = slot;
+        for (const auto &[peer, loads] : m_peerLoads) {
+            for (const auto &[endpoint, load] : loads) {
+                if (endpoint == hash) {
+                    slot->peers.running += load.running;
+                    slot->peers.promptTokens += load.promptTokens;
+                }
+            }
+        }
+    }
+    // A leaving endpoint does not come back under the same birth.
+    entry.draining = entry.draining || slot->entry.draining;
+    slot->entry = std::move(entry);
+    slot->missing = false;
+}
+
+void endpoint_registry::erase(std::map<std::string, endpoint_ptr, std::less<>>::iterator found)
+{
+    // Requests under way hold the state; nothing new is sent to it.
+    found->second->entry.draining = true;
+    m_byHash.erase(found->second->hash);
+    m_byId.erase(found);
+}
+
+void endpoint_registry::remove(std::string_view id)
+{
+    if (const auto found = m_byId.find(id); found != m_byId.end()) {
+        erase(found);
+    }
+}
+
+void endpoint_registry::noteMissing(std::string_view id, instant now)
+{
+    if (const auto found = m_byId.find(id); found != m_byId.end() && !found->second->missing) {
+        found->second->missing = true;
+        found->second->missingSince = now;
+    }
+}
+
+void endpoint_registry::expireMissing(instant now, duration grace)
+{
+    for (auto it = m_byId.begin(); it != m_byId.end();) {
+        const auto current = it++;
+        if (current->second->missing && now - current->second->missingSince >= grace) {
+            erase(current);
+        }
+    }
+}
+
+void endpoint_registry::keepOnly(const std::vector<std::string> &listed, bool storeWasFailing, instant now)
+{
+    for (auto it = m_byId.begin(); it != m_byId.end();) {
+        const auto current = it++;
+        if (std::ranges::find(listed, current->first) != listed.end()) {
+            continue;
+        }
+        if (storeWasFailing) {
+            noteMissing(current->first, now);
+        } else {
+            erase(current);
+        }
+    }
+}
+
+std::vector<endpoint_ptr> endpoint_registry::ofService(std::string_view service) const
+{
+    std::vector<endpoint_ptr> out;
+    for (const auto &[id, endpoint] : m_byId) {
+        if (endpoint->entry.service == service) {
+            out.push_back(endpoint);
+        }
+    }
+    return out;
+}
+
+endpoint_ptr endpoint_registry::find(std::string_view id) const
+{
+    const auto found = m_byId.find(id);
+    return found == m_byId.end() ? nullptr : found->second;
+}
+
+endpoint_ptr endpoint_registry::findByHash(std::uint64_t hash) const
+{
+    const auto found = m_byHash.find(hash);
+    return found == m_byHash.end() ? nullptr : found->second;
+}
+
+std::vector<endpoint_ptr> endpoint_registry::all() const
+{
+    std::vector<endpoint_ptr> out;
+    for (const auto &[id, endpoint] : m_byId) {
+        out.push_back(endpoint);
+    }
+    return out;
+}
+
+void endpoint_registry::noteResult(endpoint_state &endpoint, attempt_result result, instant now)
+{
+    if (result == attempt_result::Unreachable) {
+        const auto backoff = std::min<duration>(firstBackoff * (1 << std::min(endpoint.unreachableInRow, 4)), maxBackoff);
+        endpoint.downUntil = now + backoff;
+        ++endpoint.unreachableInRow;
+        return;
+    }
+    endpoint.unreachableInRow = 0;
+    if (result == attempt_result::Rejected) {
+        return;
+    }
+    const double failed = result == attempt_result::Good ? 0 : 1;
+    endpoint.failureShare += failureWeight * (failed - endpoint.failureShare);
+}
+
+void endpoint_registry::addPeerLoad(const std::vector<std::pair<std::uint64_t, endpoint_load>> &loads, int sign)
+{
+    for (const auto &[hash, load] : loads) {
+        if (const auto endpoint = findByHash(hash)) {
+            endpoint->peers.running = std::max(0, endpoint->peers.running + sign * load.running);
+            endpoint->peers.promptTokens = std::max(0.0, endpoint->peers.promptTokens + sign * load.promptTokens);
+        }
+    }
+}
+
+void endpoint_registry::setPeerLoad(std::string_view peer, std::vector<std::pair<std::uint64_t, endpoint_load>> loads)
+{
+    auto found = m_peerLoads.find(peer);
+    if (found == m_peerLoads.end()) {
+        found = m_peerLoads.emplace(std::string(peer), std::vector<std::pair<std::uint64_t, endpoint_load>>{}).first;
+    }
+    addPeerLoad(found->second, -1);
+    addPeerLoad(loads, 1);
+    found->second = std::move(loads);
+}
+
+void endpoint_registry::dropPeer(std::string_view peer)
+{
+    if (const auto found = m_peerLoads.find(peer); found != m_peerLoads.end()) {
+        addPeerLoad(found->second, -1);
+        m_peerLoads.erase(found);
+    }
+}
+
+load_claim::load_claim(endpoint_ptr endpoint, double promptTokens)
+    : m_endpoint(std::move(endpoint))
+    , m_promptTokens(promptTokens)
+{
+    ++m_endpoint->own.running;
+    m_endpoint->own.promptTokens += promptTokens;
+}
+
+load_claim::~load_claim()
+{
+    release();
+}
+
+load_claim::load_claim(load_claim &&other) noexcept
+    : m_endpoint(std::move(other.m_endpoint))
+    , m_promptTokens(std::exchange(other.m_promptTokens, 0))
+{
+    other.m_endpoint = nullptr;
+}
+
+load_claim &load_claim::operator=(load_claim &&other) noexcept
+{
+    if (this != &other) {
+        release();
+        m_endpoint = std::move(other.m_endpoint);
+        other.m_endpoint = nullptr;
+        m_promptTokens = std::exchange(other.m_promptTokens, 0);
+    }
+    return *this;
+}
+
+void load_claim::promptRead()
+{
+    if (m_endpoint) {
+        m_endpoint->own.promptTokens = std::max(0.0, m_endpoint->own.promptTokens - std::exchange(m_promptTokens, 0));
+    }
+}
+
+void load_claim::release()
+{
+    if (m_endpoint) {
+        promptRead();
+        --m_endpoint->own.running;
+        m_endpoint = nullptr;
+    }
+}
+
+}
--- /dev/null
+++ b/src/serving/lease_runner.cpp
@@ -0,0 +1,96 @@
+#include "serving/lease_runner.h"
+
+#include "protocol/tunables.h"
+#include "state/rendezvous.h"
+#include "transport/boot_clock.h"
+
+#include <absl/strings/str_cat.h>
+#include <deque>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+constexpr std::string_view cellName = "main"; // Today each deployment is one cell.
+
+}
+
+lease_runner::lease_runner(edge_context &context, const std::string &duty)
+    : m_context(context)
+    , m_keeper(std::string(cellName), duty, absl::StrCat(context.settings.id, "~", context.incarnation))
+    , m_holderId(context.settings.id)
+{
+}
+
+task<void> lease_runner::run()
+{
+    bool releasing = false;
+    while (!m_keeper.released()) {
+        std::vector<std::string> serving;
+        for (const auto &[id, address] : m_context.members) {
+            serving.push_back(id);
+        }
+        m_keeper.setRank(rendezvousRank(m_keeper.duty(), m_context.settings.id, serving));
+        std::vector<control_effect> effects;
+        const instant now = bootNow();
+        if (m_context.stopping && !releasing) {
+            releasing = true;
+            m_keeper.release(now, effects);
+        } else {
+            m_keeper.handle(tick_event{}, now, effects);
+        }
+        co_await perform(std::move(effects));
+        noteHolder();
+        co_await sleepFor(tunables::controlTick);
+    }
+}
+
+task<void> lease_runner::perform(std::vector<control_effect> effects)
+{
+    std::deque<control_effect> waiting(std::make_move_iterator(effects.begin()), std::make_move_iterator(effects.end()));
+    while (!waiting.empty()) {
+        const control_effect effect = std::move(waiting.front());
+        waiting.pop_front();
+        std::vector<control_effect> next;
+        if (const auto *read = std::get_if<read_row_effect>(&effect)) {
+            row_read_event event{.op = read->op, .result = absl::UnknownError("not read")};
+            event.result = co_await m_context.platform.store.read(read->key);
+            m_context.counters.count(metric_counter::StoreReads);
+            m_keeper.handle(event, bootNow(), next);
+        } else if (const auto *commit = std::get_if<commit_effect>(&effect)) {
+            commit_event event{.op = commit->op};
+            event.outcome = co_await m_context.platform.store.commit(commit->change);
+            m_context.counters.count(metric_counter::StoreWrites);
+            m_keeper.handle(event, bootNow(), next);
+        }
+        for (auto &one : next) {
+            waiting.push_back(std::move(one));
+        }
+    }
+}
+
+void lease_runner::noteHolder()
+{
+    const auto grant = m_keeper.grant(bootNow());
+    if (grant.has_value() == m_holding) {
+        return;
+    }
+    m_holding = grant.has_value();
+    auto line = m_context.line(m_holding ? "lease_won" : "lease_lost");
+    line.add("duty", m_keeper.duty()).add("epoch", m_holding ? grant->epoch : m_keeper.seenEpoch());
+    m_context.log.write(line);
+}
+
+std::optional<order_authority> lease_runner::authority(duration margin) const
+{
+    const instant now = bootNow();
+    const auto grant = m_keeper.grant(now);
+    if (!grant || grant->validUntil < now + margin) {
+        return std::nullopt;
+    }
+    return order_authority{m_holderId, grant->epoch};
+}
+
+}
--- /dev/null
+++ b/src/serving/part_index.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "transport/core_time.h"
+
+#include <cstdint>
+#include <list>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace lacewinglock
+{
+
+/// One part of a prompt. Prompts share leading parts.
+struct prompt_part
+{
+    std::uint64_t id = 0;
+    double tokens = 0;
+};
+
+/// Which engines were sent which prompt parts lately, and so probably keep them in memory.
+class part_index
+{
+public:
+    /// `maxParts` bounds the memory; the parts used least recently are forgotten.
+    explicit part_index(std::size_t maxParts = 8192);
+
+    void noteUse(std::uint64_t part, std::uint64_t engine, instant now);
+    /// The engine turned out not to have the part.
+    void forget(std::uint64_t part, std::uint64_t engine);
+    void forgetEngine(std::uint64_t engine);
+
+    /// Tokens of the leading parts that the engine probably keeps: a part counts only if all parts before it do.
+    double cachedTokens(std::span<const prompt_part> parts, std::uint64_t engine) const;
+    /// Engines that probably keep the part, the latest used first.
+    std::vector<std::uint64_t> holders(std::uint64_t part) const;
+
+private:
+    struct holder
+    {
+        std::uint64_t engine = 0;
+        instant usedAt;
+    };
+    struct entry
+    {
+        std::vector<holder> holders;
+        std::list<std::uint64_t>::iterator order;
+    };
+
+    bool holds(std::uint64_t part, std::uint64_t engine) const;
+
+    std::size_t m_maxParts;
+    std::list<std::uint64_t> m_order; ///< Least recently used first.
+    std::unordered_map<std::uint64_t, entry> m_parts;
+};
+
+}
--- /dev/null
+++ b/src/serving/table_follower.cpp
@@ -0,0 +1,221 @@
+#include "serving/table_follower.h"
+
+#include "transport/boot_clock.h"
+
+#include <absl/strings/str_cat.h>
+#include <functional>
+#include <nlohmann/json.hpp>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+constexpr auto changeWait = std::chrono::milliseconds(800); // A silent connection to the store shows within this time and the call's own slack.
+constexpr auto retryPause = std::chrono::milliseconds(150); // Between failed calls: seven a second and daemon, a small part of the store's rate.
+constexpr auto missingGrace = std::chrono::milliseconds(2500); // Living endpoints list themselves again within two seconds of the store's return.
+constexpr auto memberInterval = std::chrono::seconds(2); // A new daemon is known everywhere after at most this long.
+const std::string memberPrefix = "member/";
+
+/// What a follower does with the rows.
+struct table_handler
+{
+    std::string_view name;
+    std::function<void(const table_changes &, bool whole)> apply;
+};
+
+void noteStoreFailure(edge_context &context, std::string_view step, const absl::Status &status, bool &failing)
+{
+    context.storeFailedAt = bootNow();
+    context.counters.count(metric_counter::StoreErrors);
+    if (!failing) {
+        failing = true;
+        auto line = context.line("store_lost");
+        line.add("step", step).add("error", status.ToString());
+        context.log.write(line);
+    }
+}
+
+void noteStoreAnswer(edge_context &context, std::string_view step, bool &failing)
+{
+    if (failing) {
+        failing = false;
+        auto line = context.line("store_regained");
+        line.add("step", step);
+        context.log.write(line);
+    }
+}
+
+task<void> follow(edge_context &context, platform_table table, table_handler handler)
+{
+    bool failing = false;
+    std::optional<std::uint64_t> version;
+    while (true) {
+        const bool whole = !version;
+        absl::StatusOr<table_changes> answer = absl::UnknownError("not asked");
+        if (whole) {
+            answer = co_await context.platform.store.readAll(table);
+        } else {
+            answer = co_await context.platform.store.changes(table, *version, changeWait);
+        }
+        context.counters.count(metric_counter::StoreReads);
+        if (!answer.ok()) {
+            if (answer.status().code() == absl::StatusCode::kOutOfRange) {
+                version.reset();
+            } else {
+                noteStoreFailure(context, handler.name, answer.status(), failing);
+            }
+            co_await sleepFor(retryPause);
+            continue;
+        }
+        // An older answer than one already seen is stale.
+        if (version && answer->version < *version) {
+            noteStoreFailure(context, handler.name, absl::DataLossError("stale answer"), failing);
+            co_await sleepFor(retryPause);
+            continue;
+        }
+        noteStoreAnswer(context, handler.name, failing);
+        version = answer->version;
+        handler.apply(*answer, whole);
+    }
+}
+
+void applyConfiguration(edge_context &context, const table_changes &changes)
+{
+    for (const auto &changed : changes.rows) {
+        if (changed.removed) {
+            continue;
+        }
+        auto parsed = context.platform.parsers.configuration(changed.value);
+        if (!parsed.ok()) {
+            auto line = context.line("configuration_unreadable");
+            line.add("key", changed.key).add("error", parsed.status().ToString());
+            context.log.write(line);
+            continue;
+        }
+        const std::uint64_t held = context.configuration ? context.configuration->version : 0;
+        if (parsed->version <= held) {
+            continue;
+        }
+        indexRoutes(*parsed);
+        auto line = context.line("configuration");
+        line.add("from", held).add("to", parsed->version).add("routes", parsed->routes.size()).add("services", parsed->services.size());
+        line.add("keys", parsed->keys.size());
+        context.log.write(line);
+        context.configuration = std::make_shared<const serving_configuration>(std::move(*parsed));
+    }
+    if (context.configuration) {
+        context.configurationAskedAt = changes.askedAt;
+    }
+}
+
+void applyEndpoints(edge_context &context, const table_changes &changes, bool whole)
+{
+    const instant now = bootNow();
+    const bool storeWasFailing = context.storeFailedAt != instant{} && now - context.storeFailedAt < missingGrace;
+    std::vector<std::string> listed;
+    for (const auto &changed : changes.rows) {
+        if (changed.removed) {
+            if (storeWasFailing) {
+                context.endpoints.noteMissing(changed.key, now);
+            } else {
+                context.endpoints.remove(changed.key);
+            }
+            auto line = context.line("endpoint_gone");
+            line.add("endpoint", changed.key).add("kept", storeWasFailing);
+            context.log.write(line);
+            continue;
+        }
+        auto parsed = context.platform.parsers.endpoint(changed.key, changed.value);
+        if (!parsed.ok()) {
+            auto line = context.line("endpoint_unreadable");
+            line.add("endpoint", changed.key).add("error", parsed.status().ToString());
+            context.log.write(line);
+            continue;
+        }
+        listed.push_back(parsed->id);
+        auto line = context.line("endpoint");
+        line.add("endpoint", parsed->id).add("service", parsed->service).add("address", parsed->address).add("draining", parsed->draining);
+        line.add("domain", parsed->failureDomain)
+            .add("reclaimable", parsed->reclaimable)
+            .add("role", static_cast<int>(parsed->role.value_or(endpoint_role::Mixed)));
+        context.log.write(line);
+        context.endpoints.update(std::move(*parsed));
+    }
+    if (whole) {
+        context.endpoints.keepOnly(listed, storeWasFailing, now);
+        context.endpointsListed = true;
+    }
+    context.endpoints.expireMissing(now, missingGrace);
+}
+
+}
+
+task<void> followConfiguration(edge_context &context)
+{
+    table_handler handler{"follow_configuration", [&context](const table_changes &changes, bool /*whole*/) {
+                              applyConfiguration(context, changes);
+                          }};
+    co_await follow(context, platform_table::Configuration, std::move(handler));
+}
+
+task<void> followEndpoints(edge_context &context)
+{
+    table_handler handler{"follow_endpoints", [&context](const table_changes &changes, bool whole) {
+                              applyEndpoints(context, changes, whole);
+                          }};
+    co_await follow(context, platform_table::Endpoints, std::move(handler));
+}
+
+task<void> keepMembership(edge_context &context)
+{
+    bool failing = false;
+    bool stored = false;
+    while (!context.stopping) {
+        if (!stored) {
+            const nlohmann::json value = {{"address", context.settings.peerAddress}, {"incarnation", context.incarnation}};
+            transaction change{.writes = {{.key = memberPrefix + context.settings.id, .value = value.dump()}}};
+            const auto outcome = co_await context.platform.store.commit(std::move(change));
+            context.counters.count(metric_counter::StoreWrites);
+            stored = outcome == commit_outcome::Committed;
+            if (!stored) {
+                noteStoreFailure(context, "write_member", absl::UnavailableError("commit"), failing);
+                co_await sleepFor(retryPause);
+                continue;
+            }
+        }
+        const auto rows = co_await context.platform.store.scan(memberPrefix);
+        context.counters.count(metric_counter::StoreReads);
+        if (!rows.ok()) {
+            noteStoreFailure(context, "read_members", rows.status(), failing);
+            co_await sleepFor(retryPause);
+            continue;
+        }
+        noteStoreAnswer(context, "read_members", failing);
+        std::map<std::string, std::string, std::less<>> members;
+        for (const auto &row : *rows) {
+            const auto value = nlohmann::json::parse(row.value, nullptr, false);
+            if (!value.is_object() || !value.contains("address") || !value["address"].is_string()) {
+                auto line = context.line("member_unreadable");
+                line.add("key", row.key).add("version", row.version);
+                context.log.write(line);
+                continue;
+            }
+            members[row.key.substr(memberPrefix.size())] = value["address"].get<std::string>();
+        }
+        context.members = std::move(members);
+        co_await sleepFor(memberInterval);
+    }
+}
+
+task<void> leaveMembership(edge_context &context)
+{
+    transaction change{.writes = {{.key = memberPrefix + context.settings.id, .value = std::nullopt}}};
+    const auto outcome = co_await context.platform.store.commit(std::move(change));
+    auto line = context.line("member_removed");
+    line.add("committed", outcome == commit_outcome::Committed);
+    context.log.write(line);
+}
+
+}
--- a/src/state/demand_meter.h
+++ b/src/state/demand_meter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "protocol/core_time.h"
+#include "transport/core_time.h"
 #include "protocol/decisions.h"
 
 #include <map>
--- /dev/null
+++ b/src/transport/http_client.cpp
@@ -0,0 +1,392 @@
+#include "transport/http_client.h"
+
+#include "transport/boot_clock.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <sys/socket.h>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+constexpr std::size_t readBytes = 16U << 10U; // A read returns at most this much, so that one large answer does not hold up the others.
+constexpr std::size_t maxHeadBytes = 32U << 10U; // Heads of servers are a few hundred bytes.
+constexpr std::uint64_t maxBodyBytes = std::uint64_t{1} << 40U; // Beast's "no limit" fails in 1.74; bodies are bounded by their readers.
+constexpr std::size_t inlineWriteBytes = 8U << 10U; // Fits the socket buffer: longer bodies are written while the answer is awaited.
+constexpr std::size_t maxControlAnswerBytes = 16U << 20U; // Above the largest page of a store or list.
+constexpr std::size_t maxKeptPerServer = 64;
+constexpr int maxSkippedAnswers = 3; // A server that sends more foreign answers than this is out of step for good.
+constexpr auto defaultIdleLimit = std::chrono::seconds(2); // For servers that do not say how long they keep a connection.
+
+std::uint64_t poolKey(const tcp::endpoint &server)
+{
+    return (static_cast<std::uint64_t>(server.address().to_v4().to_uint()) << 16U) | server.port();
+}
+
+// A readable idle connection was closed by its server, or holds bytes that belong to no request.
+bool isQuiet(tcp::socket &socket)
+{
+    char byte = 0;
+    const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+duration idleLimitOf(const http::response_header<> &head)
+{
+    const auto text = toView(head["Keep-Alive"]);
+    constexpr std::string_view name = "timeout=";
+    if (const auto found = text.find(name); found != std::string_view::npos) {
+        int seconds = 0;
+        const auto digits = text.substr(found + name.size());
+        if (const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds); error == std::errc{} && seconds > 0) {
+            return std::chrono::seconds(seconds);
+        }
+    }
+    return defaultIdleLimit;
+}
+
+}
+
+std::string_view toText(exchange_state state)
+{
+    constexpr std::array<std::string_view, 7> names{"going", "whole", "not_sent", "lost", "malformed", "timed_out", "cancelled"};
+    return names.at(static_cast<std::size_t>(state));
+}
+
+connection_pool::connection_pool(asio::io_context &loop)
+    : m_loop(loop)
+{
+}
+
+std::shared_ptr<client_connection> connection_pool::take(const tcp::endpoint &server, duration margin)
+{
+    const auto found = m_idle.find(poolKey(server));
+    if (found == m_idle.end()) {
+        return nullptr;
+    }
+    const instant now = bootNow();
+    while (!found->second.empty()) {
+        auto connection = std::move(found->second.back());
+        found->second.pop_back();
+        if (now - connection->idleSince + margin < connection->idleLimit && isQuiet(connection->socket)) {
+            connection->fresh = false;
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+void connection_pool::put(const tcp::endpoint &server, std::shared_ptr<client_connection> connection)
+{
+    auto &idle = m_idle[poolKey(server)];
+    connection->idleSince = bootNow();
+    idle.push_back(std::move(connection));
+    if (idle.size() > maxKeptPerServer) {
+        idle.pop_front();
+    }
+}
+
+void connection_pool::drop(const tcp::endpoint &server)
+{
+    m_idle.erase(poolKey(server));
+}
+
+void connection_pool::expire()
+{
+    const instant now = bootNow();
+    for (auto server = m_idle.begin(); server != m_idle.end();) {
+        std::erase_if(server->second, [&](const auto &connection) {
+            return now - connection->idleSince >= connection->idleLimit;
+        });
+        server = server->second.empty() ? m_idle.erase(server) : std::next(server);
+    }
+}
+
+asio::io_context &connection_pool::loop() const
+{
+    return m_loop;
+}
+
+client_counters &connection_pool::counters()
+{
+    return m_counters;
+}
+
+absl::StatusOr<tcp::endpoint> parseAddress(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    boost::system::error_code error;
+    unsigned port = 0;
+    if (colon != std::string_view::npos) {
+        const auto address = asio::ip::make_address_v4(std::string(text.substr(0, colon)), error);
+        const auto digits = text.substr(colon + 1);
+        const auto [end, portError] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+        if (!error && portError == std::errc{} && end == digits.data() + digits.size() && port > 0 && port <= 65535) {
+            return tcp::endpoint(address, static_cast<unsigned short>(port));
+        }
+    }
+    return absl::InvalidArgumentError("address \"" + std::string(text) + "\" is not IP:port");
+}
+
+client_exchange::client_exchange(connection_pool &pool, tcp::endpoint server, exchange_options options)
+    : m_pool(pool)
+    , m_server(std::move(server))
+    , m_options(options)
+    , m_timer(pool.loop())
+{
+}
+
+client_exchange::~client_exchange() = default;
+
+void client_exchange::armTimer()
+{
+    m_timer.expires_after(std::max(duration::zero(), m_options.deadline - bootNow()));
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (error || !self || self->m_done) {
+            return;
+        }
+        self->m_timedOut = true;
+        if (self->m_connection) {
+            boost::system::error_code ignored;
+            self->m_connection->socket.close(ignored);
+        }
+    });
+}
+
+void client_exchange::setDeadline(instant deadline)
+{
+    m_options.deadline = deadline;
+    armTimer();
+}
+
+void client_exchange::cancel()
+{
+    m_cancelled = true;
+    m_timer.cancel();
+    if (m_connection && !m_done) {
+        boost::system::error_code ignored;
+        m_connection->socket.close(ignored);
+    }
+}
+
+exchange_state client_exchange::failure(const boost::system::error_code &error) const
+{
+    if (m_cancelled) {
+        return exchange_state::Cancelled;
+    }
+    if (m_timedOut) {
+        return exchange_state::TimedOut;
+    }
+    const bool byPeer = error == http::error::end_of_stream || error == http::error::partial_message || error.category() == asio::error::get_system_category()
+        || error == asio::error::eof;
+    return byPeer ? exchange_state::Lost : exchange_state::Malformed;
+}
+
+task<exchange_state> client_exchange::connect()
+{
+    if (m_options.keptConnection) {
+        m_connection = m_pool.take(m_server, m_options.keptMargin);
+    }
+    if (m_connection) {
+        m_kept = true;
+        co_return exchange_state::Going;
+    }
+    m_connection = std::make_shared<client_connection>(m_pool.loop());
+    ++m_pool.counters().connections;
+    const instant wholeDeadline = m_options.deadline;
+    setDeadline(std::min(wholeDeadline, bootNow() + m_options.connectTimeout));
+    boost::system::error_code error;
+    co_await m_connection->socket.async_connect(m_server, errorTo(error));
+    if (error || m_timedOut || m_cancelled) {
+        ++m_pool.counters().connectFailures;
+        m_done = true;
+        co_return m_cancelled ? exchange_state::Cancelled : exchange_state::NotSent;
+    }
+    m_connection->socket.set_option(tcp::no_delay(true), error);
+    setDeadline(wholeDeadline);
+    co_return exchange_state::Going;
+}
+
+task<void> client_exchange::writeRequest(std::shared_ptr<const http_request> request)
+{
+    const auto self = shared_from_this();
+    const auto connection = m_connection;
+    boost::system::error_code error;
+    http::request_serializer<http::string_body> serializer(*request);
+    m_pool.counters().sentBytes += co_await http::async_write(connection->socket, serializer, errorTo(error));
+    m_written = !error;
+}
+
+task<exchange_state> client_exchange::begin(const http_request &request)
+{
+    const auto self = shared_from_this();
+    armTimer();
+    if (const auto state = co_await connect(); state != exchange_state::Going) {
+        co_return state;
+    }
+    if (!m_options.answerIdField.empty()) {
+        m_answerId = toView(request[fromView(m_options.answerIdField)]);
+    }
+    if (request.body().size() <= inlineWriteBytes) {
+        boost::system::error_code error;
+        http::request_serializer<http::string_body> serializer(request);
+        m_pool.counters().sentBytes += co_await http::async_write(m_connection->socket, serializer, errorTo(error));
+        m_written = !error;
+        if (error && (m_timedOut || m_cancelled)) {
+            m_done = true;
+            co_return failure(error);
+        }
+        // After a failed write the server may still have answered: the read below tells.
+    } else {
+        asio::co_spawn(m_pool.loop(), writeRequest(std::make_shared<http_request>(request)), asio::detached);
+    }
+    co_return co_await readHead(request.method() == http::verb::head);
+}
+
+// An answer to a request that was given up earlier may arrive first; the id tells it apart.
+bool client_exchange::skipsAnswer() const
+{
+    if (m_answerId.empty()) {
+        return false;
+    }
+    const auto id = m_parser->get()[fromView(m_options.answerIdField)];
+    return !id.empty() && toView(id) != m_answerId;
+}
+
+task<exchange_state> client_exchange::readHead(bool skipBody)
+{
+    for (int skipped = 0; skipped <= maxSkippedAnswers;) {
+        m_parser.emplace();
+        m_parser->header_limit(maxHeadBytes);
+        m_parser->body_limit(maxBodyBytes);
+        m_parser->skip(skipBody);
+        boost::system::error_code error;
+        m_pool.counters().receivedBytes += co_await http::async_read_header(m_connection->socket, m_connection->buffer, *m_parser, errorTo(error));
+        if (error) {
+            m_done = true;
+            co_return failure(error);
+        }
+        if (m_parser->get().result_int() < 200) {
+            continue;
+        }
+        if (!skipsAnswer()) {
+            m_endsWithConnection = m_parser->need_eof();
+            if (m_parser->is_done()) {
+                release();
+                co_return exchange_state::Whole;
+            }
+            co_return exchange_state::Going;
+        }
+        std::string foreign;
+        while (!m_parser->is_done()) {
+            if (const auto state = co_await readSome(foreign); state != exchange_state::Going && state != exchange_state::Whole) {
+                co_return state;
+            }
+            foreign.clear();
+        }
+        ++skipped;
+    }
+    m_done = true;
+    co_return exchange_state::Malformed;
+}
+
+task<exchange_state> client_exchange::readSome(std::string &out)
+{
+    const auto self = shared_from_this();
+    if (m_cancelled || m_timedOut) {
+        m_done = true;
+        co_return failure({});
+    }
+    if (m_parser->is_done()) {
+        release();
+        co_return exchange_state::Whole;
+    }
+    const std::size_t before = out.size();
+    out.resize(before + readBytes);
+    auto &body = m_parser->get().body();
+    body.data = out.data() + before;
+    body.size = readBytes;
+    body.more = true;
+    boost::system::error_code error;
+    m_pool.counters().receivedBytes += co_await http::async_read_some(m_connection->socket, m_connection->buffer, *m_parser, errorTo(error));
+    out.resize(before + readBytes - body.size);
+    if (error == http::error::need_buffer) {
+        error = {};
+    }
+    if (error) {
+        m_done = true;
+        co_return failure(error);
+    }
+    if (!m_parser->is_done()) {
+        co_return exchange_state::Going;
+    }
+    if (!skipsAnswer()) {
+        release();
+    }
+    co_return exchange_state::Whole;
+}
+
+task<exchange_state> client_exchange::readAll(std::string &out, std::size_t limit)
+{
+    while (true) {
+        if (const auto state = co_await readSome(out); state != exchange_state::Going) {
+            co_return state;
+        }
+        if (out.size() > limit) {
+            cancel();
+            co_return exchange_state::Malformed;
+        }
+    }
+}
+
+// Keeps the connection only when both sides are certainly in step.
+void client_exchange::release()
+{
+    if (m_done) {
+        return;
+    }
+    m_done = true;
+    m_timer.cancel();
+    const bool inStep = m_written && !m_endsWithConnection && m_parser->keep_alive() && m_connection->buffer.size() == 0 && !m_cancelled;
+    if (!inStep) {
+        boost::system::error_code ignored;
+        m_connection->socket.close(ignored);
+        return;
+    }
+    m_connection->idleLimit = idleLimitOf(m_parser->get());
+    m_pool.put(m_server, m_connection);
+}
+
+const http::response_header<> &client_exchange::head() const
+{
+    return m_parser->get();
+}
+
+bool client_exchange::sentOnKeptConnection() const
+{
+    return m_kept;
+}
+
+task<absl::StatusOr<http_response>> callServer(connection_pool &pool, tcp::endpoint server, http_request request, exchange_options options)
+{
+    const auto exchange = std::make_shared<client_exchange>(pool, server, options);
+    request.prepare_payload();
+    auto state = co_await exchange->begin(request);
+    http_response answer;
+    if (state == exchange_state::Going) {
+        state = co_await exchange->readAll(answer.body(), maxControlAnswerBytes);
+    }
+    if (state != exchange_state::Whole) {
+        const std::string message = std::string(toView(request.target())) + ": " + std::string(toText(state));
+        co_return state == exchange_state::NotSent ? absl::UnavailableError(message) : absl::UnknownError(message);
+    }
+    answer.base() = exchange->head();
+    co_return answer;
+}
+
+}
