--- a/src/serving/edge_daemon.cpp
+++ b/src/serving/edge_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "serving/address_answer.h"
 #include "serving/caller_exchange.h"
+#include "serving/fleet_duty.h"
 #include "serving/lease_runner.h"
 #include "serving/peer_summaries.h"
 #include "serving/table_follower.h"
@@ -52,7 +53,7 @@
     http_server m_metrics;
     udp::socket m_peers;
     asio::signal_set m_signals;
-    lease_runner m_usageLease;
+    lease_runner m_lease;
 };
 
 edge_daemon::edge_daemon(asio::io_context &loop, const edge_settings &settings, const platform_factory &makePlatform, line_log &log, settings_reader reread)
@@ -72,7 +73,7 @@
                 }))
     , m_peers(loop)
     , m_signals(loop, SIGTERM, SIGHUP, SIGINT)
-    , m_usageLease(m_context, "usage")
+    , m_lease(m_context, "platform")
 {
 }
 
@@ -146,8 +147,13 @@
     }
     if (settings.reportsUsage) {
         asio::co_spawn(loop, storeUsage(m_context), asio::detached);
-        asio::co_spawn(loop, m_usageLease.run(), asio::detached);
-        asio::co_spawn(loop, reportUsage(m_context, m_usageLease), asio::detached);
+        asio::co_spawn(loop, reportUsage(m_context, m_lease), asio::detached);
+    }
+    if (settings.ordersEndpoints) {
+        asio::co_spawn(loop, planEngines(m_context, m_lease), asio::detached);
+    }
+    if (settings.reportsUsage || settings.ordersEndpoints) {
+        asio::co_spawn(loop, m_lease.run(), asio::detached);
     }
     asio::co_spawn(loop, keepHouse(), asio::detached);
 }
--- /dev/null
+++ b/src/serving/fleet_duty.cpp
@@ -0,0 +1,200 @@
+#include "serving/fleet_duty.h"
+
+#include "serving/fleet_plan.h"
+#include "transport/boot_clock.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+constexpr auto planInterval = std::chrono::milliseconds(500); // An eighth of the time that an ordered engine takes to start.
+constexpr auto callMargin = std::chrono::milliseconds(1500); // The lease must outlive an order call.
+constexpr auto peakHorizon = std::chrono::seconds(60); // Engines are given back when no burst of the last minute needed them.
+constexpr auto meanHorizon = std::chrono::seconds(15);
+constexpr auto learningTime = std::chrono::seconds(30); // Without a history, the fleet is sized for the most that may be ordered.
+constexpr auto unavailableTime = std::chrono::seconds(4); // Before the cheaper kind is asked for again in a domain that had none.
+constexpr auto repeatAfter = std::chrono::seconds(10); // An order that shows no effect is given again.
+
+/// What was ordered last of one kind in one domain.
+struct placed_order
+{
+    int count = -1;
+    instant at;
+};
+
+struct service_plan
+{
+    std::deque<std::pair<instant, double>> engines; ///< Measured demand, in engines' worth.
+    std::map<std::pair<std::string, bool>, placed_order> orders; ///< By domain and kind.
+    std::map<std::string, instant> noneUntil; ///< Domains where the cheaper kind can't be had.
+};
+
+class engine_planner
+{
+public:
+    engine_planner(edge_context &context, lease_runner &lease)
+        : m_context(context)
+        , m_lease(lease)
+        , m_startedAt(bootNow())
+    {
+    }
+
+    task<void> run();
+
+private:
+    fleet_input makeInput(const serving_service &service, service_plan &plan) const;
+    double measureDemand(const std::string &service) const;
+    task<void> planService(const serving_service &service);
+    task<void> order(service_plan &plan, endpoint_count_order wanted, int running);
+
+    edge_context &m_context;
+    lease_runner &m_lease;
+    instant m_startedAt;
+    std::map<std::string, service_plan> m_plans;
+};
+
+// Work under way tells the demand whatever kind of engine it waits at: an engine whose queue is longer than a step counts as busy.
+double engine_planner::measureDemand(const std::string &service) const
+{
+    const auto &model = m_context.settings.engines;
+    double queuedMs = 0;
+    double busy = 0;
+    for (const auto &engine : m_context.endpoints.ofService(service)) {
+        const double tokens = engine->own.promptTokens + engine->peers.promptTokens;
+        const int running = engine->own.running + engine->peers.running;
+        queuedMs += readingMs(model, engine->entry.role.value_or(endpoint_role::Mixed), tokens, 0, running);
+        busy += running > 0 ? 1 : 0;
+    }
+    // Reading that would take one engine 100 ms keeps it busy for a plan interval's fifth; several such bursts come in each interval.
+    constexpr double queueMsPerEngine = 100;
+    return std::max(busy * 0.5, queuedMs / queueMsPerEngine);
+}
+
+fleet_input engine_planner::makeInput(const serving_service &service, service_plan &plan) const
+{
+    const instant now = bootNow();
+    plan.engines.emplace_back(now, measureDemand(service.name));
+    while (now - plan.engines.front().first > peakHorizon) {
+        plan.engines.pop_front();
+    }
+    double peak = 0;
+    double sum = 0;
+    int recent = 0;
+    for (const auto &[at, engines] : plan.engines) {
+        peak = std::max(peak, engines);
+        if (now - at <= meanHorizon) {
+            sum += engines;
+            ++recent;
+        }
+    }
+    fleet_input input{
+        .service = service.name,
+        .demandEngines = peak,
+        .meanEngines = recent > 0 ? sum / recent : 0,
+        .minPerDomain = service.scaling->min,
+        .maxPerDomain = service.scaling->max,
+        .hasReclaimable = service.scaling->reclaimablePrice < 1,
+    };
+    std::map<std::string, fleet_domain> domains;
+    for (const auto &engine : m_context.endpoints.ofService(service.name)) {
+        auto &domain = domains[engine->entry.failureDomain];
+        domain.name = engine->entry.failureDomain;
+        if (!engine->entry.draining) {
+            ++(engine->entry.reclaimable ? domain.reclaimable : domain.ordinary);
+        }
+    }
+    for (auto &[name, domain] : domains) {
+        const auto price = service.scaling->domainPrices.find(name);
+        domain.price = price == service.scaling->domainPrices.end() ? 1 : price->second;
+        const auto none = plan.noneUntil.find(name);
+        domain.reclaimableAvailable = none == plan.noneUntil.end() || now >= none->second;
+        input.domains.push_back(domain);
+    }
+    if (now - m_startedAt < learningTime) {
+        input.demandEngines = std::max<double>(input.demandEngines, service.scaling->max * static_cast<double>(domains.size()));
+    }
+    return input;
+}
+
+task<void> engine_planner::order(service_plan &plan, endpoint_count_order wanted, int running)
+{
+    auto &last = plan.orders[{wanted.failureDomain, wanted.reclaimable}];
+    const instant now = bootNow();
+    const bool settled = last.count == wanted.count && (running == wanted.count || now - last.at < repeatAfter);
+    const bool startsRight = last.count < 0 && running == wanted.count;
+    if (settled || startsRight) {
+        last.count = wanted.count;
+        co_return;
+    }
+    const auto authority = m_lease.authority(callMargin);
+    if (!authority) {
+        co_return;
+    }
+    last.at = now;
+    const auto outcome = co_await m_context.platform.orders.orderEndpoints(*authority, wanted);
+    auto line = m_context.line("engines_ordered");
+    line.add("service", wanted.service).add("domain", wanted.failureDomain).add("count", wanted.count).add("reclaimable", wanted.reclaimable);
+    line.add("running", running).add("epoch", authority->epoch).add("outcome", static_cast<int>(outcome));
+    m_context.log.write(line);
+    if (outcome == delivery::Accepted) {
+        last.count = wanted.count;
+    } else if (outcome == delivery::Fenced && wanted.reclaimable) {
+        plan.noneUntil[wanted.failureDomain] = now + unavailableTime;
+    } else {
+        last.count = -2;
+    }
+}
+
+task<void> engine_planner::planService(const serving_service &service)
+{
+    auto &plan = m_plans[service.name];
+    const auto input = makeInput(service, plan);
+    const auto targets = planFleet(input);
+    for (const auto &target : targets) {
+        const auto domain = std::ranges::find(input.domains, target.domain, &fleet_domain::name);
+        // Named variables: g++ 12 destroys braced temporaries twice when they are arguments of an awaited call.
+        const endpoint_count_order reclaimable{service.name, target.domain, target.reclaimable, true};
+        const endpoint_count_order ordinary{service.name, target.domain, target.ordinary, false};
+        // More of one kind before fewer of the other.
+        co_await order(plan, reclaimable, domain->reclaimable);
+        const bool hasRoom = domain->ordinary + domain->reclaimable < input.maxPerDomain;
+        const bool waiting = hasRoom && domain->ordinary > target.ordinary && domain->reclaimable < target.reclaimable;
+        if (!waiting) {
+            co_await order(plan, ordinary, domain->ordinary);
+        }
+    }
+}
+
+task<void> engine_planner::run()
+{
+    while (!m_context.stopping) {
+        co_await sleepFor(planInterval);
+        const auto configuration = m_context.configuration;
+        if (!configuration || !m_context.endpointsListed) {
+            continue;
+        }
+        for (const auto &[name, service] : configuration->services) {
+            if (!service.scaling || !m_lease.authority(callMargin)) {
+                continue;
+            }
+            co_await planService(service);
+        }
+    }
+}
+
+}
+
+task<void> planEngines(edge_context &context, lease_runner &lease)
+{
+    engine_planner planner(context, lease);
+    co_await planner.run();
+}
+
+}
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -65,7 +65,7 @@
     const auto workFor = [&](double kept) {
         return readingMs(model, engine.role, std::max(0.0, input.promptTokens - kept), kept, engine.running) * engine.slowness;
     };
-    reading_plan best{.engine = index, .doneMs = queue + workFor(engine.cachedTokens), .workMs = workFor(engine.cachedTokens)};
+    reading_plan best{.engine = index, .doneMs = queue + workFor(engine.cachedTokens) + model.firstTokenMs, .workMs = workFor(engine.cachedTokens)};
     for (std::size_t other = 0; other < input.engines.size(); ++other) {
         const auto &holder = input.engines[other];
         if (static_cast<int>(other) == index || holder.excluded || holder.cachedTokens <= engine.cachedTokens) {
@@ -73,7 +73,7 @@
         }
         const double fetch = transferMs(input, model, holder.cachedTokens - engine.cachedTokens, holder.local == engine.local);
         const double work = workFor(holder.cachedTokens);
-        const double done = std::max(queue, fetch) + work;
+        const double done = std::max(queue, fetch) + work + model.firstTokenMs;
         if (done < best.doneMs) {
             best.fetchFrom = static_cast<int>(other);
             best.doneMs = done;
@@ -130,7 +130,7 @@
     const auto consider = [&](double cost, const reading_plan &plan, int prompt, int output, double first) {
         if (best.output < 0 || cost < bestCost) {
             bestCost = cost;
-            best = {.prompt = prompt, .output = output, .fetchFrom = plan.fetchFrom, .firstEventMs = first, .readingMs = plan.workMs};
+            best = {.prompt = prompt, .output = output, .fetchFrom = plan.fetchFrom, .firstEventMs = first, .promptReadMs = plan.doneMs, .readingMs = plan.workMs};
         }
     };
     for (std::size_t i = 0; i < input.engines.size(); ++i) {
@@ -140,13 +140,12 @@
         }
         const int index = static_cast<int>(i);
         const auto here = planReading(input, model, index);
-        consider(here.costMs + model.firstTokenMs, here, -1, index, here.doneMs + model.firstTokenMs);
+        consider(here.costMs, here, -1, index, here.doneMs);
         if (apart) {
             const auto &reader = input.engines[static_cast<std::size_t>(apart->engine)];
             const double move = transferMs(input, model, input.promptTokens, reader.local == engine.local);
             // The output joins a batch whose steps are longer while other prompts are read there.
-            const double joining = withFailures(model.firstTokenMs + std::max(engine.overdueMs, 0.0), engine.failureShare)
-                + (model.stepMs + model.stepMsPerRequest * engine.running) * engine.slowness
+            const double joining = withFailures(std::max(engine.overdueMs, 0.0), engine.failureShare) + (model.stepMs + model.stepMsPerRequest * engine.running) * engine.slowness
                 + (engine.queuedTokens > 0 ? model.chunkTokens * model.mixedChunkPart * model.mixedSlowdown / model.promptTokensPerMs : 0);
             const double first = apart->doneMs + move + joining;
             consider(apart->costMs + move + joining + (engine.local ? 0 : otherDomainMs), *apart, apart->engine, index, first);
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -19,7 +19,7 @@
     double chunkTokens = 1024; ///< Prompt tokens read in one step.
     double pairMsPerMillion = 0.25; ///< Attention: for each million pairs of a read token and a token before it.
     double transferSetupMs = 8;
-    double firstTokenMs = 61; ///< From the end of reading to the first event.
+    double firstTokenMs = 61; ///< Fixed time of each reading, beside the work.
     double mixedSlowdown = 2; ///< Reading on an engine for outputs.
     double mixedChunkPart = 0.25; ///< Its part of a chunk in one step.
 };
@@ -69,6 +69,7 @@
     int output = -1; ///< Engine that delivers the answer.
     int fetchFrom = -1; ///< Engine from which the reading one gets the parts that it lacks.
     double firstEventMs = 0; ///< Predicted, from now.
+    double promptReadMs = 0; ///< Predicted, from now, until the prompt is read.
     double readingMs = 0; ///< Work at the reading engine.
     double retryAfterMs = 0;
     std::string_view reason;
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -151,7 +151,8 @@
         const auto placed = placeGeneration(input, m_context.settings.engines);
         logPlacement(input, placed);
         // A stream that the caller has begun to read goes on wherever there is room.
-        if (placed.output < 0 || (placed.verdict == placement_verdict::Refuse && !m_streaming)) {
+        // One that may have run can't be refused truthfully any more: late is better than a failure.
+        if (placed.output < 0 || (placed.verdict == placement_verdict::Refuse && !m_streaming && !m_mayHaveRun)) {
             m_context.demand[m_request.service].refusals += 1;
             co_await refuse(placed.reason, placed.retryAfterMs);
             break;
@@ -188,7 +189,7 @@
     if (reader) {
         // The place where the output is made is counted from now on, so that other requests see it.
         load_claim reserved(engine, 0);
-        handle = co_await readPrompt(reader, holder, toRead, placed.firstEventMs - m_context.settings.engines.firstTokenMs);
+        handle = co_await readPrompt(reader, holder, toRead, placed.promptReadMs);
         if (handle.empty()) {
             if (m_request.reply->gone() || ++m_unreachable > maxUnreachable) {
                 co_return co_await refuse("reading_failed", m_retryAfterMs);
@@ -218,7 +219,8 @@
         message.set(fromView(m_context.platform.wire.fields.lastEventId), std::to_string(*m_lastEvent));
     }
     const bool canMove = m_route.resumable && m_outcome.attempts + 1 < m_route.maxAttempts;
-    const instant deadline = canMove ? std::min(m_request.deadline, now + firstEventPatience) : m_request.deadline;
+    const auto patience = firstEventPatience + std::chrono::milliseconds(std::lround(2 * placed.firstEventMs));
+    const instant deadline = canMove ? std::min<instant>(m_request.deadline, now + patience) : m_request.deadline;
     auto exchange = std::make_shared<client_exchange>(m_context.pool, *address, forwardOptions(m_context, m_request, deadline));
     m_request.reply->onGone([exchange] {
         exchange->cancel();
