--- a/src/serving/edge_daemon.cpp
+++ b/src/serving/edge_daemon.cpp
@@ -23,6 +23,8 @@
 
 constexpr std::size_t maxAddresses = 64; // Callers take no more out of one answer.
 constexpr auto housekeepingInterval = std::chrono::milliseconds(250);
+// An entry that lapsed while the store failed may belong to a leaving endpoint: it gets no work as the bound on leaving ones ends.
+constexpr auto missingReserve = std::chrono::milliseconds(600);
 constexpr auto stopExitReserve = std::chrono::milliseconds(700); // Between the last answer and the kill, for the hand-over of leases.
 constexpr auto callersLeaveTime = std::chrono::milliseconds(3500); // Callers hold an address answer for its life, some of them longer.
 
@@ -276,6 +278,7 @@
     while (true) {
         co_await sleepFor(housekeepingInterval);
         m_context.pool.expire();
+        m_context.endpoints.expireMissing(bootNow(), m_context.settings.drainBound - missingReserve);
         m_context.log.flush();
     }
 }
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -89,6 +89,16 @@
     return !engine.excluded && engine.running < engine.slots;
 }
 
+// From the end of the reading to the first event: the memory moves, and the output joins a batch whose steps are longer while other prompts
+// are read there.
+double joiningMs(const generation_input &input, const engine_model &model, const engine_candidate &engine, bool readerIsLocal)
+{
+    const double reading = engine.queuedTokens > 0 ? model.chunkTokens * model.mixedChunkPart * model.mixedSlowdown / model.promptTokensPerMs : 0;
+    const double step = (model.stepMs + model.stepMsPerRequest * engine.running) * engine.slowness;
+    return transferMs(input, model, input.promptTokens, readerIsLocal == engine.local) + withFailures(engine.overdueMs + step + reading, engine.failureShare)
+        + (engine.local ? 0 : domainHopMs);
+}
+
 double spread(double ms, double roll)
 {
     return std::clamp(ms, minRetryAfterMs, maxRetryAfterMs) * (1 + spreadPart * roll);
@@ -143,12 +153,9 @@
         consider(here.costMs, here, -1, index, here.doneMs);
         if (apart) {
             const auto &reader = input.engines[static_cast<std::size_t>(apart->engine)];
-            const double move = transferMs(input, model, input.promptTokens, reader.local == engine.local);
-            // The output joins a batch whose steps are longer while other prompts are read there.
-            const double joining = withFailures(std::max(engine.overdueMs, 0.0), engine.failureShare) + (model.stepMs + model.stepMsPerRequest * engine.running) * engine.slowness
-                + (engine.queuedTokens > 0 ? model.chunkTokens * model.mixedChunkPart * model.mixedSlowdown / model.promptTokensPerMs : 0);
-            const double first = apart->doneMs + move + joining;
-            consider(apart->costMs + move + joining + (engine.local ? 0 : otherDomainMs), *apart, apart->engine, index, first);
+            const double joining = joiningMs(input, model, engine, reader.local);
+            const double first = apart->doneMs + joining;
+            consider(apart->costMs + joining + (engine.local ? 0 : otherDomainMs), *apart, apart->engine, index, first);
         }
     }
     if (best.output < 0) {
@@ -171,6 +178,24 @@
     return best;
 }
 
+int placeOutput(const generation_input &input, const engine_model &model, bool readerIsLocal)
+{
+    int best = -1;
+    double bestMs = 0;
+    for (std::size_t i = 0; i < input.engines.size(); ++i) {
+        const auto &engine = input.engines[i];
+        if (!hasRoom(engine) || engine.role == endpoint_role::Prefill) {
+            continue;
+        }
+        const double ms = joiningMs(input, model, engine, readerIsLocal) + (engine.local ? 0 : otherDomainMs);
+        if (best < 0 || ms < bestMs) {
+            best = static_cast<int>(i);
+            bestMs = ms;
+        }
+    }
+    return best;
+}
+
 service_result placeService(const service_input &input)
 {
     service_result best;
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -86,6 +86,9 @@
 /// after its wanted time on every path is refused at once, with the time at which the shortest queue allows it again.
 generation_result placeGeneration(const generation_input &input, const engine_model &model);
 
+/// The best engine for the output of a prompt that was just read in that failure domain, by the state of now; -1 when none has room.
+int placeOutput(const generation_input &input, const engine_model &model, bool readerIsLocal);
+
 /// What the choice of a plain service's endpoint sees of one endpoint.
 struct service_candidate
 {
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -173,7 +173,7 @@
     const auto at = [&](int index) {
         return index < 0 ? nullptr : engines[static_cast<std::size_t>(index)];
     };
-    const auto engine = at(placed.output);
+    auto engine = at(placed.output);
     const auto reader = at(placed.prompt);
     const auto holder = at(placed.fetchFrom);
     const auto &reading = reader ? reader : engine;
@@ -201,6 +201,14 @@
             m_outcome.reason = "caller_gone";
             co_return step::Done;
         }
+        // The engine that was foreseen may be leaving or busier by now.
+        const auto enginesNow = m_context.endpoints.ofService(m_request.service);
+        const int output = placeOutput(makeInput(enginesNow), m_context.settings.engines, reader->entry.failureDomain == m_context.settings.failureDomain);
+        if (output < 0) {
+            freeHandle(reader, handle);
+            co_return co_await refuse("engines_full", m_retryAfterMs);
+        }
+        engine = enginesNow[static_cast<std::size_t>(output)];
     }
     const auto address = parseAddress(engine->entry.address);
     if (!address.ok()) {
--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -14,7 +14,7 @@
 
 constexpr auto changeWait = std::chrono::milliseconds(800); // A silent connection to the store shows within this time and the call's own slack.
 constexpr auto retryPause = std::chrono::milliseconds(150); // Between failed calls: seven a second and daemon, a small part of the store's rate.
-constexpr auto missingGrace = std::chrono::milliseconds(2500); // Living endpoints list themselves again within two seconds of the store's return.
+constexpr auto failureMemory = std::chrono::milliseconds(2500); // Living endpoints list themselves again within two seconds of the store's return.
 constexpr auto memberInterval = std::chrono::seconds(2); // A new daemon is known everywhere after at most this long.
 const std::string memberPrefix = "member/";
 
@@ -113,7 +113,7 @@
 void applyEndpoints(edge_context &context, const table_changes &changes, bool whole)
 {
     const instant now = bootNow();
-    const bool storeWasFailing = context.storeFailedAt != instant{} && now - context.storeFailedAt < missingGrace;
+    const bool storeWasFailing = context.storeFailedAt != instant{} && now - context.storeFailedAt < failureMemory;
     std::vector<std::string> listed;
     for (const auto &changed : changes.rows) {
         if (changed.removed) {
@@ -147,7 +147,6 @@
         context.endpoints.keepOnly(listed, storeWasFailing, now);
         context.endpointsListed = true;
     }
-    context.endpoints.expireMissing(now, missingGrace);
 }
 
 }
