--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -12,8 +12,9 @@
 
 constexpr double otherDomainMs = 10; // Price of a leg to another failure domain: link time, and bytes between domains cost money.
 constexpr double workWeight = 1; // Each millisecond of reading also delays those behind it by one.
-constexpr double lateLimit = 2.5; // A request that begins after this many wanted times is refused: callers give up on it.
+constexpr double lateQueueMs = 40; // A request that is late in any case may wait so long behind others: about one short prompt.
 constexpr double deadlinePart = 0.6; // The output needs the rest of the time.
+constexpr double mixedReadingPart = 0.5; // Of the wanted time: longer readings on engines for outputs would hold up the short prompts there.
 constexpr double minRetryAfterMs = 250; // Sooner, callers would come back within the same burst.
 constexpr double maxRetryAfterMs = 3000;
 constexpr double spreadPart = 0.5; // Callers that were refused together come back over this part of the time.
@@ -52,6 +53,7 @@
 {
     int engine = -1;
     int fetchFrom = -1;
+    double queueMs = 0; ///< Behind others.
     double doneMs = 0; ///< Until the prompt is read.
     double workMs = 0;
     double costMs = 0;
@@ -65,7 +67,7 @@
     const auto workFor = [&](double kept) {
         return readingMs(model, engine.role, std::max(0.0, input.promptTokens - kept), kept, engine.running) * engine.slowness;
     };
-    reading_plan best{.engine = index, .doneMs = queue + workFor(engine.cachedTokens) + model.firstTokenMs, .workMs = workFor(engine.cachedTokens)};
+    reading_plan best{.engine = index, .queueMs = queue, .doneMs = queue + workFor(engine.cachedTokens) + model.firstTokenMs, .workMs = workFor(engine.cachedTokens)};
     for (std::size_t other = 0; other < input.engines.size(); ++other) {
         const auto &holder = input.engines[other];
         if (static_cast<int>(other) == index || holder.excluded || holder.cachedTokens <= engine.cachedTokens) {
@@ -124,8 +126,10 @@
     double bestCost = 0;
     double shortestQueueMs = maxRetryAfterMs;
     bool anyUp = false;
+    bool anyReader = false;
     for (std::size_t i = 0; i < input.engines.size(); ++i) {
         const auto &engine = input.engines[i];
+        anyReader = anyReader || (engine.role == endpoint_role::Prefill && !engine.excluded && input.maySplit);
         anyUp = anyUp || !engine.excluded;
         if (!hasRoom(engine)) {
             continue;
@@ -140,7 +144,7 @@
     const auto consider = [&](double cost, const reading_plan &plan, int prompt, int output, double first) {
         if (best.output < 0 || cost < bestCost) {
             bestCost = cost;
-            best = {.prompt = prompt, .output = output, .fetchFrom = plan.fetchFrom, .firstEventMs = first, .promptReadMs = plan.doneMs, .readingMs = plan.workMs};
+            best = {.prompt = prompt, .output = output, .fetchFrom = plan.fetchFrom, .firstEventMs = first, .promptReadMs = plan.doneMs, .queueMs = plan.queueMs, .readingMs = plan.workMs};
         }
     };
     for (std::size_t i = 0; i < input.engines.size(); ++i) {
@@ -150,7 +154,10 @@
         }
         const int index = static_cast<int>(i);
         const auto here = planReading(input, model, index);
-        consider(here.costMs, here, -1, index, here.doneMs);
+        const bool holdsUpOthers = anyReader && here.queueMs + here.workMs > mixedReadingPart * input.targetMs;
+        if (!holdsUpOthers) {
+            consider(here.costMs, here, -1, index, here.doneMs);
+        }
         if (apart) {
             const auto &reader = input.engines[static_cast<std::size_t>(apart->engine)];
             const double joining = joiningMs(input, model, engine, reader.local);
@@ -167,13 +174,13 @@
     if (first <= input.targetMs) {
         best.verdict = placement_verdict::Run;
         best.reason = "on time";
-    } else if (first <= lateLimit * input.targetMs && best.firstEventMs <= deadlinePart * input.remainingMs) {
+    } else if (best.queueMs <= lateQueueMs && best.firstEventMs <= deadlinePart * input.remainingMs) {
         best.verdict = placement_verdict::RunLate;
         best.reason = "late";
     } else {
         best.verdict = placement_verdict::Refuse;
         best.reason = "too late";
-        best.retryAfterMs = spread(best.firstEventMs - input.targetMs / 2, input.roll);
+        best.retryAfterMs = spread(best.queueMs, input.roll);
     }
     return best;
 }
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -70,6 +70,7 @@
     int fetchFrom = -1; ///< Engine from which the reading one gets the parts that it lacks.
     double firstEventMs = 0; ///< Predicted, from now.
     double promptReadMs = 0; ///< Predicted, from now, until the prompt is read.
+    double queueMs = 0; ///< Predicted wait behind others at the reading engine.
     double readingMs = 0; ///< Work at the reading engine.
     double retryAfterMs = 0;
     std::string_view reason;
--- a/tests/burst_load.h
+++ b/tests/burst_load.h
@@ -137,6 +137,9 @@
         }
         const double begin = std::max(now + (fetched ? 20.0 : 0.0), reader.busyUntilMs);
         reader.busyUntilMs = begin + toRead * msPerToken(reader);
+        if (placed.prompt >= 0) {
+            reader.runningUntilMs.push_back(reader.busyUntilMs);
+        }
         if (part >= 0) {
             reader.parts.insert(part);
         }
