--- a/src/protocol/summary.capnp
+++ b/src/protocol/summary.capnp
@@ -17,6 +17,7 @@
   parts @9 :List(Part);  # Sent to engines since the summary before the last one.
   suspects @10 :List(Suspect);
   capacity @11 :Float32;
+  holdsLease @12 :Bool;  # Of the duties that one daemon at a time does.
 }
 
 struct Load {
@@ -28,6 +29,8 @@
 struct Part {
   part @0 :UInt64;
   engine @1 :UInt64;
+  tokens @2 :UInt32;
+  unshared @3 :UInt32;  # Tokens behind the part that no other prompt shares.
 }
 
 struct Suspect {
--- a/src/protocol/summary.capnp.h
+++ b/src/protocol/summary.capnp.h
@@ -65,7 +65,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d2a3dad11f7654c7, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(d2a3dad11f7654c7, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -136,6 +136,8 @@
 
   inline float getCapacity() const;
 
+  inline bool getHoldsLease() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -224,6 +226,9 @@
   inline float getCapacity();
   inline void setCapacity(float value);
 
+  inline bool getHoldsLease();
+  inline void setHoldsLease(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -357,6 +362,10 @@
 
   inline  ::uint64_t getEngine() const;
 
+  inline  ::uint32_t getTokens() const;
+
+  inline  ::uint32_t getUnshared() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -391,6 +400,12 @@
   inline  ::uint64_t getEngine();
   inline void setEngine( ::uint64_t value);
 
+  inline  ::uint32_t getTokens();
+  inline void setTokens( ::uint32_t value);
+
+  inline  ::uint32_t getUnshared();
+  inline void setUnshared( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -793,6 +808,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Summary::Reader::getHoldsLease() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool Summary::Builder::getHoldsLease() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void Summary::Builder::setHoldsLease(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Load::Reader::getEndpoint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -863,6 +892,34 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Part::Reader::getTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Part::Builder::getTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Part::Builder::setTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Part::Reader::getUnshared() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Part::Builder::getUnshared() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Part::Builder::setUnshared( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Suspect::Reader::hasFingerprint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/protocol/summary.cpp
+++ b/src/protocol/summary.cpp
@@ -30,6 +30,7 @@
     root.setServing(summary.serving);
     root.setConfigVersion(summary.configVersion);
     root.setWallMs(summary.wallMs);
+    root.setHoldsLease(summary.holdsLease);
     root.setCapacity(static_cast<float>(summary.capacity));
     auto loads = root.initLoads(static_cast<unsigned>(summary.loads.size()));
     for (unsigned i = 0; i < loads.size(); ++i) {
@@ -42,6 +43,8 @@
     for (unsigned i = 0; i < parts.size(); ++i) {
         parts[i].setPart(summary.parts[i].part);
         parts[i].setEngine(summary.parts[i].engine);
+        parts[i].setTokens(static_cast<std::uint32_t>(std::clamp(summary.parts[i].tokens, 0.0, 4e9)));
+        parts[i].setUnshared(static_cast<std::uint32_t>(std::clamp(summary.parts[i].unshared, 0.0, 4e9)));
     }
     auto suspects = root.initSuspects(static_cast<unsigned>(summary.suspects.size()));
     for (unsigned i = 0; i < suspects.size(); ++i) {
@@ -67,6 +70,7 @@
             .callerAddress = root.getCallerAddress(),
             .failureDomain = root.getFailureDomain(),
             .serving = root.getServing(),
+            .holdsLease = root.getHoldsLease(),
             .configVersion = root.getConfigVersion(),
             .wallMs = root.getWallMs(),
             .capacity = root.getCapacity(),
@@ -75,7 +79,7 @@
             out.loads.push_back({load.getEndpoint(), load.getRunning(), static_cast<double>(load.getPromptTokens())});
         }
         for (const auto part : root.getParts()) {
-            out.parts.push_back({part.getPart(), part.getEngine()});
+            out.parts.push_back({part.getPart(), part.getEngine(), static_cast<double>(part.getTokens()), static_cast<double>(part.getUnshared())});
         }
         for (const auto suspect : root.getSuspects()) {
             out.suspects.push_back({suspect.getFingerprint(), suspect.getCrashes()});
--- a/src/protocol/summary.h
+++ b/src/protocol/summary.h
@@ -23,6 +23,8 @@
     {
         std::uint64_t part = 0;
         std::uint64_t engine = 0;
+        double tokens = 0;
+        double unshared = 0; ///< Tokens behind the part that no other prompt shares.
     };
     struct suspect
     {
@@ -36,6 +38,7 @@
     std::string callerAddress;
     std::string failureDomain;
     bool serving = false;
+    bool holdsLease = false; ///< Of the duties that one daemon at a time does.
     std::uint64_t configVersion = 0;
     std::int64_t wallMs = 0;
     double capacity = 1;
--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -84,6 +84,8 @@
 
     std::map<std::string, peer_state, std::less<>> peers; ///< By id.
     std::map<std::string, std::string, std::less<>> members; ///< Peer address by id, as stored.
+    bool unknownSender = false; ///< A daemon that is not among the members sent a summary.
+    bool holdsLease = false; ///< Of the platform duties.
     std::vector<daemon_summary::part_use> freshParts; ///< For the next summary.
 
     bool stopping = false;
--- a/src/serving/fleet_duty.cpp
+++ b/src/serving/fleet_duty.cpp
@@ -22,6 +22,8 @@
 constexpr auto unavailableTime = std::chrono::seconds(4); // Before the cheaper kind is asked for again in a domain that had none.
 constexpr auto repeatAfter = std::chrono::seconds(10); // An order that shows no effect is given again.
 
+constexpr int unknownCount = -2; // The platform may or may not have the last order.
+
 /// What was ordered last of one kind in one domain.
 struct placed_order
 {
@@ -34,6 +36,7 @@
     std::deque<std::pair<instant, double>> engines; ///< Measured demand, in engines' worth.
     std::map<std::pair<std::string, bool>, placed_order> orders; ///< By domain and kind.
     std::map<std::string, instant> noneUntil; ///< Domains where the cheaper kind can't be had.
+    std::map<std::string, int> reclaimable; ///< Running of the cheaper kind, by domain, as seen last.
 };
 
 class engine_planner
@@ -49,6 +52,7 @@
     task<void> run();
 
 private:
+    static bool isUnavailable(const service_plan &plan, const std::string &domain);
     fleet_input makeInput(const serving_service &service, service_plan &plan) const;
     double measureDemand(const std::string &service) const;
     task<void> planService(const serving_service &service);
@@ -77,6 +81,12 @@
     return std::max(busy * 0.5, queuedMs / queueMsPerEngine);
 }
 
+bool engine_planner::isUnavailable(const service_plan &plan, const std::string &domain)
+{
+    const auto none = plan.noneUntil.find(domain);
+    return none != plan.noneUntil.end() && bootNow() < none->second;
+}
+
 fleet_input engine_planner::makeInput(const serving_service &service, service_plan &plan) const
 {
     const instant now = bootNow();
@@ -113,8 +123,12 @@
     for (auto &[name, domain] : domains) {
         const auto price = service.scaling->domainPrices.find(name);
         domain.price = price == service.scaling->domainPrices.end() ? 1 : price->second;
-        const auto none = plan.noneUntil.find(name);
-        domain.reclaimableAvailable = none == plan.noneUntil.end() || now >= none->second;
+        // All of them leaving at once were taken back: others come after a while at the earliest.
+        if (int &before = plan.reclaimable[name]; std::exchange(before, domain.reclaimable) > 1 && domain.reclaimable == 0) {
+            plan.noneUntil[name] = now + unavailableTime;
+            plan.orders[{name, true}].count = unknownCount;
+        }
+        domain.reclaimableAvailable = !isUnavailable(plan, name);
         input.domains.push_back(domain);
     }
     if (now - m_startedAt < learningTime) {
@@ -148,7 +162,7 @@
     } else if (outcome == delivery::Fenced && wanted.reclaimable) {
         plan.noneUntil[wanted.failureDomain] = now + unavailableTime;
     } else {
-        last.count = -2;
+        last.count = unknownCount;
     }
 }
 
@@ -161,14 +175,16 @@
         const auto domain = std::ranges::find(input.domains, target.domain, &fleet_domain::name);
         // Named variables: g++ 12 destroys braced temporaries twice when they are arguments of an awaited call.
         const endpoint_count_order reclaimable{service.name, target.domain, target.reclaimable, true};
-        const endpoint_count_order ordinary{service.name, target.domain, target.ordinary, false};
-        // More of one kind before fewer of the other.
         co_await order(plan, reclaimable, domain->reclaimable);
-        const bool hasRoom = domain->ordinary + domain->reclaimable < input.maxPerDomain;
-        const bool waiting = hasRoom && domain->ordinary > target.ordinary && domain->reclaimable < target.reclaimable;
-        if (!waiting) {
-            co_await order(plan, ordinary, domain->ordinary);
-        }
+        // An ordinary engine goes only when one of the cheaper kind runs in its place, or is certain to come once there is room.
+        const bool refused = isUnavailable(plan, target.domain);
+        const bool full = domain->ordinary + domain->reclaimable >= input.maxPerDomain && !refused;
+        const int missing = full ? 0 : input.maxPerDomain;
+        const int atHand = std::max(plan.orders[{target.domain, false}].count, domain->ordinary);
+        const int replaced = domain->reclaimable >= target.reclaimable ? 0 : missing;
+        const int kept = std::clamp(target.ordinary + replaced, target.ordinary, std::max(target.ordinary, atHand));
+        const endpoint_count_order ordinary{service.name, target.domain, kept, false};
+        co_await order(plan, ordinary, domain->ordinary);
     }
 }
 
--- a/src/serving/lease_runner.cpp
+++ b/src/serving/lease_runner.cpp
@@ -5,6 +5,7 @@
 #include "transport/boot_clock.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <deque>
 
 namespace lacewinglock
@@ -13,6 +14,7 @@
 namespace
 {
 
+constexpr auto holderSilence = std::chrono::milliseconds(500); // Several summaries.
 constexpr std::string_view cellName = "main"; // Today each deployment is one cell.
 
 }
@@ -38,7 +40,7 @@
         if (m_context.stopping && !releasing) {
             releasing = true;
             m_keeper.release(now, effects);
-        } else {
+        } else if (!heardHolder(now)) {
             m_keeper.handle(tick_event{}, now, effects);
         }
         co_await perform(std::move(effects));
@@ -47,6 +49,14 @@
     }
 }
 
+// While the holder says in its summaries that it has the lease, reading the row tells nothing new.
+bool lease_runner::heardHolder(instant now) const
+{
+    return !m_holding && std::ranges::any_of(m_context.peers, [&](const auto &peer) {
+        return peer.second.heard && peer.second.last.holdsLease && now - peer.second.heardAt < holderSilence;
+    });
+}
+
 task<void> lease_runner::perform(std::vector<control_effect> effects)
 {
     std::deque<control_effect> waiting(std::make_move_iterator(effects.begin()), std::make_move_iterator(effects.end()));
@@ -78,6 +88,7 @@
         return;
     }
     m_holding = grant.has_value();
+    m_context.holdsLease = m_holding;
     auto line = m_context.line(m_holding ? "lease_won" : "lease_lost");
     line.add("duty", m_keeper.duty()).add("epoch", m_holding ? grant->epoch : m_keeper.seenEpoch());
     m_context.log.write(line);
--- a/src/serving/lease_runner.h
+++ b/src/serving/lease_runner.h
@@ -20,6 +20,7 @@
 private:
     task<void> perform(std::vector<control_effect> effects);
     void noteHolder();
+    bool heardHolder(instant now) const;
 
     edge_context &m_context;
     lease_keeper m_keeper;
--- a/src/serving/peer_summaries.cpp
+++ b/src/serving/peer_summaries.cpp
@@ -49,6 +49,7 @@
         .callerAddress = context.settings.callerAddress,
         .failureDomain = context.settings.failureDomain,
         .serving = context.serving(),
+        .holdsLease = context.holdsLease,
         .configVersion = context.configuration ? context.configuration->version : 0,
         .wallMs = wallMs(),
         .capacity = context.settings.capacity,
@@ -91,7 +92,8 @@
     }
     context.endpoints.setPeerLoad(summary.sender, std::move(loads));
     for (const auto &use : summary.parts) {
-        context.parts.noteUse(use.part, use.engine, now);
+        context.parts.noteUse({use.part, use.tokens}, use.engine);
+        context.parts.noteUnshared(use.engine, use.unshared);
     }
     for (const auto &suspect : summary.suspects) {
         context.suspects.merge(suspect.fingerprint, suspect.crashes, now);
@@ -150,8 +152,11 @@
         }
         // Only members are believed, each from its own address.
         const auto member = context.members.find(summary->sender);
-        if (member == context.members.end() || summary->sender == context.settings.id
-            || member->second != absl::StrCat(sender.address().to_string(), ":", sender.port())) {
+        if (member == context.members.end()) {
+            context.unknownSender = true;
+            continue;
+        }
+        if (summary->sender == context.settings.id || member->second != absl::StrCat(sender.address().to_string(), ":", sender.port())) {
             continue;
         }
         applySummary(context, std::move(*summary));
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -477,9 +477,16 @@
         return;
     }
     // The last part belongs to the request itself.
-    for (const auto &part : std::span(m_prompt->parts).first(m_prompt->parts.size() - 1)) {
-        m_context.parts.noteUse(part.id, engine->hash, bootNow());
-        m_context.freshParts.push_back({part.id, engine->hash});
+    double unshared = m_prompt->promptTokens;
+    const auto shared = std::span(m_prompt->parts).first(m_prompt->parts.size() - 1);
+    for (const auto &part : shared) {
+        unshared -= part.tokens;
+    }
+    unshared = std::max(0.0, unshared);
+    m_context.parts.noteUnshared(engine->hash, unshared);
+    for (const auto &part : shared) {
+        m_context.parts.noteUse(part, engine->hash);
+        m_context.freshParts.push_back({part.id, engine->hash, part.tokens, std::exchange(unshared, 0)});
     }
 }
 
--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -12,10 +12,13 @@
 namespace
 {
 
-constexpr auto changeWait = std::chrono::milliseconds(800); // A silent connection to the store shows within this time and the call's own slack.
+// A silent connection to the store shows within this time and the call's own slack: soon enough for a change that must be in force two seconds
+// after a machine counts as in touch again, and for keys that may be trusted for five.
+constexpr auto changeWait = std::chrono::milliseconds(1800);
 constexpr auto retryPause = std::chrono::milliseconds(150); // Between failed calls: seven a second and daemon, a small part of the store's rate.
 constexpr auto failureMemory = std::chrono::milliseconds(2500); // Living endpoints list themselves again within two seconds of the store's return.
-constexpr auto memberInterval = std::chrono::seconds(2); // A new daemon is known everywhere after at most this long.
+constexpr auto memberInterval = std::chrono::seconds(10); // For members whose summaries never arrive; others are read at their first one.
+constexpr auto memberTick = std::chrono::milliseconds(500);
 const std::string memberPrefix = "member/";
 
 /// What a follower does with the rows.
@@ -103,6 +106,11 @@
         line.add("from", held).add("to", parsed->version).add("routes", parsed->routes.size()).add("services", parsed->services.size());
         line.add("keys", parsed->keys.size());
         context.log.write(line);
+        for (const auto &[name, service] : parsed->services) {
+            if (service.engine && service.engine->kvTokens > 0) {
+                context.parts.setEngineCapacity(service.engine->kvTokens);
+            }
+        }
         context.configuration = std::make_shared<const serving_configuration>(std::move(*parsed));
     }
     if (context.configuration) {
@@ -204,7 +212,11 @@
             members[row.key.substr(memberPrefix.size())] = value["address"].get<std::string>();
         }
         context.members = std::move(members);
-        co_await sleepFor(memberInterval);
+        context.unknownSender = false;
+        const instant read = bootNow();
+        while (!context.stopping && !context.unknownSender && bootNow() - read < memberInterval) {
+            co_await sleepFor(memberTick);
+        }
     }
 }
 
--- a/src/serving/usage_duty.cpp
+++ b/src/serving/usage_duty.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace lacewinglock
@@ -13,9 +14,11 @@
 namespace
 {
 
-constexpr auto storeInterval = std::chrono::milliseconds(1000); // A killed daemon loses at most this much of its counts.
-constexpr auto closeDelay = std::chrono::milliseconds(3000); // Two store intervals and a slow call, for the last counts of a window.
-constexpr auto reportTick = std::chrono::milliseconds(500);
+constexpr auto storeInterval = std::chrono::milliseconds(1500); // A killed daemon loses at most this much of its counts.
+constexpr auto storeTick = std::chrono::milliseconds(250); // Final counts are written this soon after their window.
+constexpr auto closeDelay = std::chrono::milliseconds(1000); // Before that, the final counts of a window can't be complete.
+constexpr auto reportReserve = std::chrono::milliseconds(3000); // Kept for the report, with a repeat, when counts of a daemon stay away.
+constexpr auto reportTick = std::chrono::milliseconds(700);
 constexpr auto callMargin = std::chrono::milliseconds(1500); // The lease must outlive the report call.
 constexpr std::int64_t keptWindows = 8; // Rows of older windows are deleted.
 
@@ -32,18 +35,27 @@
 task<void> storeWindow(edge_context &context, usage_windows::change change)
 {
     const std::string key = absl::StrCat(windowPrefix(change.window), context.settings.id, "~", context.incarnation);
-    transaction commit{.writes = {{.key = key, .value = encodeCounts(change.counts)}}};
+    transaction commit{.writes = {{.key = key, .value = encodeUsage(change.usage)}}};
     const auto outcome = co_await context.platform.store.commit(std::move(commit));
     context.counters.count(metric_counter::StoreWrites);
     if (outcome == commit_outcome::Committed) {
-        context.usage.noteStored(change.window, change.revision);
+        context.usage.noteStored(change);
     } else {
         context.counters.count(metric_counter::StoreErrors);
     }
 }
 
-/// The figures to report, frozen by this or an earlier holder; nothing when the store can't tell.
-task<std::optional<usage_counts>> freezeWindow(edge_context &context, std::int64_t window, std::uint64_t epoch)
+// Every member has told its final counts.
+bool isComplete(const edge_context &context, std::int64_t window, const std::map<std::string, bool> &finalByKey)
+{
+    return std::ranges::all_of(context.members, [&](const auto &member) {
+        const auto found = finalByKey.lower_bound(absl::StrCat(windowPrefix(window), member.first, "~"));
+        return found != finalByKey.end() && found->first.starts_with(absl::StrCat(windowPrefix(window), member.first, "~")) && found->second;
+    });
+}
+
+/// The figures to report, frozen by this or an earlier holder; nothing when the store can't tell, or when counts are missing and may still come.
+task<std::optional<usage_counts>> freezeWindow(edge_context &context, std::int64_t window, std::uint64_t epoch, bool mayWait)
 {
     const std::string key = frozenKey(window);
     for (int round = 0; round < 2; ++round) {
@@ -66,13 +78,22 @@
             co_return std::nullopt;
         }
         usage_counts sum;
+        std::map<std::string, bool> finalByKey;
         for (const auto &row : *rows) {
-            if (!addCounts(sum, row.value)) {
+            if (const auto part = parseUsage(row.value)) {
+                finalByKey[row.key] = part->final;
+                for (const auto &[organisation, count] : part->counts) {
+                    sum[organisation] += count;
+                }
+            } else {
                 auto line = context.line("usage_unreadable");
                 line.add("key", row.key).add("version", row.version);
                 context.log.write(line);
             }
         }
+        if (mayWait && !isComplete(context, window, finalByKey)) {
+            co_return std::nullopt;
+        }
         transaction commit{.conditions = {{.key = key, .version = 0}}, .writes = {{.key = key, .value = encodeCounts(sum)}}};
         const auto outcome = co_await context.platform.store.commit(std::move(commit));
         context.counters.count(metric_counter::StoreWrites);
@@ -109,12 +130,19 @@
 
 task<void> storeUsage(edge_context &context)
 {
+    instant lastAll;
     while (true) {
-        for (auto &change : context.usage.unstored()) {
-            co_await storeWindow(context, std::move(change));
+        const bool all = bootNow() - lastAll >= storeInterval;
+        for (auto &change : context.usage.unstored(context.trueTimeMs())) {
+            if (all || change.usage.final) {
+                co_await storeWindow(context, std::move(change));
+            }
+        }
+        if (all) {
+            lastAll = bootNow();
         }
         context.usage.forgetBefore(context.usage.windowAt(context.trueTimeMs()) - keptWindows);
-        co_await sleepFor(storeInterval);
+        co_await sleepFor(storeTick);
     }
 }
 
@@ -136,7 +164,8 @@
             if (done.contains(window)) {
                 continue;
             }
-            const auto counts = co_await freezeWindow(context, window, authority->epoch);
+            const std::int64_t latest = context.usage.endOf(window) + due - std::chrono::milliseconds(reportReserve).count();
+            const auto counts = co_await freezeWindow(context, window, authority->epoch, now < latest);
             if (!counts) {
                 break;
             }
--- a/src/serving/usage_windows.cpp
+++ b/src/serving/usage_windows.cpp
@@ -6,6 +6,13 @@
 namespace lacewinglock
 {
 
+namespace
+{
+
+constexpr std::int64_t settleMs = 300; // Requests that began before the end of a window are counted by then.
+
+}
+
 std::string encodeCounts(const usage_counts &counts)
 {
     return nlohmann::json(counts).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -29,6 +36,24 @@
     return true;
 }
 
+std::string encodeUsage(const daemon_usage &usage)
+{
+    return nlohmann::json{{"counts", usage.counts}, {"final", usage.final}}.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<daemon_usage> parseUsage(std::string_view stored)
+{
+    const auto document = nlohmann::json::parse(stored, nullptr, false);
+    if (!document.is_object() || !document.contains("counts") || !document.contains("final") || !document["final"].is_boolean()) {
+        return std::nullopt;
+    }
+    daemon_usage out{.final = document["final"].get<bool>()};
+    if (!addCounts(out.counts, document["counts"].dump())) {
+        return std::nullopt;
+    }
+    return out;
+}
+
 usage_windows::usage_windows(std::int64_t lengthMs)
     : m_lengthMs(lengthMs)
 {
@@ -51,21 +76,31 @@
     return (window + 1) * m_lengthMs;
 }
 
-std::vector<usage_windows::change> usage_windows::unstored() const
+std::vector<usage_windows::change> usage_windows::unstored(std::int64_t trueTimeMs)
 {
+    // A daemon without requests also tells that its counts are final, so that the report need not wait for them.
+    const std::int64_t ended = windowAt(trueTimeMs - settleMs) - 1;
+    if (m_firstWindow < 0) {
+        m_firstWindow = ended + 1;
+    }
+    if (ended >= m_firstWindow) {
+        m_windows.try_emplace(ended);
+    }
     std::vector<change> out;
     for (const auto &[window, counted] : m_windows) {
-        if (counted.revision != counted.stored) {
-            out.push_back({window, counted.revision, counted.counts});
+        const bool final = window <= ended;
+        if (counted.revision != counted.stored || (final && !counted.storedFinal)) {
+            out.push_back({window, counted.revision, {counted.counts, final}});
         }
     }
     return out;
 }
 
-void usage_windows::noteStored(std::int64_t window, std::uint64_t revision)
+void usage_windows::noteStored(const change &stored)
 {
-    if (const auto found = m_windows.find(window); found != m_windows.end()) {
-        found->second.stored = std::max(found->second.stored, revision);
+    if (const auto found = m_windows.find(stored.window); found != m_windows.end()) {
+        found->second.stored = std::max(found->second.stored, stored.revision);
+        found->second.storedFinal = found->second.storedFinal || stored.usage.final;
     }
 }
 
--- a/src/serving/usage_windows.h
+++ b/src/serving/usage_windows.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,6 +18,16 @@
 /// Adds stored counts; false when the text is not a JSON object of whole numbers.
 bool addCounts(usage_counts &sum, std::string_view stored);
 
+/// What one daemon counted in a window.
+struct daemon_usage
+{
+    usage_counts counts;
+    bool final = false; ///< The window had ended; nothing is added any more.
+};
+
+std::string encodeUsage(const daemon_usage &usage);
+std::optional<daemon_usage> parseUsage(std::string_view stored);
+
 /// This process's counts by window of true time. Window k begins k * lengthMs after the Unix epoch.
 class usage_windows
 {
@@ -31,11 +42,11 @@
     {
         std::int64_t window = 0;
         std::uint64_t revision = 0;
-        usage_counts counts; ///< All of the window, not only what is new.
+        daemon_usage usage; ///< All of the window, not only what is new.
     };
-    /// Windows with counts that are not stored yet.
-    std::vector<change> unstored() const;
-    void noteStored(std::int64_t window, std::uint64_t revision);
+    /// Windows with counts that are not stored yet, or that have ended since.
+    std::vector<change> unstored(std::int64_t trueTimeMs);
+    void noteStored(const change &stored);
     void forgetBefore(std::int64_t window);
 
 private:
@@ -44,10 +55,12 @@
         usage_counts counts;
         std::uint64_t revision = 0;
         std::uint64_t stored = 0;
+        bool storedFinal = false;
     };
 
     std::int64_t m_lengthMs;
     std::map<std::int64_t, counted> m_windows;
+    std::int64_t m_firstWindow = -1; ///< In which this process started.
 };
 
 /// Median of the differences between other daemons' clocks and this one, itself included with 0: the correction that gives the time of most
--- a/tests/serving_state_test.cpp
+++ b/tests/serving_state_test.cpp
@@ -121,23 +121,40 @@
 {
     part_index index;
     const std::vector<prompt_part> parts{{1, 100}, {2, 50}, {3, 10}};
-    index.noteUse(1, 7, start);
-    index.noteUse(3, 7, start);
+    index.noteUse({1, 10}, 7);
+    index.noteUse({3, 10}, 7);
     EXPECT_DOUBLE_EQ(index.cachedTokens(parts, 7), 100);
-    index.noteUse(2, 7, start);
+    index.noteUse({2, 10}, 7);
     EXPECT_DOUBLE_EQ(index.cachedTokens(parts, 7), 160);
     index.forget(1, 7);
     EXPECT_DOUBLE_EQ(index.cachedTokens(parts, 7), 0);
 }
 
+// Guards against parts that count as kept long after the engine needed their memory for others.
+TEST(part_index, expects_old_parts_to_be_dropped_when_memory_is_full)
+{
+    part_index index;
+    index.setEngineCapacity(1000);
+    const std::vector<prompt_part> parts{{1, 100}};
+    index.noteUse(parts[0], 7);
+    index.noteUnshared(7, 500);
+    EXPECT_DOUBLE_EQ(index.cachedTokens(parts, 7), 100);
+    index.noteUse(parts[0], 7);
+    index.noteUnshared(7, 650);
+    EXPECT_DOUBLE_EQ(index.cachedTokens(parts, 7), 100);
+    index.noteUnshared(7, 100);
+    EXPECT_DOUBLE_EQ(index.cachedTokens(parts, 7), 0);
+    EXPECT_TRUE(index.holders(1).empty());
+}
+
 // Guards against an index that grows with every prompt ever seen.
 TEST(part_index, forgets_the_least_recently_used_parts)
 {
     part_index index(2);
-    index.noteUse(1, 7, start);
-    index.noteUse(2, 7, start);
-    index.noteUse(1, 7, start + 1s);
-    index.noteUse(3, 7, start + 2s);
+    index.noteUse({1, 10}, 7);
+    index.noteUse({2, 10}, 7);
+    index.noteUse({1, 10}, 7);
+    index.noteUse({3, 10}, 7);
     EXPECT_TRUE(index.holders(2).empty());
     EXPECT_EQ(index.holders(1).size(), 1U);
 }
@@ -190,15 +207,34 @@
     usage.note("org", 4999);
     usage.note("org", 5000);
     usage.note("org", 5001);
-    auto unstored = usage.unstored();
+    auto unstored = usage.unstored(5002);
     ASSERT_EQ(unstored.size(), 2U);
     EXPECT_EQ(unstored[0].window, 0);
-    EXPECT_EQ(unstored[1].counts.at("org"), 2U);
-    usage.noteStored(1, unstored[1].revision);
+    EXPECT_EQ(unstored[1].usage.counts.at("org"), 2U);
+    usage.noteStored(unstored[1]);
     usage.note("org", 5002);
-    unstored = usage.unstored();
+    unstored = usage.unstored(5003);
     ASSERT_EQ(unstored.size(), 2U);
-    EXPECT_EQ(unstored[1].counts.at("org"), 3U);
+    EXPECT_EQ(unstored[1].usage.counts.at("org"), 3U);
+}
+
+// Guards against a report that waits for a daemon without requests, and against counts that pass for final too early.
+TEST(usage_windows, tells_when_the_counts_of_a_window_are_final)
+{
+    usage_windows usage(5000);
+    EXPECT_TRUE(usage.unstored(4000).empty());
+    EXPECT_TRUE(usage.unstored(5100).empty());
+    const auto ended = usage.unstored(5400);
+    ASSERT_EQ(ended.size(), 1U);
+    EXPECT_TRUE(ended[0].usage.final);
+    usage.noteStored(ended[0]);
+    EXPECT_TRUE(usage.unstored(5500).empty());
+    const auto stored = parseUsage(encodeUsage({{{"org", 4}}, true}));
+    ASSERT_TRUE(stored);
+    EXPECT_TRUE(stored->final);
+    EXPECT_EQ(stored->counts.at("org"), 4U);
+    EXPECT_FALSE(parseUsage(R"({"counts":{"org":-1},"final":true})"));
+    EXPECT_FALSE(parseUsage("garbage"));
 }
 
 // Guards against rows of other writers that change the sum.
