Replace ordinary engines in steps; keep running engines of the cheaper kind

Cause: a domain changed from ten ordinary engines to two at once, and an order of 0 gave six running cheap ones back when no more could be had.

--- a/src/serving/fleet_duty.cpp
+++ b/src/serving/fleet_duty.cpp
@@ -22,6 +22,7 @@
 constexpr auto unavailableTime = std::chrono::seconds(4); // Before the cheaper kind is asked for again in a domain that had none.
 constexpr auto repeatAfter = std::chrono::seconds(10); // An order that shows no effect is given again.
 
+constexpr int stepDivisor = 3; // Part of a domain's engines that may be on their way at once.
 constexpr int unknownCount = -2; // The platform may or may not have the last order.
 
 /// What was ordered last of one kind in one domain.
@@ -176,13 +177,11 @@
         // Named variables: g++ 12 destroys braced temporaries twice when they are arguments of an awaited call.
         const endpoint_count_order reclaimable{service.name, target.domain, target.reclaimable, true};
         co_await order(plan, reclaimable, domain->reclaimable);
-        // An ordinary engine goes only when one of the cheaper kind runs in its place, or is certain to come once there is room.
-        const bool refused = isUnavailable(plan, target.domain);
-        const bool full = domain->ordinary + domain->reclaimable >= input.maxPerDomain && !refused;
-        const int missing = full ? 0 : input.maxPerDomain;
+        // Ordinary engines go in steps, as engines of the cheaper kind take their places: the domain never loses more than a step at once.
         const int atHand = std::max(plan.orders[{target.domain, false}].count, domain->ordinary);
-        const int replaced = domain->reclaimable >= target.reclaimable ? 0 : missing;
-        const int kept = std::clamp(target.ordinary + replaced, target.ordinary, std::max(target.ordinary, atHand));
+        const int step = std::max(1, input.maxPerDomain / stepDivisor);
+        const int places = isUnavailable(plan, target.domain) ? atHand : input.maxPerDomain - domain->reclaimable - step;
+        const int kept = std::clamp(places, target.ordinary, std::max(target.ordinary, atHand));
         const endpoint_count_order ordinary{service.name, target.domain, kept, false};
         co_await order(plan, ordinary, domain->ordinary);
     }
--- a/src/serving/fleet_plan.cpp
+++ b/src/serving/fleet_plan.cpp
@@ -47,7 +47,8 @@
             // The mean is carried by ordinary ones until the cheaper kind can be had again.
             const int mean = static_cast<int>(std::ceil(input.meanEngines * peakHeadroom / domains));
             target.ordinary = input.hasReclaimable ? std::clamp(mean, base, count) : count;
-            target.reclaimable = 0;
+            // What still runs of the cheaper kind stays.
+            target.reclaimable = std::min(domain.reclaimable, input.maxPerDomain - target.ordinary);
         }
     }
     return out;
