--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -15,6 +15,9 @@
 // A silent connection to the store shows within this time and the call's own slack: soon enough for a change that must be in force two seconds
 // after a machine counts as in touch again, and for keys that may be trusted for five.
 constexpr auto changeWait = std::chrono::milliseconds(1800);
+// After a change, others are waited for together: each one costs a call of every daemon. At most a fifth of the bound on leaving endpoints.
+constexpr auto gatherPerDaemon = std::chrono::milliseconds(8);
+constexpr auto longestGather = std::chrono::milliseconds(400);
 constexpr auto retryPause = std::chrono::milliseconds(150); // Between failed calls: seven a second and daemon, a small part of the store's rate.
 constexpr auto failureMemory = std::chrono::milliseconds(2500); // Living endpoints list themselves again within two seconds of the store's return.
 constexpr auto memberInterval = std::chrono::seconds(10); // For members whose summaries never arrive; others are read at their first one.
@@ -81,6 +84,9 @@
         noteStoreAnswer(context, handler.name, failing);
         version = answer->version;
         handler.apply(*answer, whole);
+        if (!answer->rows.empty()) {
+            co_await sleepFor(std::min<duration>(gatherPerDaemon * static_cast<int>(context.daemons()), longestGather));
+        }
     }
 }
 
--- a/src/serving/usage_duty.cpp
+++ b/src/serving/usage_duty.cpp
@@ -14,7 +14,9 @@
 namespace
 {
 
-constexpr auto storeInterval = std::chrono::milliseconds(1500); // A killed daemon loses at most this much of its counts.
+// A killed daemon loses at most this much of its counts; with more daemons, the part of one matters less.
+constexpr auto shortestStoreInterval = std::chrono::milliseconds(1500);
+constexpr auto storeIntervalPerDaemon = std::chrono::milliseconds(165);
 constexpr auto storeTick = std::chrono::milliseconds(250); // Final counts are written this soon after their window.
 constexpr auto closeDelay = std::chrono::milliseconds(1000); // Before that, the final counts of a window can't be complete.
 constexpr auto reportReserve = std::chrono::milliseconds(3000); // Kept for the report, with a repeat, when counts of a daemon stay away.
@@ -132,7 +134,8 @@
 {
     instant lastAll;
     while (true) {
-        const bool all = bootNow() - lastAll >= storeInterval;
+        const auto interval = std::max<duration>(shortestStoreInterval, storeIntervalPerDaemon * static_cast<int>(context.daemons()));
+        const bool all = bootNow() - lastAll >= interval;
         for (auto &change : context.usage.unstored(context.trueTimeMs())) {
             if (all || change.usage.final) {
                 co_await storeWindow(context, std::move(change));
