--- a/src/serving/edge_context.cpp
+++ b/src/serving/edge_context.cpp
@@ -50,6 +50,18 @@
     return std::uniform_real_distribution<double>(0, 1)(random);
 }
 
+double edge_context::peerAgeMs() const
+{
+    const instant now = bootNow();
+    double oldest = 0;
+    for (const auto &[id, peer] : peers) {
+        if (peer.heard) {
+            oldest = std::max(oldest, toMs(now - peer.heardAt));
+        }
+    }
+    return oldest;
+}
+
 std::size_t edge_context::daemons() const
 {
     // Stored members count even while they are not heard: they may be sending.
--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -52,6 +52,8 @@
     log_line line(std::string_view event) const;
     std::int64_t trueTimeMs() const;
     double roll();
+    /// Age of the oldest summary among the peers whose load counts.
+    double peerAgeMs() const;
     /// Daemons that serve, this one included.
     std::size_t daemons() const;
     /// Ready for callers: configured, in touch with the store, and not shutting down.
--- a/src/serving/endpoint_registry.cpp
+++ b/src/serving/endpoint_registry.cpp
@@ -1,6 +1,7 @@
 #include "serving/endpoint_registry.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <xxhash.h>
 
@@ -26,6 +27,11 @@
     return !entry.draining && now >= downUntil && now >= reservedUntil;
 }
 
+double endpoint_state::overdueMs(instant now) const
+{
+    return unanswered.empty() ? 0 : std::max(0.0, std::round(toMs(now - *unanswered.begin())));
+}
+
 void endpoint_registry::update(endpoint_entry entry)
 {
     const auto hash = hashOf(entry);
--- a/src/serving/endpoint_registry.h
+++ b/src/serving/endpoint_registry.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -60,12 +61,14 @@
     instant downUntil; ///< No sending before; only while others are up.
     double failureShare = 0; ///< Moving average over attempts that were sent.
     double slowness = 1; ///< Measured time against the model's, moving average.
-    std::multimap<instant, std::uint64_t> unanswered; ///< When each own request without a first answer should have had one.
+    std::multiset<instant> unanswered; ///< When each own request without a first answer should have had one.
     instant reservedUntil; ///< A change of its role is under way; it gets no new work.
     bool missing = false; ///< Its entry lapsed while the store was failing.
     instant missingSince;
 
     bool usable(instant now) const;
+    /// How long the oldest answer is overdue, in whole milliseconds.
+    double overdueMs(instant now) const;
 };
 
 using endpoint_ptr = std::shared_ptr<endpoint_state>;
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -38,8 +38,11 @@
     double slowness = 1; ///< Measured time against the model's.
     double failureShare = 0; ///< Part of the recent attempts that failed.
     double overdueMs = 0; ///< How long its oldest answer is overdue.
+
+    bool operator==(const engine_candidate &) const = default;
 };
 
+/// All numbers are multiples of a tenth (slowness and failure share: of a hundredth), so that a log line holds exactly what was decided upon.
 struct generation_input
 {
     std::string requestId;
@@ -51,9 +54,11 @@
     bool maySplit = true; ///< Prompt and output on different engines.
     double kvTokenBytes = 0;
     double linkMbps = 0;
-    double loadReportAgeMs = 0; ///< Oldest message of the peers whose load is counted.
+    double peerAgeMs = 0; ///< Age of the oldest summary of a peer whose load is counted. For the log.
     double roll = 0; ///< Uniform in [0, 1): spreads the times to come back.
     std::vector<engine_candidate> engines;
+
+    bool operator==(const generation_input &) const = default;
 };
 
 enum class placement_verdict {
@@ -100,16 +105,22 @@
     int slots = 1;
     double failureShare = 0;
     double overdueMs = 0;
+
+    bool operator==(const service_candidate &) const = default;
 };
 
+/// Numbers as in generation_input.
 struct service_input
 {
     std::string requestId;
     std::uint64_t configVersion = 0;
     double workMs = 50; ///< Measured mean of the route.
     double remainingMs = 0;
+    double peerAgeMs = 0;
     double roll = 0;
     std::vector<service_candidate> endpoints;
+
+    bool operator==(const service_input &) const = default;
 };
 
 struct service_result
--- /dev/null
+++ b/src/serving/placement_log.cpp
@@ -0,0 +1,221 @@
+#include "serving/placement_log.h"
+
+#include <absl/strings/str_cat.h>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr const char *generationEvent = "place_generation";
+constexpr const char *serviceEvent = "place_service";
+constexpr std::size_t engineFields = 10;
+constexpr std::size_t endpointFields = 7;
+
+std::string encode(const engine_candidate &engine)
+{
+    return absl::StrCat("[\"",
+                        engine.id,
+                        "\",",
+                        static_cast<int>(engine.role),
+                        engine.local ? ",1," : ",0,",
+                        engine.excluded ? "1," : "0,",
+                        engine.running,
+                        ",",
+                        engine.slots,
+                        ",",
+                        std::llround(engine.queuedTokens),
+                        ",",
+                        std::llround(engine.cachedTokens),
+                        ",",
+                        std::llround(engine.slowness * 100),
+                        absl::StrCat(",", std::llround(engine.failureShare * 100), ",", std::llround(engine.overdueMs), "]"));
+}
+
+std::string encode(const service_candidate &endpoint)
+{
+    return absl::StrCat("[\"",
+                        endpoint.id,
+                        endpoint.local ? "\",1," : "\",0,",
+                        endpoint.excluded ? "1," : "0,",
+                        endpoint.running,
+                        ",",
+                        endpoint.slots,
+                        ",",
+                        std::llround(endpoint.failureShare * 100),
+                        ",",
+                        std::llround(endpoint.overdueMs),
+                        "]");
+}
+
+template <typename Candidate>
+std::string encodeList(const std::vector<Candidate> &candidates)
+{
+    std::string out = "[";
+    for (const auto &candidate : candidates) {
+        absl::StrAppend(&out, out.size() > 1 ? "," : "", encode(candidate));
+    }
+    return out + "]";
+}
+
+engine_candidate parseEngine(const json &entry)
+{
+    return {
+        .id = entry.at(0),
+        .role = static_cast<endpoint_role>(entry.at(1).get<int>()),
+        .local = entry.at(2) == 1,
+        .excluded = entry.at(3) == 1,
+        .running = entry.at(4),
+        .slots = entry.at(5),
+        .queuedTokens = entry.at(6),
+        .cachedTokens = entry.at(7),
+        .slowness = entry.at(8).get<double>() / 100,
+        .failureShare = entry.at(9).get<double>() / 100,
+        .overdueMs = entry.at(engineFields),
+    };
+}
+
+service_candidate parseEndpoint(const json &entry)
+{
+    return {
+        .id = entry.at(0),
+        .local = entry.at(1) == 1,
+        .excluded = entry.at(2) == 1,
+        .running = entry.at(3),
+        .slots = entry.at(4),
+        .failureShare = entry.at(5).get<double>() / 100,
+        .overdueMs = entry.at(endpointFields - 1),
+    };
+}
+
+generation_input parseGeneration(const json &line)
+{
+    generation_input input{
+        .requestId = line.at("id"),
+        .configVersion = line.at("config"),
+        .promptTokens = line.at("prompt"),
+        .elapsedMs = line.at("elapsed_ms"),
+        .targetMs = line.at("target_ms"),
+        .remainingMs = line.at("left_ms"),
+        .maySplit = line.at("may_split"),
+        .kvTokenBytes = line.at("kv_bytes"),
+        .linkMbps = line.at("link_mbps"),
+        .peerAgeMs = line.at("peer_age_ms"),
+        .roll = line.at("roll"),
+    };
+    for (const auto &entry : line.at("engines")) {
+        input.engines.push_back(parseEngine(entry));
+    }
+    return input;
+}
+
+service_input parseService(const json &line)
+{
+    service_input input{
+        .requestId = line.at("id"),
+        .configVersion = line.at("config"),
+        .workMs = line.at("work_ms"),
+        .remainingMs = line.at("left_ms"),
+        .peerAgeMs = line.at("peer_age_ms"),
+        .roll = line.at("roll"),
+    };
+    for (const auto &entry : line.at("endpoints")) {
+        input.endpoints.push_back(parseEndpoint(entry));
+    }
+    return input;
+}
+
+absl::Status differs(const json &line, std::string_view field, const std::string &now)
+{
+    return absl::FailedPreconditionError(
+        absl::StrCat("request ", line.at("id").get<std::string>(), ": ", std::string(field), " was ", line.at(std::string(field)).dump(), ", is ", now));
+}
+
+}
+
+double toTenth(double value)
+{
+    return std::round(value * 10) / 10;
+}
+
+double toHundredth(double value)
+{
+    return std::round(value * 100) / 100;
+}
+
+void logPlacement(log_line &line, const generation_input &input, const generation_result &result)
+{
+    line.add("id", input.requestId).add("config", input.configVersion).add("prompt", input.promptTokens).add("elapsed_ms", input.elapsedMs);
+    line.add("target_ms", input.targetMs).add("left_ms", input.remainingMs).add("may_split", input.maySplit).add("kv_bytes", input.kvTokenBytes);
+    line.add("link_mbps", input.linkMbps).add("peer_age_ms", input.peerAgeMs).add("roll", input.roll).addRaw("engines", encodeList(input.engines));
+    line.add("read_at", result.prompt).add("output_at", result.output).add("fetch_from", result.fetchFrom).add("first_ms", result.firstEventMs);
+    line.add("queue_ms", result.queueMs).add("read_ms", result.readingMs).add("reason", result.reason);
+}
+
+void logPlacement(log_line &line, const service_input &input, const service_result &result)
+{
+    line.add("id", input.requestId).add("config", input.configVersion).add("work_ms", input.workMs).add("left_ms", input.remainingMs);
+    line.add("peer_age_ms", input.peerAgeMs).add("roll", input.roll).addRaw("endpoints", encodeList(input.endpoints));
+    line.add("chosen", result.endpoint).add("predicted_ms", result.predictedMs).add("reason", result.reason);
+}
+
+absl::StatusOr<placement_record> parsePlacement(std::string_view text)
+{
+    const auto line = json::parse(text, nullptr, false);
+    if (!line.is_object() || !line.contains("event")) {
+        return placement_record();
+    }
+    try {
+        if (line["event"] == generationEvent) {
+            return placement_record(parseGeneration(line));
+        }
+        if (line["event"] == serviceEvent) {
+            return placement_record(parseService(line));
+        }
+    } catch (const json::exception &error) {
+        return absl::InvalidArgumentError(absl::StrCat("decision can't be read: ", error.what()));
+    }
+    return placement_record();
+}
+
+absl::Status replayPlacement(std::string_view text, const engine_model &model, replay_counts &counts)
+{
+    const auto record = parsePlacement(text);
+    if (!record.ok()) {
+        return record.status();
+    }
+    if (std::holds_alternative<std::monostate>(*record)) {
+        ++counts.otherLines;
+        return absl::OkStatus();
+    }
+    ++counts.decisions;
+    const auto line = json::parse(text);
+    if (const auto *generation = std::get_if<generation_input>(&*record)) {
+        const auto result = placeGeneration(*generation, model);
+        if (result.prompt != line.at("read_at")) {
+            return differs(line, "read_at", std::to_string(result.prompt));
+        }
+        if (result.output != line.at("output_at")) {
+            return differs(line, "output_at", std::to_string(result.output));
+        }
+        if (result.reason != line.at("reason").get<std::string>()) {
+            return differs(line, "reason", std::string(result.reason));
+        }
+    } else if (const auto *service = std::get_if<service_input>(&*record)) {
+        const auto result = placeService(*service);
+        if (result.endpoint != line.at("chosen")) {
+            return differs(line, "chosen", std::to_string(result.endpoint));
+        }
+        if (result.reason != line.at("reason").get<std::string>()) {
+            return differs(line, "reason", std::string(result.reason));
+        }
+    }
+    return absl::OkStatus();
+}
+
+}
--- a/src/serving/service_forward.cpp
+++ b/src/serving/service_forward.cpp
@@ -1,8 +1,8 @@
 #include "serving/caller_exchange.h"
 
+#include "serving/placement_log.h"
 #include "transport/boot_clock.h"
 
-#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <set>
 
@@ -33,9 +33,10 @@
     service_input input{
         .requestId = request.id,
         .configVersion = request.configuration->version,
-        .workMs = work == context.workMs.end() ? firstWorkMs : work->second,
-        .remainingMs = toMs(request.deadline - now),
-        .roll = context.roll(),
+        .workMs = toTenth(work == context.workMs.end() ? firstWorkMs : work->second),
+        .remainingMs = toTenth(toMs(request.deadline - now)),
+        .peerAgeMs = toTenth(context.peerAgeMs()),
+        .roll = toTenth(context.roll()),
     };
     for (const auto &endpoint : endpoints) {
         input.endpoints.push_back({
@@ -44,47 +45,20 @@
             .excluded = !endpoint->usable(now) || failed.contains(endpoint->entry.id),
             .running = endpoint->own.running + endpoint->peers.running,
             .slots = std::max(1, endpoint->entry.slots),
-            .failureShare = request.route->repeatable ? 0 : endpoint->failureShare,
-            .overdueMs = endpoint->unanswered.empty() ? 0 : std::max(0.0, toMs(now - endpoint->unanswered.begin()->first)),
+            .failureShare = request.route->repeatable ? 0 : toHundredth(endpoint->failureShare),
+            .overdueMs = endpoint->overdueMs(now),
         });
     }
     return input;
 }
 
-void logPlacement(edge_context &context, const service_input &input, const service_result &result, int number)
-{
-    std::string seen = "[";
-    for (const auto &endpoint : input.endpoints) {
-        absl::StrAppend(&seen,
-                        seen.size() > 1 ? "," : "",
-                        "[\"",
-                        endpoint.id,
-                        "\",",
-                        endpoint.local ? 1 : 0,
-                        ",",
-                        endpoint.excluded ? 1 : 0,
-                        ",",
-                        endpoint.running,
-                        ",",
-                        endpoint.slots,
-                        ",",
-                        std::lround(endpoint.overdueMs),
-                        "]");
-    }
-    seen += "]";
-    auto line = context.line("place_service");
-    line.add("id", input.requestId).add("config", input.configVersion).add("attempt", number).add("work_ms", input.workMs).add("left_ms", input.remainingMs);
-    line.addRaw("endpoints", seen).add("chosen", result.endpoint).add("predicted_ms", result.predictedMs).add("reason", result.reason);
-    context.log.write(line);
-}
-
 /// Registers an answer that is due, so that a silent endpoint shows before its requests time out.
 class due_answer
 {
 public:
     due_answer(endpoint_ptr endpoint, instant due)
         : m_endpoint(std::move(endpoint))
-        , m_place(m_endpoint->unanswered.emplace(due, 0))
+        , m_place(m_endpoint->unanswered.insert(due))
     {
     }
     ~due_answer()
@@ -96,7 +70,7 @@
 
 private:
     endpoint_ptr m_endpoint;
-    std::multimap<instant, std::uint64_t>::iterator m_place;
+    std::multiset<instant>::iterator m_place;
 };
 
 task<attempt> send(edge_context &context, const caller_request &request, const endpoint_ptr &endpoint, instant deadline, double predictedMs)
@@ -157,7 +131,10 @@
         const auto endpoints = context.endpoints.ofService(request.service);
         const auto input = makeInput(context, request, endpoints, failed);
         const auto placed = placeService(input);
-        logPlacement(context, input, placed, outcome.attempts + 1);
+        auto line = context.line("place_service");
+        line.add("attempt", outcome.attempts + 1);
+        logPlacement(line, input, placed);
+        context.log.write(line);
         if (placed.verdict == placement_verdict::Refuse || now >= request.deadline) {
             code = placed.reason;
             retryAfterMs = placed.retryAfterMs;
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -1,10 +1,11 @@
 #include "serving/caller_exchange.h"
 
 #include "serving/event_stream.h"
+#include "serving/placement_log.h"
 #include "transport/boot_clock.h"
 
-#include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace lacewinglock
@@ -19,6 +20,8 @@
 constexpr double readingPatience = 3; // Predictions are off by that factor when several daemons send at once.
 constexpr auto resumeAfter = std::chrono::milliseconds(1000); // Callers leave a silent stream after two seconds.
 constexpr auto firstEventPatience = std::chrono::milliseconds(1500); // A resumable stream without an event for so long is tried elsewhere.
+constexpr double speedTokens = 1000; // Shorter readings tell more of the network than of the engine.
+constexpr double speedWeight = 0.2; // A slow engine shows after five readings.
 constexpr auto freeTimeout = std::chrono::milliseconds(500);
 
 /// One stream on its way to the caller.
@@ -35,7 +38,6 @@
     };
 
     generation_input makeInput(const std::vector<endpoint_ptr> &engines) const;
-    void logPlacement(const generation_input &input, const generation_result &placed) const;
     task<step> attempt(const generation_input &input, const generation_result &placed, const std::vector<endpoint_ptr> &engines);
     /// Has the prompt read on one engine. The handle is empty when that failed.
     task<std::string> readPrompt(const endpoint_ptr &reader, const endpoint_ptr &holder, double tokens, double predictedMs);
@@ -46,6 +48,8 @@
     void noteParts(const endpoint_ptr &engine);
     void freeHandle(const endpoint_ptr &holder, const std::string &handle) const;
     void noteFirstEvent(const endpoint_ptr &engine, load_claim &claim);
+    /// Learns how fast an engine is from a reading that waited behind no other.
+    void noteSpeed(const endpoint_ptr &engine, bool waited, double tokens, double tookMs) const;
     bool mayTryAgain() const;
     bool takeExtra();
 
@@ -78,11 +82,12 @@
         .requestId = m_request.id,
         .configVersion = m_request.configuration->version,
         .promptTokens = m_prompt ? m_prompt->promptTokens : 0,
-        .elapsedMs = toMs(now - m_request.arrivedAt),
-        .targetMs = toMs(m_route.target),
-        .remainingMs = toMs(m_request.deadline - now),
+        .elapsedMs = toTenth(toMs(now - m_request.arrivedAt)),
+        .targetMs = toTenth(toMs(m_route.target)),
+        .remainingMs = toTenth(toMs(m_request.deadline - now)),
         .maySplit = m_prompt && m_prompt->promptTokens > 0 && !m_streaming,
-        .roll = m_context.roll(),
+        .peerAgeMs = toTenth(m_context.peerAgeMs()),
+        .roll = toTenth(m_context.roll()),
     };
     const auto service = m_request.configuration->services.find(m_request.service);
     const bool known = service != m_request.configuration->services.end() && service->second.engine;
@@ -98,33 +103,16 @@
             .excluded = !engine->usable(now) || m_failed.contains(engine->entry.id),
             .running = engine->own.running + engine->peers.running,
             .slots = known ? service->second.engine->slots : std::max(1, engine->entry.slots),
-            .queuedTokens = engine->own.promptTokens + engine->peers.promptTokens,
-            .cachedTokens = m_prompt ? m_context.parts.cachedTokens(m_prompt->parts, engine->hash) : 0,
-            .slowness = engine->slowness,
-            .failureShare = engine->failureShare,
-            .overdueMs = engine->unanswered.empty() ? 0 : std::max(0.0, toMs(now - engine->unanswered.begin()->first)),
+            .queuedTokens = std::round(engine->own.promptTokens + engine->peers.promptTokens),
+            .cachedTokens = m_prompt ? std::round(m_context.parts.cachedTokens(m_prompt->parts, engine->hash)) : 0,
+            .slowness = toHundredth(engine->slowness),
+            .failureShare = toHundredth(engine->failureShare),
+            .overdueMs = engine->overdueMs(now),
         });
     }
     return input;
 }
 
-void stream_session::logPlacement(const generation_input &input, const generation_result &placed) const
-{
-    std::string seen = "[";
-    for (const auto &engine : input.engines) {
-        absl::StrAppend(&seen, seen.size() > 1 ? "," : "", "[\"", engine.id, "\",", static_cast<int>(engine.role), ",", engine.local ? 1 : 0, ",");
-        absl::StrAppend(&seen, engine.excluded ? 1 : 0, ",", engine.running, ",", std::lround(engine.queuedTokens), ",", std::lround(engine.cachedTokens), ",");
-        absl::StrAppend(&seen, std::lround(engine.overdueMs), "]");
-    }
-    seen += "]";
-    auto line = m_context.line("place_generation");
-    line.add("id", input.requestId).add("config", input.configVersion).add("attempt", m_outcome.attempts + 1).add("prompt", input.promptTokens);
-    line.add("elapsed_ms", input.elapsedMs).add("target_ms", input.targetMs).add("left_ms", input.remainingMs).addRaw("engines", seen);
-    line.add("read_at", placed.prompt).add("output_at", placed.output).add("fetch_from", placed.fetchFrom).add("first_ms", placed.firstEventMs);
-    line.add("read_ms", placed.readingMs).add("reason", placed.reason);
-    m_context.log.write(line);
-}
-
 bool stream_session::mayTryAgain() const
 {
     return m_outcome.attempts < m_route.maxAttempts && (!m_mayHaveRun || m_route.resumable);
@@ -149,7 +137,10 @@
         const auto engines = m_context.endpoints.ofService(m_request.service);
         const auto input = makeInput(engines);
         const auto placed = placeGeneration(input, m_context.settings.engines);
-        logPlacement(input, placed);
+        auto line = m_context.line("place_generation");
+        line.add("attempt", m_outcome.attempts + 1);
+        logPlacement(line, input, placed);
+        m_context.log.write(line);
         // A stream that the caller has begun to read goes on wherever there is room.
         // One that may have run can't be refused truthfully any more: late is better than a failure.
         if (placed.output < 0 || (placed.verdict == placement_verdict::Refuse && !m_streaming && !m_mayHaveRun)) {
@@ -234,7 +225,7 @@
         exchange->cancel();
     });
     m_outcome.endpoint = engine->entry.id;
-    const auto due = engine->unanswered.emplace(now + std::chrono::milliseconds(std::lround(3 * placed.firstEventMs + 100)), 0);
+    const auto due = engine->unanswered.insert(now + std::chrono::milliseconds(std::lround(3 * placed.firstEventMs + 100)));
     const auto state = co_await exchange->begin(message);
     engine->unanswered.erase(due);
     const bool unused = state == exchange_state::NotSent
@@ -264,6 +255,7 @@
     if (holder) {
         m_context.platform.wire.engine.fetchParts(message, holder->entry);
     }
+    const bool waited = reader->own.promptTokens + reader->peers.promptTokens > 0;
     const auto patience = std::chrono::milliseconds(std::lround(readingPatience * predictedMs)) + readingSlack;
     load_claim claim(reader, tokens);
     const auto exchange = std::make_shared<client_exchange>(
@@ -271,7 +263,7 @@
     m_request.reply->onGone([exchange] {
         exchange->cancel();
     });
-    const auto due = reader->unanswered.emplace(now + std::chrono::milliseconds(std::lround(2 * predictedMs + 100)), 0);
+    const auto due = reader->unanswered.insert(now + std::chrono::milliseconds(std::lround(2 * predictedMs + 100)));
     std::string body;
     auto state = co_await exchange->begin(message);
     if (state == exchange_state::Going) {
@@ -312,6 +304,7 @@
         m_failed.insert(reader->entry.id);
         co_return std::string();
     }
+    noteSpeed(reader, waited, tokens, took);
     co_return *handle;
 }
 
@@ -471,6 +464,18 @@
     noteParts(engine);
 }
 
+void stream_session::noteSpeed(const endpoint_ptr &engine, bool waited, double tokens, double tookMs) const
+{
+    if (waited || tokens < speedTokens) {
+        return;
+    }
+    const auto &model = m_context.settings.engines;
+    const double kept = m_prompt ? std::max(0.0, m_prompt->promptTokens - tokens) : 0;
+    const double predicted = readingMs(model, engine->entry.role.value_or(endpoint_role::Mixed), tokens, kept, engine->own.running);
+    const double measured = std::clamp((tookMs - model.firstTokenMs) / predicted, 0.5, 10.0);
+    engine->slowness += speedWeight * (measured - engine->slowness);
+}
+
 void stream_session::noteParts(const endpoint_ptr &engine)
 {
     if (!m_prompt || m_prompt->parts.empty()) {
