Replace at most half of a domain's reclaimed engines by ordinary ones

An outage of the cheaper kind lasts some seconds, an ordinary engine costs 4.5 times as much and starts in four.

--- a/src/serving/fleet_plan.cpp
+++ b/src/serving/fleet_plan.cpp
@@ -46,7 +46,7 @@
             target.reclaimable = count - base;
         } else {
             // The mean is carried by ordinary ones until the cheaper kind can be had again.
-            const int mean = static_cast<int>(std::ceil(input.meanEngines * peakHeadroom / domains));
+            const int mean = std::min(static_cast<int>(std::ceil(input.meanEngines * peakHeadroom / domains)), (count + 1) / 2);
             target.ordinary = input.hasReclaimable ? std::clamp(mean, base, count) : count;
             // What still runs of the cheaper kind stays.
             target.reclaimable = std::min(domain.reclaimable, input.maxPerDomain - target.ordinary);
