Add the fault soak; suspect a request only when its endpoint has crashed

Now a lost connection counts only when the endpoint does not take another one, a success clears the count everywhere, and one daemon tries again after 20 s.

--- /dev/null
+++ b/soak/stand_ins.cpp
@@ -0,0 +1,378 @@
+#include "soak/stand_ins.h"
+
+#include <absl/strings/escaping.h>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace faultsoak
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::int64_t slowAnswerMs = 400;
+constexpr int slots = 6;
+constexpr int queue = 12;
+
+std::string_view view(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+std::string decodePercent(std::string_view text)
+{
+    std::string out;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%' && i + 2 < text.size()) {
+            out += static_cast<char>(std::stoi(std::string(text.substr(i + 1, 2)), nullptr, 16));
+            i += 2;
+        } else {
+            out += text[i];
+        }
+    }
+    return out;
+}
+
+std::map<std::string, std::string> parseQuery(std::string_view target)
+{
+    std::map<std::string, std::string> out;
+    const auto question = target.find('?');
+    std::string_view rest = question == std::string_view::npos ? std::string_view() : target.substr(question + 1);
+    while (!rest.empty()) {
+        const auto end = std::min(rest.find('&'), rest.size());
+        const auto pair = rest.substr(0, end);
+        const auto equals = std::min(pair.find('='), pair.size());
+        out[std::string(pair.substr(0, equals))] = decodePercent(pair.substr(std::min(equals + 1, pair.size())));
+        rest.remove_prefix(std::min(end + 1, rest.size()));
+    }
+    return out;
+}
+
+}
+
+struct http_stand_in::shared
+{
+    shared(asio::io_context &io, answer given)
+        : loop(io)
+        , acceptor(io, anyLoopback())
+        , handler(std::move(given))
+    {
+    }
+
+    asio::io_context &loop;
+    tcp::acceptor acceptor;
+    answer handler;
+    std::set<std::shared_ptr<tcp::socket>> open;
+    bool stopped = false;
+};
+
+http_stand_in::http_stand_in(asio::io_context &loop, answer handler)
+    : m_state(std::make_shared<shared>(loop, std::move(handler)))
+{
+    asio::co_spawn(loop, accept(m_state), asio::detached);
+}
+
+tcp::endpoint http_stand_in::endpoint() const
+{
+    return m_state->acceptor.local_endpoint();
+}
+
+void http_stand_in::stop()
+{
+    m_state->stopped = true;
+    boost::system::error_code ignored;
+    m_state->acceptor.close(ignored);
+    for (const auto &socket : m_state->open) {
+        socket->set_option(asio::socket_base::linger(true, 0), ignored);
+        socket->close(ignored);
+    }
+}
+
+task<void> http_stand_in::accept(std::shared_ptr<shared> state)
+{
+    while (!state->stopped) {
+        auto socket = std::make_shared<tcp::socket>(state->loop);
+        boost::system::error_code error;
+        co_await state->acceptor.async_accept(*socket, errorTo(error));
+        if (error) {
+            co_return;
+        }
+        state->open.insert(socket);
+        asio::co_spawn(state->loop, serve(state, socket), asio::detached);
+    }
+}
+
+task<void> http_stand_in::serve(std::shared_ptr<shared> state, std::shared_ptr<tcp::socket> socket)
+{
+    beast::flat_buffer buffer;
+    bool keep = true;
+    while (keep && !state->stopped) {
+        boost::system::error_code error;
+        request message;
+        co_await http::async_read(*socket, buffer, message, errorTo(error));
+        if (error || state->stopped) {
+            break;
+        }
+        keep = co_await state->handler(message, *socket);
+    }
+    boost::system::error_code ignored;
+    socket->close(ignored);
+    state->open.erase(socket);
+}
+
+task<bool> sendAnswer(tcp::socket &socket, int status, std::string_view body, std::string_view fields)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+    text.append(fields).append("\r\n").append(body);
+    boost::system::error_code error;
+    co_await asio::async_write(socket, asio::buffer(text), errorTo(error));
+    co_return !error;
+}
+
+store_stand_in::store_stand_in(asio::io_context &loop, oracle &judge)
+    : m_oracle(judge)
+    , m_server(loop, [this](const request &message, tcp::socket &socket) {
+        return answer(message, socket);
+    })
+{
+}
+
+tcp::endpoint store_stand_in::endpoint() const
+{
+    return m_server.endpoint();
+}
+
+void store_stand_in::setMode(store_mode mode)
+{
+    m_mode = mode;
+}
+
+void store_stand_in::note(const std::string &table, const std::string &key, bool removed)
+{
+    m_changes.push_back({m_version, table, key, removed});
+}
+
+void store_stand_in::put(const std::string &table, const std::string &key, const std::string &value)
+{
+    m_rows[{table, key}] = {absl::Base64Escape(value), ++m_version};
+    note(table, key, false);
+}
+
+void store_stand_in::remove(const std::string &table, const std::string &key)
+{
+    ++m_version;
+    m_rows.erase({table, key});
+    note(table, key, true);
+}
+
+void store_stand_in::compact()
+{
+    m_oldest = m_version;
+    m_changes.clear();
+}
+
+task<bool> store_stand_in::answer(const request &message, tcp::socket &socket)
+{
+    ++m_calls;
+    if (m_mode != store_mode::Up) {
+        m_oracle.noteStoreFault(nowMs());
+    }
+    if (m_mode == store_mode::Down) {
+        co_return co_await sendAnswer(socket, 503, "{}");
+    }
+    if (m_mode == store_mode::Slow) {
+        co_await sleepMs(slowAnswerMs);
+    }
+    const bool lose = m_mode == store_mode::LosesAnswers && m_calls % 2 == 0;
+    const auto result = co_await handle(message);
+    if (lose) {
+        co_return false;
+    }
+    co_return co_await sendAnswer(socket, result.first, result.second);
+}
+
+task<std::pair<int, std::string>> store_stand_in::handle(const request &message)
+{
+    const auto target = view(message.target());
+    if (target.starts_with("/-/rows-get")) {
+        co_return std::pair(200, rowsGet(parseQuery(target)));
+    }
+    if (target.starts_with("/-/rows-feed")) {
+        co_return co_await rowsFeed(parseQuery(target));
+    }
+    if (target == "/-/rows-tx") {
+        co_return rowsTx(message.body());
+    }
+    if (target == "/usage") {
+        co_return usage(message);
+    }
+    co_return std::pair(404, std::string("{}"));
+}
+
+std::string store_stand_in::rowsGet(const std::map<std::string, std::string> &query) const
+{
+    const auto get = [&](const char *name) {
+        const auto found = query.find(name);
+        return found == query.end() ? std::string() : found->second;
+    };
+    json rows = json::array();
+    for (const auto &[place, row] : m_rows) {
+        const bool inRange = place.second >= get("from") && (get("to").empty() || place.second < get("to"));
+        if (place.first == get("table") && inRange) {
+            rows.push_back({{"table", place.first}, {"part", ""}, {"key", place.second}, {"value", row.value}, {"ver", row.version}});
+        }
+    }
+    return json{{"rows", rows}, {"has-more", false}, {"ver", m_version}, {"now-ms", nowMs()}}.dump();
+}
+
+task<std::pair<int, std::string>> store_stand_in::rowsFeed(std::map<std::string, std::string> query)
+{
+    const std::string table = query["table"];
+    const std::uint64_t after = std::stoull(query["after"]);
+    const std::int64_t end = nowMs() + std::stoll(query["wait-ms"]);
+    while (true) {
+        if (after < m_oldest) {
+            co_return std::pair(410, std::string("{}"));
+        }
+        json rows = json::array();
+        for (const auto &one : m_changes) {
+            if (one.version <= after || one.table != table) {
+                continue;
+            }
+            json row = {{"table", one.table}, {"part", ""}, {"key", one.key}, {"ver", one.version}};
+            const auto found = m_rows.find({one.table, one.key});
+            if (one.removed || found == m_rows.end()) {
+                row["tombstone"] = true;
+            } else {
+                row["value"] = found->second.value;
+            }
+            rows.push_back(std::move(row));
+        }
+        if (!rows.empty() || nowMs() >= end) {
+            co_return std::pair(200, json{{"rows", rows}, {"ver", m_version}, {"now-ms", nowMs()}}.dump());
+        }
+        co_await sleepMs(10);
+    }
+}
+
+std::pair<int, std::string> store_stand_in::rowsTx(const std::string &body)
+{
+    const auto change = json::parse(body, nullptr, false);
+    if (!change.is_object()) {
+        return {400, "{}"};
+    }
+    for (const auto &condition : change["expected"]) {
+        const auto found = m_rows.find({condition["table"], condition["key"]});
+        if ((found == m_rows.end() ? 0 : found->second.version) != condition["ver"].get<std::uint64_t>()) {
+            return {412, json{{"rows", json::array()}, {"ver", m_version}, {"now-ms", nowMs()}}.dump()};
+        }
+    }
+    ++m_version;
+    for (const auto &put : change["put"]) {
+        m_rows[{put["table"], put["key"]}] = {put["value"], m_version};
+        note(put["table"], put["key"], false);
+    }
+    for (const auto &removed : change["remove"]) {
+        m_rows.erase({removed["table"], removed["key"]});
+        note(removed["table"], removed["key"], true);
+    }
+    return {200, json{{"ver", m_version}, {"now-ms", nowMs()}}.dump()};
+}
+
+std::pair<int, std::string> store_stand_in::usage(const request &message)
+{
+    const std::uint64_t fence = std::stoull(std::string(view(message["X-Fencing-Token"])));
+    if (fence < m_highestFence) {
+        return {409, "{}"};
+    }
+    m_highestFence = fence;
+    m_oracle.noteToken("usage", fence, std::string(view(message["X-Lease-Holder"])));
+    const auto report = json::parse(message.body(), nullptr, false);
+    m_oracle.noteReport(report["window-id"], report["counts"].dump());
+    return {200, "{}"};
+}
+
+endpoint_stand_in::endpoint_stand_in(asio::io_context &loop, oracle &judge, std::string id, bool streams, std::uint64_t seed)
+    : m_oracle(judge)
+    , m_id(std::move(id))
+    , m_streams(streams)
+    , m_random(seed)
+    , m_server(loop, [this](const request &message, tcp::socket &socket) {
+        return answer(message, socket);
+    })
+{
+}
+
+tcp::endpoint endpoint_stand_in::endpoint() const
+{
+    return m_server.endpoint();
+}
+
+const std::string &endpoint_stand_in::id() const
+{
+    return m_id;
+}
+
+void endpoint_stand_in::crash()
+{
+    *m_alive = false;
+    m_server.stop();
+}
+
+void endpoint_stand_in::loseAnswers(bool lose)
+{
+    m_lose = lose;
+}
+
+task<bool> endpoint_stand_in::answer(const request &message, tcp::socket &socket)
+{
+    const std::string id(view(message["X-Request-Id"]));
+    const std::string echo = "X-Request-Id: " + id + "\r\n";
+    if (view(message["X-Expect-Instance"]) != m_id) {
+        co_return co_await sendAnswer(socket, 421, "", echo + "X-Not-Executed: 1\r\n");
+    }
+    if (m_running >= slots + queue) {
+        co_return co_await sendAnswer(socket, 503, "", echo + "X-Not-Executed: 1\r\n");
+    }
+    ++m_running;
+    m_oracle.noteRun({
+        .id = id,
+        .endpoint = m_id,
+        .organisation = std::string(view(message["X-Tenant-Id"])),
+        .keySeen = !message["X-Api-Key"].empty(),
+        .at = nowMs(),
+    });
+    const auto alive = m_alive;
+    const std::string sealed = echo + "X-Response-Seal: seal-of-" + id + "\r\nKeep-Alive: timeout=5\r\n";
+    const bool lose = m_lose && m_random() % 2 == 0;
+    bool keep = true;
+    if (!m_streams) {
+        co_await sleepMs(static_cast<std::int64_t>(5 + m_random() % 50));
+        keep = *alive && !lose && co_await sendAnswer(socket, 200, expectedBody(call_kind::Read, id), sealed);
+    } else {
+        boost::system::error_code error;
+        std::string text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + sealed + "\r\n";
+        for (int number = 1; number <= streamEvents && *alive && !error; ++number) {
+            const std::string event = streamEvent(id, number);
+            char size[16];
+            std::snprintf(size, sizeof size, "%zx\r\n", event.size());
+            text += size + event + "\r\n";
+            co_await asio::async_write(socket, asio::buffer(text), errorTo(error));
+            text.clear();
+            co_await sleepMs(15);
+            if (lose && number == 2) {
+                error = asio::error::connection_reset;
+            }
+        }
+        if (!error && *alive) {
+            co_await asio::async_write(socket, asio::buffer(std::string("0\r\n\r\n")), errorTo(error));
+        }
+        keep = !error && *alive;
+    }
+    --m_running;
+    co_return keep;
+}
+
+}
--- a/src/protocol/summary.capnp
+++ b/src/protocol/summary.capnp
@@ -36,5 +36,6 @@
 
 struct Suspect {
   fingerprint @0 :Text;
-  crashes @1 :UInt16;
+  crashes @1 :UInt16;  # 0: it succeeded.
+  ageMs @2 :UInt32;  # Of the last crash or of the success.
 }
--- a/src/protocol/summary.capnp.h
+++ b/src/protocol/summary.capnp.h
@@ -465,6 +465,8 @@
 
   inline  ::uint16_t getCrashes() const;
 
+  inline  ::uint32_t getAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -503,6 +505,9 @@
   inline  ::uint16_t getCrashes();
   inline void setCrashes( ::uint16_t value);
 
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1017,6 +1022,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Suspect::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Suspect::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Suspect::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/protocol/summary.cpp
+++ b/src/protocol/summary.cpp
@@ -50,6 +50,7 @@
     for (unsigned i = 0; i < suspects.size(); ++i) {
         suspects[i].setFingerprint(summary.suspects[i].fingerprint);
         suspects[i].setCrashes(static_cast<std::uint16_t>(summary.suspects[i].crashes));
+        suspects[i].setAgeMs(static_cast<std::uint32_t>(std::clamp<std::int64_t>(summary.suspects[i].ageMs, 0, 4'000'000'000)));
     }
     auto reserved = root.initReserved(static_cast<unsigned>(summary.reserved.size()));
     for (unsigned i = 0; i < reserved.size(); ++i) {
@@ -86,7 +87,7 @@
             out.parts.push_back({part.getPart(), part.getEngine(), static_cast<double>(part.getTokens()), static_cast<double>(part.getUnshared())});
         }
         for (const auto suspect : root.getSuspects()) {
-            out.suspects.push_back({suspect.getFingerprint(), suspect.getCrashes()});
+            out.suspects.push_back({suspect.getFingerprint(), suspect.getCrashes(), suspect.getAgeMs()});
         }
         for (const auto engine : root.getReserved()) {
             out.reserved.push_back(engine);
--- a/src/protocol/summary.h
+++ b/src/protocol/summary.h
@@ -29,7 +29,8 @@
     struct suspect
     {
         std::string fingerprint;
-        int crashes = 0;
+        int crashes = 0; ///< 0: the request succeeded.
+        std::int64_t ageMs = 0; ///< Of the last crash or of the success.
     };
 
     std::string sender;
--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -1,5 +1,6 @@
 #include "serving/caller_exchange.h"
 
+#include "state/rendezvous.h"
 #include "transport/boot_clock.h"
 
 #include <absl/strings/ascii.h>
@@ -18,6 +19,8 @@
 
 constexpr int maxCrashes = 3; // After that many crashed endpoints the request is refused for a time.
 constexpr double crashRetryAfterMs = 5000;
+constexpr auto crashProbeTime = std::chrono::milliseconds(400); // As for any connection.
+constexpr auto retrialAfter = std::chrono::seconds(20); // One trial of one daemon in this time, should the request have been innocent.
 constexpr double unconfiguredRetryAfterMs = 300; // The first configuration arrives within a few store calls.
 constexpr double staleKeyRetryAfterMs = 500;
 constexpr double stoppingRetryAfterMs = 50; // Another daemon can take it at once.
@@ -151,7 +154,7 @@
         }
     }
     request.fingerprint = fingerprintOf(request);
-    if (context.suspects.crashes(request.fingerprint, bootNow()) >= maxCrashes) {
+    if (isSuspect(context, request.fingerprint)) {
         return intake_refusal{http::status::service_unavailable, "crashes_endpoints", "the request crashed several endpoints", crashRetryAfterMs};
     }
     return std::nullopt;
@@ -264,6 +267,60 @@
     }
 }
 
+namespace
+{
+
+// A crashed endpoint refuses connections or does not answer; one that only lost a connection takes the next.
+task<void> confirmCrash(edge_context &context, std::string address, std::string fingerprint)
+{
+    const auto server = parseAddress(address);
+    if (!server.ok()) {
+        co_return;
+    }
+    tcp::socket probe(context.loop);
+    asio::steady_timer limit(context.loop, crashProbeTime);
+    limit.async_wait([&probe](const boost::system::error_code &error) {
+        if (!error) {
+            boost::system::error_code ignored;
+            probe.close(ignored);
+        }
+    });
+    boost::system::error_code error;
+    co_await probe.async_connect(*server, errorTo(error));
+    limit.cancel();
+    if (!error) {
+        co_return;
+    }
+    context.suspects.noteCrash(fingerprint, bootNow());
+    auto line = context.line("suspect_request");
+    line.add("fingerprint", fingerprint).add("address", address).add("crashes", context.suspects.crashes(fingerprint, bootNow()));
+    context.log.write(line);
+}
+
+}
+
+void noteLostConnection(edge_context &context, const endpoint_state &endpoint, const std::string &fingerprint)
+{
+    asio::co_spawn(context.loop, confirmCrash(context, endpoint.entry.address, fingerprint), asio::detached);
+}
+
+bool isSuspect(const edge_context &context, const std::string &fingerprint)
+{
+    const instant now = bootNow();
+    if (context.suspects.crashes(fingerprint, now) < maxCrashes) {
+        return false;
+    }
+    const auto entries = context.suspects.entries(now);
+    const auto entry = std::ranges::find(entries, fingerprint, &suspect_entry::fingerprint);
+    std::vector<std::string> members;
+    members.reserve(context.members.size());
+    for (const auto &[id, address] : context.members) {
+        members.push_back(id);
+    }
+    const bool due = entry != entries.end() && now - entry->lastCrash > retrialAfter;
+    return !due || rendezvousRank(fingerprint, context.settings.id, members) != 0;
+}
+
 exchange_options forwardOptions(const edge_context &context, const caller_request &request, instant deadline)
 {
     exchange_options options;
--- a/src/serving/caller_exchange.h
+++ b/src/serving/caller_exchange.h
@@ -53,6 +53,12 @@
 
 void noteReportedLoad(const edge_context &context, endpoint_state &endpoint, const http::response_header<> &head);
 
+/// A connection ended while it carried the request. Finds out whether the endpoint has crashed, and counts the request as suspect if so.
+void noteLostConnection(edge_context &context, const endpoint_state &endpoint, const std::string &fingerprint);
+
+/// The request crashed so many endpoints that it is refused. After a while one daemon of all lets it through again.
+bool isSuspect(const edge_context &context, const std::string &fingerprint);
+
 exchange_options forwardOptions(const edge_context &context, const caller_request &request, instant deadline);
 
 /// Serves a plain call.
--- a/src/serving/endpoint_registry.cpp
+++ b/src/serving/endpoint_registry.cpp
@@ -137,6 +137,7 @@
 std::vector<endpoint_ptr> endpoint_registry::all() const
 {
     std::vector<endpoint_ptr> out;
+    out.reserve(m_byId.size());
     for (const auto &[id, endpoint] : m_byId) {
         out.push_back(endpoint);
     }
--- a/src/serving/lease_runner.cpp
+++ b/src/serving/lease_runner.cpp
@@ -31,6 +31,7 @@
     bool releasing = false;
     while (!m_keeper.released()) {
         std::vector<std::string> serving;
+        serving.reserve(m_context.members.size());
         for (const auto &[id, address] : m_context.members) {
             serving.push_back(id);
         }
--- a/src/serving/peer_summaries.cpp
+++ b/src/serving/peer_summaries.cpp
@@ -16,6 +16,7 @@
 constexpr auto intervalPerDaemon = std::chrono::milliseconds(5); // Keeps the datagrams of one daemon at 200 a second.
 constexpr auto peerSilence = std::chrono::seconds(1);
 constexpr auto reservationLife = std::chrono::milliseconds(600); // Renewed by each summary; a lost holder must not keep an engine idle.
+constexpr auto successNews = std::chrono::seconds(2); // How long a success of a suspect request is told; longer than any gap between summaries.
 constexpr std::size_t maxDatagramBytes = 32U << 10U;
 constexpr std::size_t maxPartsPerSummary = 128;
 
@@ -64,10 +65,10 @@
         context.freshParts.erase(context.freshParts.begin(), context.freshParts.end() - maxPartsPerSummary);
     }
     out.parts = std::exchange(context.freshParts, {});
-    for (const auto &suspect : context.suspects.entries(bootNow())) {
-        if (suspect.crashes > 1) {
-            out.suspects.push_back({suspect.fingerprint, suspect.crashes});
-        }
+    const instant now = bootNow();
+    for (const auto &suspect : context.suspects.news(now, now - successNews)) {
+        const instant at = suspect.crashes > 0 ? suspect.lastCrash : suspect.clearedAt;
+        out.suspects.push_back({suspect.fingerprint, suspect.crashes, std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count()});
     }
     out.reserved = context.reserved;
     return out;
@@ -89,6 +90,7 @@
     peer.heardAt = now;
     peer.clockDifferenceMs = summary.wallMs - wallMs();
     std::vector<std::pair<std::uint64_t, endpoint_load>> loads;
+    loads.reserve(summary.loads.size());
     for (const auto &load : summary.loads) {
         loads.emplace_back(load.endpoint, endpoint_load{load.running, load.promptTokens});
     }
@@ -103,7 +105,7 @@
         }
     }
     for (const auto &suspect : summary.suspects) {
-        context.suspects.merge(suspect.fingerprint, suspect.crashes, now);
+        context.suspects.mergeAt(suspect.fingerprint, suspect.crashes, now - std::chrono::milliseconds(suspect.ageMs));
     }
     summary.loads.clear();
     summary.parts.clear();
--- a/src/serving/service_forward.cpp
+++ b/src/serving/service_forward.cpp
@@ -144,7 +144,7 @@
             code = "retry_budget";
             break;
         }
-        const auto endpoint = endpoints[static_cast<std::size_t>(placed.endpoint)];
+        const auto &endpoint = endpoints[static_cast<std::size_t>(placed.endpoint)];
         const bool lastTry = outcome.attempts + 1 >= route.maxAttempts || !route.repeatable;
         const auto patience = std::chrono::duration_cast<duration>(route.target * repeatAfterTargets);
         const instant deadline = lastTry ? request.deadline : std::min(request.deadline, now + patience);
@@ -176,7 +176,7 @@
             break;
         }
         if (last.state == exchange_state::Lost) {
-            context.suspects.noteCrash(request.fingerprint, bootNow());
+            noteLostConnection(context, *endpoint, request.fingerprint);
         }
         failure = last.state == exchange_state::TimedOut ? http::status::gateway_timeout : http::status::bad_gateway;
         code = toText(last.state);
@@ -190,12 +190,12 @@
         const auto &head = last.exchange->head();
         const bool promises = head.result_int() == 503 || head.result_int() == 429 || head.result_int() == 408;
         // These would tell the caller that the call did not run.
-        if (!(promises && !route.repeatable)) {
+        if (!promises || route.repeatable) {
             outcome.status = head.result_int();
             outcome.reason = "answered";
             outcome.firstByteMs = toMs(bootNow() - request.arrivedAt);
             if (outcome.status < 500) {
-                context.suspects.clear(request.fingerprint);
+                context.suspects.noteSuccess(request.fingerprint, bootNow());
                 auto &mean = context.workMs.try_emplace(route.name, outcome.firstByteMs).first->second;
                 mean += workWeight * (outcome.firstByteMs - mean);
             }
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -291,7 +291,7 @@
         --m_readings;
     } else if (state == exchange_state::Lost) {
         result = attempt_result::Broken;
-        m_context.suspects.noteCrash(m_request.fingerprint, bootNow());
+        noteLostConnection(m_context, *reader, m_request.fingerprint);
     } else if (state == exchange_state::TimedOut) {
         result = attempt_result::Silent;
     }
@@ -344,7 +344,7 @@
         const bool silent = state == exchange_state::TimedOut;
         m_context.endpoints.noteResult(*engine, silent ? attempt_result::Silent : attempt_result::Broken, now);
         if (!silent) {
-            m_context.suspects.noteCrash(m_request.fingerprint, now);
+            noteLostConnection(m_context, *engine, m_request.fingerprint);
         }
         m_failed.insert(engine->entry.id);
         if (mayTryAgain()) {
@@ -431,7 +431,7 @@
     const instant now = bootNow();
     if (state == exchange_state::Whole && !events.hasPartial() && m_streaming) {
         m_context.endpoints.noteResult(*engine, attempt_result::Good, now);
-        m_context.suspects.clear(m_request.fingerprint);
+        m_context.suspects.noteSuccess(m_request.fingerprint, now);
         m_outcome.reason = "answered";
         co_await m_request.reply->endStream();
         co_return step::Done;
@@ -442,7 +442,7 @@
     }
     m_context.endpoints.noteResult(*engine, state == exchange_state::TimedOut ? attempt_result::Silent : attempt_result::Broken, now);
     if (first) {
-        m_context.suspects.noteCrash(m_request.fingerprint, now);
+        noteLostConnection(m_context, *engine, m_request.fingerprint);
     }
     m_failed.insert(engine->entry.id);
     exchange.cancel();
--- a/src/state/suspect_table.h
+++ b/src/state/suspect_table.h
@@ -15,8 +15,9 @@
 struct suspect_entry
 {
     std::string fingerprint;
-    int crashes = 0;
+    int crashes = 0; ///< 0 in an entry that was cleared lately.
     instant lastCrash;
+    instant clearedAt; ///< Last success of the request after a crash.
 };
 
 /// Fingerprints of requests that may crash endpoints, shared with the peers.
@@ -34,6 +35,13 @@
     /// Takes a peer's count when it is higher than the own one.
     void merge(std::string_view fingerprint, int crashes, instant now);
 
+    /// Like clear, but remembers the time, so that older crashes told by peers don't count again.
+    void noteSuccess(std::string_view fingerprint, instant now);
+    /// Takes what a peer tells: crashes up to a time, or with `crashes` 0 a success at it.
+    void mergeAt(std::string_view fingerprint, int crashes, instant at);
+    /// Entries for peers, with those cleared since `clearedSince`.
+    std::vector<suspect_entry> news(instant now, instant clearedSince) const;
+
 private:
     mutable std::mutex m_mutex;
     std::map<std::string, suspect_entry, std::less<>> m_entries;
--- a/tests/serving_state_test.cpp
+++ b/tests/serving_state_test.cpp
@@ -6,6 +6,7 @@
 #include "serving/retry_budget.h"
 #include "serving/serving_config.h"
 #include "serving/usage_windows.h"
+#include "state/suspect_table.h"
 
 #include <gtest/gtest.h>
 
@@ -200,6 +201,24 @@
     EXPECT_TRUE(budget.tryExtra("a", 9, start + 11s));
 }
 
+// Guards against a crash told by a peer that counts again after the request succeeded here, or anywhere.
+TEST(suspect_table, forgets_crashes_before_a_success)
+{
+    suspect_table table;
+    table.noteCrash("r", start);
+    table.mergeAt("r", 3, start + 1s);
+    EXPECT_EQ(table.crashes("r", start + 1s), 3);
+    table.noteSuccess("r", start + 2s);
+    table.mergeAt("r", 3, start + 1s);
+    EXPECT_EQ(table.crashes("r", start + 2s), 0);
+    table.mergeAt("r", 4, start + 3s);
+    EXPECT_EQ(table.crashes("r", start + 3s), 4);
+    table.mergeAt("r", 0, start + 4s);
+    EXPECT_EQ(table.crashes("r", start + 4s), 0);
+    EXPECT_EQ(table.news(start + 4s, start + 3s).size(), 1U);
+    EXPECT_TRUE(table.news(start + 9s, start + 8s).empty());
+}
+
 // Guards against requests counted in the wrong window, and counts that are stored twice or not at all.
 TEST(usage_windows, counts_by_window_and_remembers_what_is_stored)
 {
@@ -352,6 +371,16 @@
     EXPECT_GT(targets[1].reclaimable, 0);
 }
 
+// Guards against an order that gives back running engines because no further ones can be had.
+TEST(plan_fleet, keeps_running_engines_of_the_cheaper_kind)
+{
+    fleet_input input{.demandEngines = 30, .meanEngines = 8, .minPerDomain = 1, .maxPerDomain = 10, .hasReclaimable = true};
+    input.domains = {{.name = "a", .ordinary = 2, .reclaimable = 6, .reclaimableAvailable = false}, {.name = "b"}};
+    const auto targets = planFleet(input);
+    EXPECT_EQ(targets[0].reclaimable, std::min(6, 10 - targets[0].ordinary));
+    EXPECT_GT(targets[0].reclaimable, 0);
+}
+
 // Guards against roles that follow every burst: an engine is out of service for seconds.
 TEST(plan_role, changes_only_for_a_lasting_imbalance)
 {
