--- a/soak/faultsoak.cpp
+++ b/soak/faultsoak.cpp
@@ -79,7 +79,7 @@
     task<void> loseAnswers(std::size_t index, std::int64_t time);
     task<void> keepDaemons();
     task<void> call(int number);
-    task<void> callOnce(tcp::socket &socket, const std::string &host, int number, bool &keep);
+    task<void> callOnce(tcp::socket &socket, int number, bool &keep);
     task<std::string> askAddress();
     void heal();
 
@@ -365,7 +365,7 @@
 }
 
 // One request and its answer. The connection may be kept only behind a whole answer.
-task<void> soak_run::callOnce(tcp::socket &socket, const std::string &host, int number, bool &keep)
+task<void> soak_run::callOnce(tcp::socket &socket, int number, bool &keep)
 {
     static constexpr std::array<std::string_view, 3> prefixes{"read", "book", "gen"};
     caller_view view;
@@ -404,7 +404,6 @@
     limit.cancel();
     view.endedAt = nowMs();
     m_oracle.noteCaller(view);
-    (void)host;
 }
 
 task<void> soak_run::call(int number)
@@ -421,7 +420,7 @@
         co_await socket.async_connect({asio::ip::make_address("127.0.0.1"), port}, errorTo(error));
         bool keep = !error;
         for (int i = 0; i < requestsPerConnection && keep && !m_done; ++i) {
-            co_await callOnce(socket, address, number, keep);
+            co_await callOnce(socket, number, keep);
             co_await sleepMs(between(5, 60));
         }
     }
--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -17,6 +17,7 @@
 namespace
 {
 
+constexpr int leastUrgent = 9; // Of the engines' scale.
 constexpr int maxCrashes = 3; // After that many crashed endpoints the request is refused for a time.
 constexpr double crashRetryAfterMs = 5000;
 constexpr auto crashProbeTime = std::chrono::milliseconds(400); // As for any connection.
@@ -220,6 +221,9 @@
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - now).count();
     out.set(fromView(wire.deadlineMs), std::to_string(std::max<std::int64_t>(left, 1)));
     out.set(fromView(wire.expectedEndpoint), endpoint.id);
+    if (request.route->stream) {
+        out.set(fromView(wire.urgency), std::to_string(std::clamp(request.priority, 0, leastUrgent)));
+    }
     if (!request.organisation.empty()) {
         out.set(fromView(wire.organisation), request.organisation);
     }
@@ -254,19 +258,6 @@
     return head.find(fromView(context.platform.wire.fields.answerSeal)) != head.end();
 }
 
-void noteReportedLoad(const edge_context &context, endpoint_state &endpoint, const http::response_header<> &head)
-{
-    const auto text = toView(head[fromView(context.platform.wire.fields.load)]);
-    if (text.empty()) {
-        return;
-    }
-    if (const auto load = context.platform.wire.parseLoad(text)) {
-        endpoint.reportedRunning = load->running;
-        endpoint.reportedWaiting = load->waiting;
-        endpoint.reportedAt = bootNow();
-    }
-}
-
 namespace
 {
 
--- a/src/serving/caller_exchange.h
+++ b/src/serving/caller_exchange.h
@@ -51,8 +51,6 @@
 /// The seal proves that an answer is an endpoint's own.
 bool isSealed(const edge_context &context, const http::response_header<> &head);
 
-void noteReportedLoad(const edge_context &context, endpoint_state &endpoint, const http::response_header<> &head);
-
 /// A connection ended while it carried the request. Finds out whether the endpoint has crashed, and counts the request as suspect if so.
 void noteLostConnection(edge_context &context, const endpoint_state &endpoint, const std::string &fingerprint);
 
--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -33,14 +33,6 @@
     bool heard = false;
 };
 
-/// Demand of one service as this daemon saw it lately, for the planning of the fleet.
-struct demand_counters
-{
-    double promptTokens = 0; ///< Read or to be read, after kept parts.
-    double requests = 0;
-    double refusals = 0;
-};
-
 /// Makes the platform's adapter on the connections of this daemon.
 using platform_factory = std::function<platform_port(connection_pool &pool, const edge_settings &settings)>;
 
@@ -69,7 +61,6 @@
     metrics counters;
     std::mt19937_64 random;
     std::uint64_t incarnation = 0;
-    std::uint64_t lastDecision = 0;
 
     std::shared_ptr<const serving_configuration> configuration; ///< Null until the first one was read.
     std::optional<instant> configurationAskedAt; ///< The configuration held is the newest that was acknowledged before.
@@ -82,7 +73,6 @@
     suspect_table suspects;
     usage_windows usage;
     std::map<std::string, double> workMs; ///< Moving average by route.
-    std::map<std::string, demand_counters> demand; ///< By service, since the planner last took it.
 
     std::map<std::string, peer_state, std::less<>> peers; ///< By id.
     std::map<std::string, std::string, std::less<>> members; ///< Peer address by id, as stored.
--- a/src/serving/edge_settings.h
+++ b/src/serving/edge_settings.h
@@ -30,9 +30,7 @@
     duration shutdownGrace = std::chrono::seconds(8); ///< From SIGTERM to SIGKILL.
     duration usageWindow = std::chrono::seconds(5);
     duration usageDue = std::chrono::seconds(10); ///< After a window's end.
-    duration handOverSlack = std::chrono::milliseconds(300);
     duration addressLife = std::chrono::seconds(2); ///< How long callers may use an address answer.
-    duration retryAfterLimit = std::chrono::seconds(10);
     retry_limits retries;
     engine_model engines;
     double capacity = 1; ///< Of processor and link, for spreading callers.
--- a/src/serving/endpoint_registry.h
+++ b/src/serving/endpoint_registry.h
@@ -54,9 +54,6 @@
     std::uint64_t hash = 0; ///< Of id and birth; names the endpoint in messages between daemons.
     endpoint_load own; ///< Of this daemon.
     endpoint_load peers; ///< Of the other daemons, by their last messages.
-    int reportedRunning = 0; ///< From its latest answer.
-    int reportedWaiting = 0;
-    instant reportedAt;
     int unreachableInRow = 0;
     instant downUntil; ///< No sending before; only while others are up.
     double failureShare = 0; ///< Moving average over attempts that were sent.
--- a/src/serving/platform_port.h
+++ b/src/serving/platform_port.h
@@ -29,7 +29,6 @@
     std::string expectedEndpoint; ///< An endpoint with another id does not run the request.
     std::string answerSeal; ///< The endpoint's signature of its answer.
     std::string notExecuted; ///< Present when the endpoint did not run the request.
-    std::string load;
     std::string urgency; ///< 0 is first.
     std::string lastEventId;
     std::vector<std::string> setBySystem; ///< Fields that callers must not pass to endpoints.
@@ -43,14 +42,6 @@
     double maxOutputTokens = 0;
 };
 
-/// Load as an endpoint reports it with an answer.
-struct reported_load
-{
-    int running = 0;
-    int waiting = 0;
-    int slots = 1;
-};
-
 /// Header fields for the two steps of a generation on two engines.
 struct engine_protocol
 {
@@ -70,7 +61,6 @@
 {
     field_names fields;
     std::function<std::optional<prompt_facts>(const http::request_header<> &)> parsePrompt;
-    std::function<std::optional<reported_load>(std::string_view)> parseLoad;
     std::function<std::string(std::string_view code, std::string_view message)> errorBody;
     engine_protocol engine;
     std::string readyPath;
--- a/src/serving/service_forward.cpp
+++ b/src/serving/service_forward.cpp
@@ -163,9 +163,6 @@
             continue;
         }
         ++outcome.attempts;
-        if (answered) {
-            noteReportedLoad(context, *endpoint, last.exchange->head());
-        }
         if (notRun) {
             code = "endpoint_full";
             continue;
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -144,7 +144,6 @@
         // A stream that the caller has begun to read goes on wherever there is room.
         // One that may have run can't be refused truthfully any more: late is better than a failure.
         if (placed.output < 0 || (placed.verdict == placement_verdict::Refuse && !m_streaming && !m_mayHaveRun)) {
-            m_context.demand[m_request.service].refusals += 1;
             co_await refuse(placed.reason, placed.retryAfterMs);
             break;
         }
@@ -171,9 +170,6 @@
     const double kept = std::max(input.engines[static_cast<std::size_t>(placed.prompt < 0 ? placed.output : placed.prompt)].cachedTokens,
                                  placed.fetchFrom < 0 ? 0 : input.engines[static_cast<std::size_t>(placed.fetchFrom)].cachedTokens);
     const double toRead = std::max(0.0, input.promptTokens - kept);
-    auto &demand = m_context.demand[m_request.service];
-    demand.requests += 1;
-    demand.promptTokens += toRead;
     noteParts(reading);
 
     std::string handle;
@@ -279,7 +275,6 @@
     attempt_result result = attempt_result::Failed;
     std::optional<std::string> handle;
     if (answered) {
-        noteReportedLoad(m_context, *reader, exchange->head());
         if (exchange->head().result() == http::status::ok) {
             handle = m_context.platform.wire.engine.parseHandle(body);
             result = handle ? attempt_result::Good : attempt_result::Failed;
@@ -328,7 +323,6 @@
     ++m_outcome.attempts;
     const bool hasHead = state == exchange_state::Going || state == exchange_state::Whole;
     if (hasHead) {
-        noteReportedLoad(m_context, *engine, exchange->head());
         if (saysNotRun(m_context, exchange->head())) {
             m_context.endpoints.noteResult(*engine, attempt_result::Rejected, now);
             m_failed.insert(engine->entry.id);
