--- a/src/coordination/address_book.cpp
+++ b/src/coordination/address_book.cpp
@@ -1,7 +1,7 @@
 #include "coordination/address_book.h"
 
-#include "transport/core_time.h"
 #include "protocol/tunables.h"
+#include "transport/core_time.h"
 
 #include <algorithm>
 #include <httplib.h>
--- a/src/coordination/admission_gate.h
+++ b/src/coordination/admission_gate.h
@@ -2,8 +2,8 @@
 
 #include "coordination/fair_queue.h"
 #include "coordination/peer_messages.h"
-#include "transport/core_time.h"
 #include "protocol/decisions.h"
+#include "transport/core_time.h"
 
 #include <condition_variable>
 #include <functional>
--- a/src/coordination/bench_control.cpp
+++ b/src/coordination/bench_control.cpp
@@ -1,9 +1,9 @@
 #include "coordination/bench_state.h"
 #include "coordination/fleet_planner.h"
 #include "coordination/role_planner.h"
-#include "transport/core_time.h"
 #include "protocol/decision_codec.h"
 #include "protocol/tunables.h"
+#include "transport/core_time.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/src/coordination/bench_score.cpp
+++ b/src/coordination/bench_score.cpp
@@ -1,6 +1,6 @@
 #include "coordination/bench_state.h"
-#include "transport/core_time.h"
 #include "protocol/tunables.h"
+#include "transport/core_time.h"
 
 #include <algorithm>
 
--- a/src/coordination/bench_session.cpp
+++ b/src/coordination/bench_session.cpp
@@ -1,8 +1,8 @@
 #include "coordination/admission.h"
 #include "coordination/bench_state.h"
 #include "coordination/routing.h"
-#include "transport/core_time.h"
 #include "protocol/tunables.h"
+#include "transport/core_time.h"
 
 #include <algorithm>
 
--- a/src/coordination/endpoint_cost.cpp
+++ b/src/coordination/endpoint_cost.cpp
@@ -1,8 +1,8 @@
 #include "coordination/endpoint_cost.h"
 
 #include "coordination/routing.h"
-#include "transport/core_time.h"
 #include "protocol/tunables.h"
+#include "transport/core_time.h"
 
 #include <algorithm>
 
--- a/src/coordination/load_poller.h
+++ b/src/coordination/load_poller.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "protocol/configuration.h"
-#include "transport/core_time.h"
 #include "state/endpoint_table.h"
 #include "state/metrics.h"
+#include "transport/core_time.h"
 #include "transport/worker_pool.h"
 
 #include <functional>
--- a/src/coordination/request_session.h
+++ b/src/coordination/request_session.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "protocol/control.h"
-#include "transport/core_time.h"
 #include "protocol/decisions.h"
 #include "protocol/usage_record.h"
+#include "transport/core_time.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/coordination/serving_context.h
+++ b/src/coordination/serving_context.h
@@ -4,7 +4,6 @@
 #include "coordination/claim_cleaner.h"
 #include "coordination/decision_log.h"
 #include "protocol/control.h"
-#include "transport/core_time.h"
 #include "state/config_holder.h"
 #include "state/demand_meter.h"
 #include "state/endpoint_table.h"
@@ -12,6 +11,7 @@
 #include "state/suspect_table.h"
 #include "state/table_store.h"
 #include "state/usage_ledger.h"
+#include "transport/core_time.h"
 
 #include <atomic>
 #include <functional>
--- a/src/protocol/control.h
+++ b/src/protocol/control.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "protocol/configuration.h"
-#include "transport/core_time.h"
 #include "protocol/endpoint_report.h"
 #include "protocol/store_messages.h"
 #include "protocol/usage_record.h"
+#include "transport/core_time.h"
 
 #include <absl/status/statusor.h>
 #include <cstdint>
--- a/src/state/demand_meter.h
+++ b/src/state/demand_meter.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "transport/core_time.h"
 #include "protocol/decisions.h"
+#include "transport/core_time.h"
 
 #include <map>
 #include <mutex>
--- a/src/state/endpoint_table.h
+++ b/src/state/endpoint_table.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "protocol/configuration.h"
-#include "transport/core_time.h"
 #include "protocol/decisions.h"
 #include "protocol/endpoint_report.h"
 #include "state/own_requests.h"
+#include "transport/core_time.h"
 
 #include <array>
 #include <map>
