--- a/src/serving/usage_duty.cpp
+++ b/src/serving/usage_duty.cpp
@@ -65,11 +65,11 @@
         if (!frozen.ok()) {
             co_return std::nullopt;
         }
-        if (frozen->has_value()) {
+        if (const auto &stored = *frozen; stored.has_value()) {
             usage_counts counts;
-            if (!addCounts(counts, (*frozen)->value)) {
+            if (!addCounts(counts, stored->value)) {
                 auto line = context.line("usage_unreadable");
-                line.add("key", key).add("version", (*frozen)->version);
+                line.add("key", key).add("version", stored->version);
                 context.log.write(line);
                 co_return std::nullopt;
             }
