Remove what nothing reads, join repeated pieces, and keep a probe's socket alive for its timer

One list of member ids, one list of statuses that promise "not run". The timer of a crash probe could touch the socket after its coroutine had ended; the socket is shared now.

--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -144,9 +144,9 @@
     }
     request.service = pickService(*request.route, context.roll());
     const auto wanted = parseWhole(toView(message[fromView(context.platform.wire.fields.deadlineMs)]));
-    request.callerDeadline = wanted && *wanted >= 0 ? request.arrivedAt + std::chrono::milliseconds(std::min<std::int64_t>(*wanted, 3'600'000))
-                                                    : request.arrivedAt + request.route->timeout;
-    request.deadline = std::min(request.callerDeadline, request.arrivedAt + request.route->timeout);
+    const instant callerDeadline = wanted && *wanted >= 0 ? request.arrivedAt + std::chrono::milliseconds(std::min<std::int64_t>(*wanted, 3'600'000))
+                                                          : request.arrivedAt + request.route->timeout;
+    request.deadline = std::min(callerDeadline, request.arrivedAt + request.route->timeout);
     // What cannot end before the kill goes to another daemon.
     if (context.stopping) {
         const instant kill = context.stoppingSince + context.settings.shutdownGrace;
@@ -253,6 +253,11 @@
     return head.result() == http::status::misdirected_request || head.find(fromView(context.platform.wire.fields.notExecuted)) != head.end();
 }
 
+bool promisesNotRun(int status)
+{
+    return status == 503 || status == 429 || status == 408;
+}
+
 bool isSealed(const edge_context &context, const http::response_header<> &head)
 {
     return head.find(fromView(context.platform.wire.fields.answerSeal)) != head.end();
@@ -268,16 +273,17 @@
     if (!server.ok()) {
         co_return;
     }
-    tcp::socket probe(context.loop);
+    // Shared: the timer's handler may run after this coroutine has ended.
+    const auto probe = std::make_shared<tcp::socket>(context.loop);
     asio::steady_timer limit(context.loop, crashProbeTime);
-    limit.async_wait([&probe](const boost::system::error_code &error) {
+    limit.async_wait([probe](const boost::system::error_code &error) {
         if (!error) {
             boost::system::error_code ignored;
-            probe.close(ignored);
+            probe->close(ignored);
         }
     });
     boost::system::error_code error;
-    co_await probe.async_connect(*server, errorTo(error));
+    co_await probe->async_connect(*server, errorTo(error));
     limit.cancel();
     if (!error) {
         co_return;
@@ -303,13 +309,8 @@
     }
     const auto entries = context.suspects.entries(now);
     const auto entry = std::ranges::find(entries, fingerprint, &suspect_entry::fingerprint);
-    std::vector<std::string> members;
-    members.reserve(context.members.size());
-    for (const auto &[id, address] : context.members) {
-        members.push_back(id);
-    }
     const bool due = entry != entries.end() && now - entry->lastCrash > retrialAfter;
-    return !due || rendezvousRank(fingerprint, context.settings.id, members) != 0;
+    return !due || rendezvousRank(fingerprint, context.settings.id, context.memberIds()) != 0;
 }
 
 exchange_options forwardOptions(const edge_context &context, const caller_request &request, instant deadline)
--- a/src/serving/caller_exchange.h
+++ b/src/serving/caller_exchange.h
@@ -23,7 +23,6 @@
     int priority = 5;
     instant arrivedAt;
     instant deadline; ///< When the caller leaves or the route's timeout is over.
-    instant callerDeadline;
 };
 
 /// What became of it, for the log.
@@ -48,6 +47,9 @@
 /// The endpoint certainly did not run the request.
 bool saysNotRun(const edge_context &context, const http::response_header<> &head);
 
+/// Tells a caller that the request did not run and never will.
+bool promisesNotRun(int status);
+
 /// The seal proves that an answer is an endpoint's own.
 bool isSealed(const edge_context &context, const http::response_header<> &head);
 
--- a/src/serving/edge_context.cpp
+++ b/src/serving/edge_context.cpp
@@ -62,6 +62,16 @@
     return oldest;
 }
 
+std::vector<std::string> edge_context::memberIds() const
+{
+    std::vector<std::string> ids;
+    ids.reserve(members.size());
+    for (const auto &[id, address] : members) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
 std::size_t edge_context::daemons() const
 {
     // Stored members count even while they are not heard: they may be sending.
--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -46,6 +46,7 @@
     double roll();
     /// Age of the oldest summary among the peers whose load counts.
     double peerAgeMs() const;
+    std::vector<std::string> memberIds() const;
     /// Daemons that serve, this one included.
     std::size_t daemons() const;
     /// Ready for callers: configured, in touch with the store, and not shutting down.
--- a/src/serving/edge_daemon.cpp
+++ b/src/serving/edge_daemon.cpp
@@ -12,7 +12,6 @@
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <csignal>
-#include <sys/resource.h>
 #include <unistd.h>
 
 namespace lacewinglock
--- a/src/serving/event_stream.cpp
+++ b/src/serving/event_stream.cpp
@@ -78,10 +78,4 @@
     return m_begin < m_buffer.size();
 }
 
-void event_splitter::clear()
-{
-    m_buffer.clear();
-    m_begin = 0;
-}
-
 }
--- a/src/serving/event_stream.h
+++ b/src/serving/event_stream.h
@@ -25,8 +25,6 @@
     std::optional<stream_event> next();
     /// Bytes of an unfinished event wait here.
     bool hasPartial() const;
-    /// Drops an unfinished event.
-    void clear();
 
 private:
     std::string m_buffer;
--- a/src/serving/lease_runner.cpp
+++ b/src/serving/lease_runner.cpp
@@ -30,12 +30,7 @@
 {
     bool releasing = false;
     while (!m_keeper.released()) {
-        std::vector<std::string> serving;
-        serving.reserve(m_context.members.size());
-        for (const auto &[id, address] : m_context.members) {
-            serving.push_back(id);
-        }
-        m_keeper.setRank(rendezvousRank(m_keeper.duty(), m_context.settings.id, serving));
+        m_keeper.setRank(rendezvousRank(m_keeper.duty(), m_context.settings.id, m_context.memberIds()));
         std::vector<control_effect> effects;
         const instant now = bootNow();
         if (m_context.stopping && !releasing) {
--- a/src/serving/part_index.cpp
+++ b/src/serving/part_index.cpp
@@ -72,16 +72,6 @@
     }
 }
 
-void part_index::forgetEngine(std::uint64_t engine)
-{
-    m_takenIn.erase(engine);
-    for (auto &[part, entry] : m_parts) {
-        std::erase_if(entry.holders, [&](const holder &one) {
-            return one.engine == engine;
-        });
-    }
-}
-
 bool part_index::holds(std::uint64_t part, std::uint64_t engine) const
 {
     const auto found = m_parts.find(part);
--- a/src/serving/part_index.h
+++ b/src/serving/part_index.h
@@ -33,7 +33,6 @@
     void noteUnshared(std::uint64_t engine, double tokens);
     /// The engine turned out not to have the part.
     void forget(std::uint64_t part, std::uint64_t engine);
-    void forgetEngine(std::uint64_t engine);
 
     /// Tokens of the leading parts that the engine probably keeps: a part counts only if all parts before it do.
     double cachedTokens(std::span<const prompt_part> parts, std::uint64_t engine) const;
--- a/src/serving/service_forward.cpp
+++ b/src/serving/service_forward.cpp
@@ -185,9 +185,8 @@
     const bool whole = last.state == exchange_state::Whole && !saysNotRun(context, last.exchange->head());
     if (whole && isSealed(context, last.exchange->head())) {
         const auto &head = last.exchange->head();
-        const bool promises = head.result_int() == 503 || head.result_int() == 429 || head.result_int() == 408;
         // These would tell the caller that the call did not run.
-        if (!promises || route.repeatable) {
+        if (!promisesNotRun(head.result_int()) || route.repeatable) {
             outcome.status = head.result_int();
             outcome.reason = "answered";
             outcome.firstByteMs = toMs(bootNow() - request.arrivedAt);
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -360,8 +360,7 @@
         co_return step::Again;
     }
     const int status = exchange->head().result_int();
-    const bool promises = status == 503 || status == 429 || status == 408;
-    if (m_streaming || state != exchange_state::Whole || promises || status < 400 || !isSealed(m_context, exchange->head())) {
+    if (m_streaming || state != exchange_state::Whole || promisesNotRun(status) || status < 400 || !isSealed(m_context, exchange->head())) {
         co_return co_await fail(http::status::bad_gateway, "engine_failed");
     }
     http_response answer;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -73,7 +73,6 @@
         auto connection = std::move(found->second.back());
         found->second.pop_back();
         if (now - connection->idleSince + margin < connection->idleLimit && isQuiet(connection->socket)) {
-            connection->fresh = false;
             return connection;
         }
     }
@@ -90,11 +89,6 @@
     }
 }
 
-void connection_pool::drop(const tcp::endpoint &server)
-{
-    m_idle.erase(poolKey(server));
-}
-
 void connection_pool::expire()
 {
     const instant now = bootNow();
@@ -193,7 +187,6 @@
         m_connection = m_pool.take(m_server, m_options.keptMargin);
     }
     if (m_connection) {
-        m_kept = true;
         co_return exchange_state::Going;
     }
     m_connection = std::make_shared<client_connection>(m_pool.loop());
@@ -367,11 +360,6 @@
     return m_parser->get();
 }
 
-bool client_exchange::sentOnKeptConnection() const
-{
-    return m_kept;
-}
-
 task<absl::StatusOr<http_response>> callServer(connection_pool &pool, tcp::endpoint server, http_request request, exchange_options options)
 {
     const auto exchange = std::make_shared<client_exchange>(pool, server, options);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -37,7 +37,6 @@
 
     tcp::socket socket;
     beast::flat_buffer buffer;
-    bool fresh = true; ///< No request was sent on it yet.
     instant idleSince;
     duration idleLimit{}; ///< How long the server keeps it open.
 };
@@ -60,8 +59,6 @@
     /// A kept connection that is not known to be closed and whose server keeps it for at least `margin` more, or null.
     std::shared_ptr<client_connection> take(const tcp::endpoint &server, duration margin);
     void put(const tcp::endpoint &server, std::shared_ptr<client_connection> connection);
-    /// Closes the kept connections to a server.
-    void drop(const tcp::endpoint &server);
     /// Closes connections that were idle for longer than their server keeps them.
     void expire();
 
@@ -107,7 +104,6 @@
     void setDeadline(instant deadline);
 
     const http::response_header<> &head() const;
-    bool sentOnKeptConnection() const;
 
 private:
     task<exchange_state> connect();
@@ -128,7 +124,6 @@
     bool m_timedOut = false;
     bool m_cancelled = false;
     bool m_connecting = false;
-    bool m_kept = false;
     bool m_written = false;
     bool m_endsWithConnection = false;
     bool m_done = false;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -159,7 +159,6 @@
         }
         head.erase(http::field::content_length);
         head.set(http::field::transfer_encoding, "chunked");
-        streaming = true;
         co_return co_await writeText(headText(head));
     }
 
@@ -197,7 +196,6 @@
     bool closeAfter = false;
     bool skipBody = false;
     bool answered = false;
-    bool streaming = false;
     bool clientGone = false;
     bool watching = false;
 };
@@ -250,7 +248,6 @@
         }
         client.idle = false;
     }
-    out.headAt = bootNow();
     client.arm(limits.headerTime);
     co_await http::async_read_header(client.socket, client.buffer, parser, errorTo(error));
     if (!error && hasUnsafeFraming(parser.get())) {
@@ -316,7 +313,6 @@
             break;
         }
         client->answered = false;
-        client->streaming = false;
         client->skipBody = request.message.method() == http::verb::head;
         client->closeAfter = !request.message.keep_alive() || hooks.closing();
         ++busy;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -43,7 +43,6 @@
 struct received_request
 {
     http_request message;
-    instant headAt; ///< First byte of the request.
     instant readAt; ///< Last byte of the request.
 };
 
