Keep endpoints with an open order marked until a newer list says otherwise

Cause: marks of draining endpoints ended 5 s after the last heartbeat that named them. The list now carries the epoch of the lease and a revision; heartbeats and their answers pass the newest on, and only a newer one ends a mark. Ruled out: a confirmation by a daemon that had restarted; a daemon that joined the roster later than the holder read it.

--- a/src/coordination/load_poller.cpp
+++ b/src/coordination/load_poller.cpp
@@ -114,15 +114,18 @@
 {
 }
 
+void load_poller::setOnLeaving(std::function<void()> handler)
+{
+    m_onLeaving = std::move(handler);
+}
+
 void load_poller::poll(const configuration &config, const std::map<std::string, endpoint> &endpoints, const std::vector<std::string> &members)
 {
+    const instant now = m_now();
     const std::lock_guard lock(m_mutex);
-    std::erase_if(m_visits, [&](const auto &item) {
-        return !item.second.running && (!endpoints.contains(item.first) || rendezvousRank(item.first, m_instanceId, members) != 0);
-    });
     for (const auto &[id, target] : endpoints) {
         // Without a roster the daemon polls everything, so that it can serve as soon as it is admitted.
-        if (rendezvousRank(id, m_instanceId, members) != 0) {
+        if (!m_schedule.start(id, rendezvousRank(id, m_instanceId, members) == 0, now)) {
             continue;
         }
         auto &known = m_visits[id];
@@ -135,6 +138,15 @@
             pollOne(id, target, kind, next);
         });
     }
+    std::erase_if(m_visits, [&](const auto &item) {
+        return !item.second.running && (!endpoints.contains(item.first) || !m_schedule.polls(item.first));
+    });
+}
+
+void load_poller::noteOther(const std::string &endpointId, instant takenAt)
+{
+    const std::lock_guard lock(m_mutex);
+    m_schedule.noteOther(endpointId, takenAt);
 }
 
 void load_poller::pollOne(const std::string &id, const endpoint &target, route_kind kind, std::uint64_t nextCacheEvent)
@@ -155,8 +167,14 @@
     if (report->reachable && kind == route_kind::Model) {
         nextCacheEvent = visitCacheEvents(client, id, nextCacheEvent, m_endpoints, m_counters);
     }
-    const std::lock_guard lock(m_mutex);
-    m_visits[id] = {.running = false, .nextCacheEvent = nextCacheEvent, .report = *report, .takenAt = takenAt, .polled = true};
+    std::unique_lock lock(m_mutex);
+    auto &known = m_visits[id];
+    const bool firstNotice = report->leaving && !known.report.leaving;
+    known = {.running = false, .nextCacheEvent = nextCacheEvent, .report = *report, .takenAt = takenAt, .polled = true};
+    lock.unlock();
+    if (firstNotice && m_onLeaving) {
+        m_onLeaving();
+    }
 }
 
 std::vector<endpoint_report> load_poller::reports(instant now) const
--- a/src/coordination/load_poller.h
+++ b/src/coordination/load_poller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/poll_schedule.h"
 #include "protocol/configuration.h"
 #include "state/endpoint_table.h"
 #include "state/metrics.h"
@@ -17,16 +18,22 @@
 namespace lacewinglock
 {
 
-/// Polls the endpoints that rendezvous hashing over the roster gives to this daemon. Results go into the endpoint table, and the
+/// Polls the endpoints that are this daemon's turn by the rendezvous order over the roster. Results go into the endpoint table, and the
 /// latest report of each polled endpoint into the next heartbeat.
 class load_poller
 {
 public:
     load_poller(std::string instanceId, endpoint_table &endpoints, std::function<instant()> now, int threads, metrics *counters = nullptr);
 
-    /// Starts one poll of each own endpoint whose last poll has ended; a hanging endpoint occupies one thread up to its timeout.
+    /// Called from a thread of the poller when an endpoint first reports that it leaves. Set before the first poll.
+    void setOnLeaving(std::function<void()> handler);
+
+    /// Starts one poll of each own endpoint that is due and whose last poll has ended; a hanging endpoint occupies one thread up to its timeout.
     void poll(const configuration &config, const std::map<std::string, endpoint> &endpoints, const std::vector<std::string> &members);
 
+    /// Another daemon polled the endpoint at `takenAt`.
+    void noteOther(const std::string &endpointId, instant takenAt);
+
     /// Latest reports of the endpoints this daemon polls, with their age at `now`.
     std::vector<endpoint_report> reports(instant now) const;
 
@@ -46,7 +53,9 @@
     endpoint_table &m_endpoints;
     std::function<instant()> m_now;
     metrics *m_counters;
+    std::function<void()> m_onLeaving;
     mutable std::mutex m_mutex;
+    poll_schedule m_schedule;
     std::map<std::string, visit> m_visits;
     worker_pool m_pool; ///< Last, so that its threads end before the state they use.
 };
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -94,6 +94,11 @@
     m_usage.setRelease([this](const std::vector<std::string> &ids) {
         releaseUsage(ids);
     });
+    m_poller->setOnLeaving([this] {
+        post([this](instant now) {
+            m_link->sendHeartbeats(makeHeartbeat(now));
+        });
+    });
     registerMachines();
 }
 
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -106,7 +106,6 @@
     void everySecond(instant now);
     void applyFleet();
     void controlFleet(instant now);
-    std::vector<std::string> drainingEndpoints() const;
     std::vector<group_demand> ownDemand(instant now) const;
     std::map<std::string, demand_rates> cellDemand(instant now) const;
     void passReports(instant now);
--- a/src/coordination/node_control.cpp
+++ b/src/coordination/node_control.cpp
@@ -98,6 +98,7 @@
         m_nextFleetPoll = now + fleetPollInterval;
         m_fleetWatch->poll();
     }
+    m_poller->poll(m_config.current()->parsed, m_fleet, m_rosterKeeper.recentMembers(now));
     m_usageWritten = m_usageBatcher.idle();
 }
 
@@ -155,14 +156,6 @@
     m_fleetControl.tick(facts, now);
 }
 
-std::vector<std::string> node::drainingEndpoints() const
-{
-    auto ids = m_orderKeeper.draining();
-    const auto retiring = m_fleetControl.retiring();
-    ids.insert(ids.end(), retiring.begin(), retiring.end());
-    return ids;
-}
-
 void node::everySecond(instant now)
 {
     const auto &members = m_rosterKeeper.roster().members;
@@ -171,7 +164,6 @@
     }
     m_claimCleaner.setDaemons(members.size());
     applyFleet();
-    m_poller->poll(m_config.current()->parsed, m_fleet, m_rosterKeeper.recentMembers(now));
     passReports(now);
     m_orderKeeper.noteDrainConfirmed(m_rosterKeeper.allAnsweredSince());
     controlFleet(now);
@@ -179,9 +171,12 @@
         const std::lock_guard lock(m_followerMutex);
         m_follower.setRoster(members, m_settings.instanceId);
     }
-    for (const auto &endpoint : drainingEndpoints()) {
+    for (const auto &endpoint : m_fleetControl.retiring()) {
         m_endpoints.markDraining(endpoint, now + tunables::drainMarkTime);
     }
+    if (const auto notice = m_orderKeeper.notice()) {
+        m_endpoints.takeDrainNotice(*notice);
+    }
     m_link->sendHeartbeats(makeHeartbeat(now));
     // Copies of a daemon that left the roster become records of this daemon, which writes them with its next batch.
     if (m_rosterKeeper.roster().version > 0) {
--- a/src/coordination/node_peers.cpp
+++ b/src/coordination/node_peers.cpp
@@ -68,6 +68,7 @@
                     const std::lock_guard lock(m_followerMutex);
                     m_follower.notePeer(peerId, reply.configVersion, sentAt);
                 }
+                m_endpoints.takeDrainNotice(reply.orders);
                 post([this, peerId, reply, sentAt](instant) {
                     m_rosterKeeper.noteVersion(peerId, reply.rosterVersion);
                     m_rosterKeeper.noteAnswered(peerId, sentAt);
@@ -92,6 +93,7 @@
     const instant now = m_now();
     for (const auto &report : message.reports) {
         m_endpoints.takeReport(report, now);
+        m_poller->noteOther(report.endpoint, now - std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(report.ageMs)));
     }
     for (const auto &suspect : message.suspects) {
         m_suspects.merge(suspect.fingerprint, suspect.crashes, now);
@@ -99,6 +101,7 @@
     for (const auto &endpoint : message.drainingEndpoints) {
         m_endpoints.markDraining(endpoint, now + tunables::drainMarkTime);
     }
+    m_endpoints.takeDrainNotice(message.orders);
     const std::uint64_t version = advertisedVersion();
     post([this, sender = message.sender, version = message.rosterVersion](instant at) {
         m_rosterKeeper.noteHeard(sender, at);
@@ -116,7 +119,7 @@
         .draining = message.draining,
         .demand = message.demand,
     };
-    return {.configVersion = version, .rosterVersion = m_roster.version, .draining = m_draining};
+    return {.configVersion = version, .rosterVersion = m_roster.version, .draining = m_draining, .orders = m_endpoints.drainNotice()};
 }
 
 // The patches of a peer that is ahead; the store may be down or slower than the peer.
@@ -149,12 +152,13 @@
     return m_follower.advertisedVersion();
 }
 
-// A process that has just started knows of no draining endpoint, although its predecessor may have confirmed one. It admits nothing until
-// every order that relied on such a confirmation has arrived.
+// A process that has just started knows of no draining endpoint, although its predecessor may have confirmed one. It admits nothing until it has
+// a notice of the orders, and until reports and the marks of endpoints to be given back have been heard or have ended.
 bool node::configFresh() const
 {
-    // The same holds for a process that is not in the roster, as its confirmation is not waited for.
-    if (m_now() < m_startedAt + tunables::drainMarkTime || !roster().contains(m_settings.instanceId)) {
+    const bool informed = m_now() >= m_startedAt + tunables::drainMarkTime && m_endpoints.drainNotice().epoch > 0;
+    // A process that is not in the roster confirms nothing either.
+    if (!informed || !roster().contains(m_settings.instanceId)) {
         return false;
     }
     const std::lock_guard lock(m_followerMutex);
@@ -194,7 +198,8 @@
         .reports = m_poller->reports(now),
         .demand = ownDemand(now),
         .load = own.load,
-        .drainingEndpoints = drainingEndpoints(),
+        .drainingEndpoints = m_fleetControl.retiring(),
+        .orders = m_endpoints.drainNotice(),
     };
     for (const auto &suspect : m_suspects.entries(now)) {
         message.suspects.push_back({.fingerprint = suspect.fingerprint, .crashes = suspect.crashes});
--- a/src/coordination/order_keeper.cpp
+++ b/src/coordination/order_keeper.cpp
@@ -142,6 +142,17 @@
     return ids;
 }
 
+std::optional<drain_notice> order_keeper::notice()
+{
+    if (!m_grant || !m_scanned) {
+        return std::nullopt;
+    }
+    if (auto endpoints = draining(); m_lastNotice.epoch != m_grant->epoch || m_lastNotice.endpoints != endpoints) {
+        m_lastNotice = {.epoch = m_grant->epoch, .revision = m_lastNotice.revision + 1, .endpoints = std::move(endpoints)};
+    }
+    return m_lastNotice;
+}
+
 bool order_keeper::hasOpenOrder() const
 {
     return std::ranges::any_of(m_entries, [](const auto &item) {
@@ -178,21 +189,21 @@
     return item.checksFencing || now >= m_grant->acquiredAt + tunables::leaseTerm + tunables::orderSendDeadline;
 }
 
-/// Whether every daemon of the cell has marked the endpoint, and no mark ends before an order sent now has arrived. A daemon that does not
-/// hear of the draining would send requests that the order then cuts.
-bool order_keeper::drainConfirmed(const entry &item, instant now) const
+/// Whether every daemon of the cell has the notice that names the endpoint. A daemon that does not hear of the draining would send requests
+/// that the order then cuts.
+bool order_keeper::drainConfirmed(const entry &item) const
 {
-    return m_confirmedSince && *m_confirmedSince >= *item.drainStarted + drainNoticeTime
-        && now + tunables::orderSendDeadline < *m_confirmedSince + tunables::drainMarkTime;
+    return m_confirmedSince && *m_confirmedSince >= *item.drainStarted + drainNoticeTime;
 }
 
-/// Whether the endpoint has no work and gets none. The waiting has no limit but the deadlines of the running requests.
+/// Whether the endpoint has no work and gets none. An endpoint that does not answer may still run streams. The waiting has no limit but the deadlines of the
+/// running requests.
 bool order_keeper::drained(entry &item, instant now) const
 {
     if (!item.drainStarted) {
         item.drainStarted = now;
     }
-    if (!drainConfirmed(item, now)) {
+    if (!drainConfirmed(item)) {
         item.drainConfirmed.reset();
         return false;
     }
@@ -200,7 +211,7 @@
         item.drainConfirmed = now;
     }
     const bool recentReport = item.report && item.reportTakenAt >= *item.drainConfirmed + lastArrivalTime;
-    return recentReport && item.report->runningStreams == 0 && item.report->queuedPromptTokens == 0;
+    return recentReport && item.report->reachable && item.report->runningStreams == 0 && item.report->queuedPromptTokens == 0;
 }
 
 void order_keeper::send(entry &item, instant now, std::vector<control_effect> &out)
--- a/src/coordination/order_keeper.h
+++ b/src/coordination/order_keeper.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "protocol/control.h"
+#include "state/drain_notice.h"
 
 #include <map>
 #include <optional>
@@ -51,6 +52,8 @@
 
     /// Endpoints that must get no new work because an order is due.
     std::vector<std::string> draining() const;
+    /// The same list for the peers; nothing while the lease is not held or its open intents are not read yet.
+    std::optional<drain_notice> notice();
     bool hasOpenOrder() const;
 
     void handle(const control_event &event, instant now, std::vector<control_effect> &out);
@@ -77,7 +80,7 @@
     void commitRow(entry &item, const std::string &endpointId, const order_row &next, std::vector<control_effect> &out);
     void send(entry &item, instant now, std::vector<control_effect> &out);
     bool drained(entry &item, instant now) const;
-    bool drainConfirmed(const entry &item, instant now) const;
+    bool drainConfirmed(const entry &item) const;
     bool mayDiffer(const entry &item, instant now) const;
     void takeScan(const rows_scanned_event &event);
     void takeRow(entry &item, const row_read_event &event);
@@ -93,6 +96,7 @@
     std::map<std::string, endpoint_order> m_sent; ///< Last order sent per endpoint in this process, for the invariant check.
     std::optional<std::set<std::string>> m_fleet; ///< Empty until it is known.
     std::optional<instant> m_confirmedSince;
+    drain_notice m_lastNotice;
     bool m_scanned = false;
     op_id m_scan = 0;
     op_id m_nextOp = 1;
--- a/src/coordination/peer_messages.cpp
+++ b/src/coordination/peer_messages.cpp
@@ -72,6 +72,25 @@
     };
 }
 
+void writeNotice(rpc::DrainNotice::Builder target, const drain_notice &notice)
+{
+    target.setEpoch(notice.epoch);
+    target.setRevision(notice.revision);
+    auto endpoints = target.initEndpoints(static_cast<unsigned>(notice.endpoints.size()));
+    for (unsigned i = 0; i < endpoints.size(); ++i) {
+        endpoints.set(i, notice.endpoints[i]);
+    }
+}
+
+drain_notice readNotice(rpc::DrainNotice::Reader source)
+{
+    drain_notice notice{.epoch = source.getEpoch(), .revision = source.getRevision()};
+    for (const auto endpoint : source.getEndpoints()) {
+        notice.endpoints.push_back(text(endpoint));
+    }
+    return notice;
+}
+
 }
 
 void write(rpc::Heartbeat::Builder target, const heartbeat &message)
@@ -103,6 +122,7 @@
     for (unsigned i = 0; i < draining.size(); ++i) {
         draining.set(i, message.drainingEndpoints[i]);
     }
+    writeNotice(target.initDrainNotice(), message.orders);
 }
 
 heartbeat read(rpc::Heartbeat::Reader source)
@@ -130,6 +150,7 @@
     for (const auto endpoint : source.getDrainingEndpoints()) {
         message.drainingEndpoints.push_back(text(endpoint));
     }
+    message.orders = readNotice(source.getDrainNotice());
     return message;
 }
 
@@ -138,11 +159,15 @@
     target.setConfigVersion(reply.configVersion);
     target.setRosterVersion(reply.rosterVersion);
     target.setDraining(reply.draining);
+    writeNotice(target.initDrainNotice(), reply.orders);
 }
 
 heartbeat_reply read(rpc::HeartbeatReply::Reader source)
 {
-    return {.configVersion = source.getConfigVersion(), .rosterVersion = source.getRosterVersion(), .draining = source.getDraining()};
+    return {.configVersion = source.getConfigVersion(),
+            .rosterVersion = source.getRosterVersion(),
+            .draining = source.getDraining(),
+            .orders = readNotice(source.getDrainNotice())};
 }
 
 void write(rpc::UsageRecord::Builder target, const usage_record &record)
--- a/src/coordination/peer_messages.h
+++ b/src/coordination/peer_messages.h
@@ -4,6 +4,7 @@
 #include "protocol/peer.capnp.h"
 #include "protocol/usage_record.h"
 #include "state/demand_meter.h"
+#include "state/drain_notice.h"
 
 #include <cstdint>
 #include <string>
@@ -40,7 +41,8 @@
     std::vector<suspect_count> suspects;
     std::vector<group_demand> demand;
     double load = 0; ///< Of the sender as a daemon; 0 idle to 1 full.
-    std::vector<std::string> drainingEndpoints; ///< Endpoints that get no new work, because the sender is about to give them an order.
+    std::vector<std::string> drainingEndpoints; ///< Endpoints that get no new work, because the sender is about to give them back.
+    drain_notice orders; ///< The newest that the sender knows.
 };
 
 struct heartbeat_reply
@@ -48,6 +50,7 @@
     std::uint64_t configVersion = 0;
     std::uint64_t rosterVersion = 0;
     bool draining = false;
+    drain_notice orders;
 };
 
 /// A configuration change: the version that it makes, and the JSON merge patch.
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -35,7 +35,15 @@
   suspects @9 :List(Suspect);
   demand @10 :List(GroupDemand);
   load @11 :Float32;  # Of the sender as a daemon: 0 idle to 1 full.
-  drainingEndpoints @12 :List(Text);  # Endpoints that the sender, as the holder of the orders, is about to give an order.
+  drainingEndpoints @12 :List(Text);  # Endpoints that the sender, as the holder of the fleet orders, is about to give back.
+  drainNotice @13 :DrainNotice;  # The newest that the sender knows.
+}
+
+# Endpoints that get no new work because the holder of the lease `orders` is about to give them an order.
+struct DrainNotice {
+  epoch @0 :UInt64;
+  revision @1 :UInt64;
+  endpoints @2 :List(Text);
 }
 
 # State of the receiver, read after the heartbeat arrived, so the sender may count it from the time it sent the heartbeat.
@@ -43,6 +51,7 @@
   configVersion @0 :UInt64;
   rosterVersion @1 :UInt64;
   draining @2 :Bool;
+  drainNotice @3 :DrainNotice;
 }
 
 struct EndpointReport {
--- a/src/protocol/peer.capnp.h
+++ b/src/protocol/peer.capnp.h
@@ -37,6 +37,7 @@
 CAPNP_DECLARE_SCHEMA(ce38837ebedf769b);
 CAPNP_DECLARE_SCHEMA(a62a4d8f1c35a466);
 CAPNP_DECLARE_SCHEMA(aa498f73e2033866);
+CAPNP_DECLARE_SCHEMA(cd90b3b0bc3f6c2b);
 CAPNP_DECLARE_SCHEMA(f78ac6717d07b54f);
 CAPNP_DECLARE_SCHEMA(8a3fd35c5a0626a9);
 CAPNP_DECLARE_SCHEMA(afb15e48836d5cfd);
@@ -333,7 +334,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aa498f73e2033866, 4, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(aa498f73e2033866, 4, 9)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct DrainNotice {
+  DrainNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cd90b3b0bc3f6c2b, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -348,7 +364,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f78ac6717d07b54f, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(f78ac6717d07b54f, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1824,6 +1840,9 @@
   inline bool hasDrainingEndpoints() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getDrainingEndpoints() const;
 
+  inline bool hasDrainNotice() const;
+  inline  ::lacewinglock::rpc::DrainNotice::Reader getDrainNotice() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1924,6 +1943,13 @@
   inline void adoptDrainingEndpoints(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownDrainingEndpoints();
 
+  inline bool hasDrainNotice();
+  inline  ::lacewinglock::rpc::DrainNotice::Builder getDrainNotice();
+  inline void setDrainNotice( ::lacewinglock::rpc::DrainNotice::Reader value);
+  inline  ::lacewinglock::rpc::DrainNotice::Builder initDrainNotice();
+  inline void adoptDrainNotice(::capnp::Orphan< ::lacewinglock::rpc::DrainNotice>&& value);
+  inline ::capnp::Orphan< ::lacewinglock::rpc::DrainNotice> disownDrainNotice();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1942,6 +1968,99 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::lacewinglock::rpc::DrainNotice::Pipeline getDrainNotice();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class DrainNotice::Reader {
+public:
+  typedef DrainNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasEndpoints() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEndpoints() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class DrainNotice::Builder {
+public:
+  typedef DrainNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasEndpoints();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEndpoints();
+  inline void setEndpoints( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEndpoints(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEndpoints(unsigned int size);
+  inline void adoptEndpoints(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEndpoints();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class DrainNotice::Pipeline {
+public:
+  typedef DrainNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1973,6 +2092,9 @@
 
   inline bool getDraining() const;
 
+  inline bool hasDrainNotice() const;
+  inline  ::lacewinglock::rpc::DrainNotice::Reader getDrainNotice() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2010,6 +2132,13 @@
   inline bool getDraining();
   inline void setDraining(bool value);
 
+  inline bool hasDrainNotice();
+  inline  ::lacewinglock::rpc::DrainNotice::Builder getDrainNotice();
+  inline void setDrainNotice( ::lacewinglock::rpc::DrainNotice::Reader value);
+  inline  ::lacewinglock::rpc::DrainNotice::Builder initDrainNotice();
+  inline void adoptDrainNotice(::capnp::Orphan< ::lacewinglock::rpc::DrainNotice>&& value);
+  inline ::capnp::Orphan< ::lacewinglock::rpc::DrainNotice> disownDrainNotice();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2028,6 +2157,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::lacewinglock::rpc::DrainNotice::Pipeline getDrainNotice();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3539,6 +3669,111 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool Heartbeat::Reader::hasDrainNotice() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasDrainNotice() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::lacewinglock::rpc::DrainNotice::Reader Heartbeat::Reader::getDrainNotice() const {
+  return ::capnp::_::PointerHelpers< ::lacewinglock::rpc::DrainNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::lacewinglock::rpc::DrainNotice::Builder Heartbeat::Builder::getDrainNotice() {
+  return ::capnp::_::PointerHelpers< ::lacewinglock::rpc::DrainNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::lacewinglock::rpc::DrainNotice::Pipeline Heartbeat::Pipeline::getDrainNotice() {
+  return  ::lacewinglock::rpc::DrainNotice::Pipeline(_typeless.getPointerField(8));
+}
+#endif  // !CAPNP_LITE
+inline void Heartbeat::Builder::setDrainNotice( ::lacewinglock::rpc::DrainNotice::Reader value) {
+  ::capnp::_::PointerHelpers< ::lacewinglock::rpc::DrainNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::lacewinglock::rpc::DrainNotice::Builder Heartbeat::Builder::initDrainNotice() {
+  return ::capnp::_::PointerHelpers< ::lacewinglock::rpc::DrainNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::adoptDrainNotice(
+    ::capnp::Orphan< ::lacewinglock::rpc::DrainNotice>&& value) {
+  ::capnp::_::PointerHelpers< ::lacewinglock::rpc::DrainNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::lacewinglock::rpc::DrainNotice> Heartbeat::Builder::disownDrainNotice() {
+  return ::capnp::_::PointerHelpers< ::lacewinglock::rpc::DrainNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t DrainNotice::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t DrainNotice::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void DrainNotice::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t DrainNotice::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t DrainNotice::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void DrainNotice::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool DrainNotice::Reader::hasEndpoints() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool DrainNotice::Builder::hasEndpoints() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader DrainNotice::Reader::getEndpoints() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DrainNotice::Builder::getEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void DrainNotice::Builder::setEndpoints( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void DrainNotice::Builder::setEndpoints(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DrainNotice::Builder::initEndpoints(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void DrainNotice::Builder::adoptEndpoints(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> DrainNotice::Builder::disownEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t HeartbeatReply::Reader::getConfigVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3581,6 +3816,45 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool HeartbeatReply::Reader::hasDrainNotice() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HeartbeatReply::Builder::hasDrainNotice() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::lacewinglock::rpc::DrainNotice::Reader HeartbeatReply::Reader::getDrainNotice() const {
+  return ::capnp::_::PointerHelpers< ::lacewinglock::rpc::DrainNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::lacewinglock::rpc::DrainNotice::Builder HeartbeatReply::Builder::getDrainNotice() {
+  return ::capnp::_::PointerHelpers< ::lacewinglock::rpc::DrainNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::lacewinglock::rpc::DrainNotice::Pipeline HeartbeatReply::Pipeline::getDrainNotice() {
+  return  ::lacewinglock::rpc::DrainNotice::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void HeartbeatReply::Builder::setDrainNotice( ::lacewinglock::rpc::DrainNotice::Reader value) {
+  ::capnp::_::PointerHelpers< ::lacewinglock::rpc::DrainNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::lacewinglock::rpc::DrainNotice::Builder HeartbeatReply::Builder::initDrainNotice() {
+  return ::capnp::_::PointerHelpers< ::lacewinglock::rpc::DrainNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HeartbeatReply::Builder::adoptDrainNotice(
+    ::capnp::Orphan< ::lacewinglock::rpc::DrainNotice>&& value) {
+  ::capnp::_::PointerHelpers< ::lacewinglock::rpc::DrainNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::lacewinglock::rpc::DrainNotice> HeartbeatReply::Builder::disownDrainNotice() {
+  return ::capnp::_::PointerHelpers< ::lacewinglock::rpc::DrainNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool EndpointReport::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/protocol/tunables.h
+++ b/src/protocol/tunables.h
@@ -62,7 +62,7 @@
 constexpr auto shortDemandHorizon = 30s;
 constexpr auto longDemandHorizon = 600s;
 constexpr auto leavingNoticeLimit = 2s;
-constexpr auto drainMarkTime = 5s; // Without a further heartbeat that names it, an endpoint takes work again; the holder has then ended or lost its lease.
+constexpr auto drainMarkTime = 5s; // Without a further heartbeat that names it, an endpoint that was to be given back takes work again.
 constexpr double demandShareFloor = 0.25; // Part of an equal share that a daemon has without any demand, so that a new caller is served at once.
 
 // Routing.
--- a/src/standin/virtual_daemon.cpp
+++ b/src/standin/virtual_daemon.cpp
@@ -217,6 +217,7 @@
     if (m_ticks++ % ticksPerSecond == 0) {
         everySecond(life);
     }
+    pollEndpoints(life);
     noteVersion(life);
     tickRequests(life);
     post(tunables::controlTick, "tick", [this](daemon_life &same) {
@@ -235,7 +236,6 @@
     }
     life.endpoints.configure(life.config.current()->parsed);
     life.follower.setRoster(members, m_id);
-    pollEndpoints(life);
     passReports(life);
     sendHeartbeats(life);
     adoptUsage(life);
--- a/src/standin/virtual_daemon.h
+++ b/src/standin/virtual_daemon.h
@@ -3,6 +3,8 @@
 #include "coordination/config_follower.h"
 #include "coordination/lease_keeper.h"
 #include "coordination/order_keeper.h"
+#include "coordination/peer_messages.h"
+#include "coordination/poll_schedule.h"
 #include "coordination/provision_keeper.h"
 #include "coordination/request_session.h"
 #include "coordination/roster_keeper.h"
@@ -91,8 +93,8 @@
     usage_batcher batches;
     std::vector<machine> machines;
     std::map<std::string, std::shared_ptr<open_request>> requests;
+    poll_schedule pollTurns;
     std::map<std::string, polled_report> polled; ///< Endpoints that this daemon polls.
-    std::map<std::string, instant> drainingEndpoints; ///< From the holder of `orders`, with the time of the last word.
     std::map<std::string, std::string> usageHolders;
     std::vector<std::function<void()>> waiting; ///< Events that arrived while the process was paused.
     std::uint64_t versionSeen = 0;
@@ -154,7 +156,7 @@
     void sendHeartbeats(daemon_life &life);
     void heartbeat(virtual_daemon &peer);
     void takeHeartbeat(daemon_life &life, const daemon_life &sender, const virtual_daemon &from);
-    void takeReply(const std::string &peerId, std::uint64_t configVersion, std::uint64_t rosterVersion, instant sentAt);
+    void takeReply(const std::string &peerId, const heartbeat_reply &reply, instant sentAt);
     void noteVersion(daemon_life &life);
     void adoptUsage(daemon_life &life);
     bool replicate(daemon_life &life, const usage_record &record) const;
--- a/src/standin/virtual_daemon_peers.cpp
+++ b/src/standin/virtual_daemon_peers.cpp
@@ -18,23 +18,30 @@
 
 }
 
-// Each endpoint is polled by the first member in its rendezvous order that was heard lately.
 void virtual_daemon::pollEndpoints(daemon_life &life)
 {
     const auto members = life.roster.recentMembers(now());
     for (const auto &[id, settings] : life.config.current()->parsed.endpoints) {
         const auto found = m_around.endpoints.find(id);
-        if (found == m_around.endpoints.end() || rendezvousRank(id, m_id, members) != 0) {
+        const bool due = found != m_around.endpoints.end() && life.pollTurns.start(id, rendezvousRank(id, m_id, members) == 0, now());
+        if (found == m_around.endpoints.end() || !life.pollTurns.polls(id)) {
             life.polled.erase(id);
+        }
+        if (!due) {
             continue;
         }
         post(m_world.clock.between(shortestHop, longestHop), "polls " + id, [this, &target = *found->second, id = id](daemon_life &same) {
             const auto report = target.report();
+            const auto last = same.polled.find(id);
+            const bool known = last != same.polled.end() && last->second.report.leaving;
             auto &polled = same.polled[id] = {.report = report.value_or(endpoint_report{.endpoint = id, .reachable = false}), .takenAt = now()};
             same.endpoints.takeReport(polled.report, now());
             if (!report) {
                 same.endpoints.markUnreachable(id, now());
             }
+            if (polled.report.leaving && !known) {
+                sendHeartbeats(same);
+            }
         });
     }
 }
@@ -57,8 +64,8 @@
         peers.insert(instance.id);
     }
     peers.erase(m_id);
-    for (const auto &id : life.orders.draining()) {
-        life.drainingEndpoints[id] = now();
+    if (const auto notice = life.orders.notice()) {
+        life.endpoints.takeDrainNotice(*notice);
     }
     for (const auto &id : peers) {
         if (const auto peer = m_around.daemons.find(id); peer != m_around.daemons.end() && m_world.reaches(m_id, id)) {
@@ -79,12 +86,12 @@
                 return;
             }
             peer.takeHeartbeat(taken, *from, *this);
-            const std::uint64_t config = taken.follower.advertisedVersion();
-            const std::uint64_t roster = taken.roster.roster().version;
-            m_world.clock.after(m_world.clock.between(shortestHop, longestHop), m_id + " heartbeat answer", [this, &peer, config, roster, sentAt, sender] {
-                run(sender, [this, &peer, config, roster, sentAt](daemon_life &) {
+            const heartbeat_reply reply{
+                .configVersion = taken.follower.advertisedVersion(), .rosterVersion = taken.roster.roster().version, .orders = taken.endpoints.drainNotice()};
+            m_world.clock.after(m_world.clock.between(shortestHop, longestHop), m_id + " heartbeat answer", [this, &peer, reply, sentAt, sender] {
+                run(sender, [this, &peer, reply, sentAt](daemon_life &) {
                     if (now() - sentAt <= tunables::peerCallTimeout && m_world.reaches(m_id, peer.id())) {
-                        takeReply(peer.id(), config, roster, sentAt);
+                        takeReply(peer.id(), reply, sentAt);
                     }
                 });
             });
@@ -98,31 +105,26 @@
         auto report = polled.report;
         report.ageMs = toMs(from.now() - polled.takenAt);
         life.endpoints.takeReport(report, now());
+        life.pollTurns.noteOther(id, now() - std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(report.ageMs)));
     }
     for (const auto &suspect : sender.suspects.entries(from.now())) {
         life.suspects.merge(suspect.fingerprint, suspect.crashes, now());
     }
-    if (from.holds("orders")) {
-        for (const auto &id : sender.orders.draining()) {
-            life.drainingEndpoints[id] = now();
-        }
-    }
-    std::erase_if(life.drainingEndpoints, [this](const auto &item) {
-        return now() - item.second > tunables::drainMarkTime;
-    });
+    life.endpoints.takeDrainNotice(sender.endpoints.drainNotice());
     life.roster.noteHeard(from.id(), now());
     life.roster.noteVersion(from.id(), sender.roster.roster().version);
 }
 
 // A peer that is ahead sends its steps.
-void virtual_daemon::takeReply(const std::string &peerId, std::uint64_t configVersion, std::uint64_t rosterVersion, instant sentAt)
+void virtual_daemon::takeReply(const std::string &peerId, const heartbeat_reply &reply, instant sentAt)
 {
-    m_life->follower.notePeer(peerId, configVersion, sentAt);
-    m_life->roster.noteVersion(peerId, rosterVersion);
+    m_life->endpoints.takeDrainNotice(reply.orders);
+    m_life->follower.notePeer(peerId, reply.configVersion, sentAt);
+    m_life->roster.noteVersion(peerId, reply.rosterVersion);
     m_life->roster.noteAnswered(peerId, sentAt);
     m_life->orders.noteDrainConfirmed(m_life->roster.allAnsweredSince());
     const std::uint64_t held = m_life->config.current()->parsed.version;
-    if (configVersion <= held) {
+    if (reply.configVersion <= held) {
         return;
     }
     post(m_world.clock.between(shortestHop, longestHop), "fetches patches", [this, peerId, held](daemon_life &life) {
--- a/src/standin/virtual_daemon_requests.cpp
+++ b/src/standin/virtual_daemon_requests.cpp
@@ -84,7 +84,8 @@
     if (life.refusing) {
         return refusal("draining");
     }
-    const bool settled = now() >= life.startedAt + tunables::drainMarkTime && life.roster.roster().contains(m_id);
+    const bool informed = now() >= life.startedAt + tunables::drainMarkTime && life.endpoints.drainNotice().epoch > 0;
+    const bool settled = informed && life.roster.roster().contains(m_id);
     const bool fresh = settled && life.follower.fresh(now());
     if (!fresh && m_world.broken != broken_mechanism::FreshnessGate) {
         return refusal("not_fresh");
@@ -166,8 +167,6 @@
     auto views = life.endpoints.viewGroup(group, {}, now());
     std::ranges::sort(views, {}, &endpoint_view::id);
     for (auto &view : views) {
-        const auto draining = life.drainingEndpoints.find(view.id);
-        view.changingRole = view.changingRole || (draining != life.drainingEndpoints.end() && now() - draining->second <= tunables::drainMarkTime);
         // All engines of the cell serve whole requests, whatever their role.
         view.role = endpoint_role::Mixed;
     }
@@ -235,9 +234,7 @@
     const auto &call = open.call;
     open.attemptId = effect.attemptId;
     open.endpoint = effect.endpoint;
-    const auto draining = life.drainingEndpoints.find(effect.endpoint);
-    const bool closed = draining != life.drainingEndpoints.end() && now() - draining->second <= tunables::drainMarkTime;
-    if (closed || !life.endpoints.noteSent(effect.endpoint, {.attemptId = effect.attemptId, .promptTokens = 10, .alone = effect.alone}, {}, now())) {
+    if (!life.endpoints.noteSent(effect.endpoint, {.attemptId = effect.attemptId, .promptTokens = 10, .alone = effect.alone}, {}, now())) {
         m_world.clock.after(
             duration(1), effect.attemptId + " not started", [this, id = call->requestId, attemptId = effect.attemptId, owner = std::weak_ptr(m_life)] {
                 run(owner, [this, id, attemptId](daemon_life &same) {
--- a/src/state/endpoint_table.cpp
+++ b/src/state/endpoint_table.cpp
@@ -128,6 +128,26 @@
     }
 }
 
+void endpoint_table::takeDrainNotice(const drain_notice &notice)
+{
+    const std::lock_guard lock(m_noticeMutex);
+    if (isNewer(notice, m_notice)) {
+        m_notice = notice;
+    }
+}
+
+drain_notice endpoint_table::drainNotice() const
+{
+    const std::lock_guard lock(m_noticeMutex);
+    return m_notice;
+}
+
+bool endpoint_table::awaitsOrder(const std::string &endpointId) const
+{
+    const std::lock_guard lock(m_noticeMutex);
+    return std::ranges::find(m_notice.endpoints, endpointId) != m_notice.endpoints.end();
+}
+
 void endpoint_table::markUnreachable(std::string_view endpointId, instant now)
 {
     auto &part = shardOf(endpointId);
@@ -157,7 +177,7 @@
                 .leaving = known.leaving,
                 .reachable = known.reachable,
                 .reserved = known.reserved,
-                .changingRole = known.report.changingRole || now < known.drainingUntil,
+                .changingRole = known.report.changingRole || now < known.drainingUntil || awaitsOrder(id),
                 .reportAgeMs = toMs(now - known.reportTakenAt),
                 .queuedPromptTokens = known.report.queuedPromptTokens,
                 .runningStreams = known.report.runningStreams,
@@ -187,7 +207,7 @@
     }
     auto &known = found->second;
     // The daemon may have been paused since it chose the endpoint, so the notices count again right before the request is sent.
-    const bool closed = known.leaving || now < known.drainingUntil;
+    const bool closed = known.leaving || now < known.drainingUntil || awaitsOrder(found->first);
     if (closed || known.reserved || (attempt.alone && known.own.now().inFlight > 0)) {
         return false;
     }
--- a/src/state/endpoint_table.h
+++ b/src/state/endpoint_table.h
@@ -3,6 +3,7 @@
 #include "protocol/configuration.h"
 #include "protocol/decisions.h"
 #include "protocol/endpoint_report.h"
+#include "state/drain_notice.h"
 #include "state/own_requests.h"
 #include "transport/core_time.h"
 
@@ -42,8 +43,11 @@
     /// Takes a load report that was `report.ageMs` old at `now`; older ones than the known one are ignored.
     void takeReport(const endpoint_report &report, instant now);
     void markLeaving(std::string_view endpointId);
-    /// An order to the endpoint is due: it takes no new work until `until`.
+    /// The endpoint is about to be given back: it takes no new work until `until`.
     void markDraining(std::string_view endpointId, instant until);
+    /// Takes a notice of the holder of the orders, or one that a peer passes on; an older one than the known one is ignored.
+    void takeDrainNotice(const drain_notice &notice);
+    drain_notice drainNotice() const;
     void markUnreachable(std::string_view endpointId, instant now);
 
     /// Endpoints of a group with the cache estimate for a prompt given as block hashes.
@@ -92,7 +96,11 @@
     shard &shardOf(std::string_view endpointId);
     const shard &shardOf(std::string_view endpointId) const;
 
+    bool awaitsOrder(const std::string &endpointId) const;
+
     std::array<shard, shardCount> m_shards;
+    mutable std::mutex m_noticeMutex;
+    drain_notice m_notice;
 };
 
 /// Hashes a prompt in blocks, each hash covering all bytes up to the end of its block, so equal hashes mean equal prefixes.
--- a/tests/hostile_input_test.cpp
+++ b/tests/hostile_input_test.cpp
@@ -32,7 +32,7 @@
     explicit raw_connection(int port)
         : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
-        const timeval patience{.tv_sec = 5};
+        const timeval patience{.tv_sec = 6}; // An idle connection stays open for the 5 s of CPPHTTPLIB_KEEPALIVE_TIMEOUT_SECOND.
         ::setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
         const sockaddr_in address{.sin_family = AF_INET, .sin_port = htons(static_cast<std::uint16_t>(port)), .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)}};
         EXPECT_EQ(::connect(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)), 0);
--- a/tests/order_keeper_test.cpp
+++ b/tests/order_keeper_test.cpp
@@ -61,6 +61,48 @@
     EXPECT_FALSE(keeper.hasOpenOrder());
 }
 
+// Guards against an order to an endpoint that hangs: its report carries no streams, but they go on when it answers again.
+TEST_F(order_keeper_test, an_unreachable_endpoint_is_not_drained)
+{
+    keeper.setGrant(grant(1));
+    harness.run(keeper);
+    ASSERT_TRUE(keeper.propose(toDecode));
+    for (int i = 0; i < 40; ++i) {
+        keeper.noteReport({.endpoint = "e1", .reachable = false}, harness.now, true);
+        keeper.noteDrainConfirmed(harness.now);
+        harness.runFor(keeper, 500ms);
+    }
+    EXPECT_TRUE(harness.orders.empty());
+    runWithReports(keeper, 6s);
+    EXPECT_EQ(harness.orders.size(), 1U);
+}
+
+// Guards against a list of draining endpoints that an older one of the same or of a former holder replaces.
+TEST_F(order_keeper_test, notices_rise_with_each_change)
+{
+    EXPECT_FALSE(keeper.notice());
+    keeper.setGrant(grant(3));
+    EXPECT_FALSE(keeper.notice()); // The open intents are not read yet.
+    harness.run(keeper);
+    const auto before = keeper.notice();
+    ASSERT_TRUE(before);
+    EXPECT_EQ(before->epoch, 3U);
+    EXPECT_TRUE(before->endpoints.empty());
+    report(keeper, 0, 0);
+    ASSERT_TRUE(keeper.propose(toDecode));
+    harness.runFor(keeper, 1s);
+    const auto during = keeper.notice();
+    ASSERT_TRUE(during);
+    EXPECT_TRUE(isNewer(*during, *before));
+    EXPECT_EQ(during->endpoints, std::vector<std::string>{"e1"});
+    runWithReports(keeper, 6s);
+    const auto after = keeper.notice();
+    ASSERT_TRUE(after);
+    EXPECT_TRUE(isNewer(*after, *during));
+    EXPECT_TRUE(after->endpoints.empty());
+    EXPECT_FALSE(isNewer(*before, *after));
+}
+
 // Guards against an order that cuts the requests of a daemon that did not hear of the draining.
 TEST_F(order_keeper_test, waits_until_every_daemon_has_confirmed_the_draining)
 {
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -42,8 +42,14 @@
 
 INSTANTIATE_TEST_SUITE_P(seeds, soak_seeds, testing::Range<std::uint64_t>(1, 13), testing::PrintToStringParamName());
 
-/// Seeds whose runs once showed a stream cut by an order.
-INSTANTIATE_TEST_SUITE_P(found, soak_seeds, testing::Values<std::uint64_t>(106, 113, 115, 118, 119, 147, 159, 162, 169), testing::PrintToStringParamName());
+/// Seeds whose runs once showed a stream cut by an order: up to 169 because a daemon had not heard of the draining; 159, 5001, 5009 and 5015
+/// because its mark had ended before a late order came; 5094, 5140, 5197, 5302 and 5313 because a hanging engine counted as drained. In
+/// 5041, 5159, 7266 and 7580 work was sent to a leaving endpoint: a new process had not heard of it, or nobody polled for more than a second.
+INSTANTIATE_TEST_SUITE_P(
+    found,
+    soak_seeds,
+    testing::Values<std::uint64_t>(106, 113, 115, 118, 119, 147, 159, 162, 169, 5001, 5009, 5015, 5041, 5094, 5140, 5159, 5197, 5302, 5313, 7266, 7580),
+    testing::PrintToStringParamName());
 
 // Guards against a run that cannot be replayed from its seed.
 TEST(soak, same_seed_gives_the_same_events)
