Bound the history of relayed feeds by bytes, and join its steps without rows

The version rises with changes of other tables, so each answer without rows added a step and the history grew without end; and its bound of 2,000 rows let configurations of some hundred kilobytes fill hundreds of megabytes. Found in reading the change. One type for a changed row. Test: feed_history.joins_steps_without_rows. No functional change otherwise.

--- a/src/serving/feed_history.h
+++ b/src/serving/feed_history.h
@@ -22,6 +22,8 @@
     std::uint64_t version() const;
     /// All changes after `after`, as of the last answer; nothing when they are not all kept or not known yet.
     std::optional<table_changes> since(std::uint64_t after) const;
+    /// Kept answers; those without rows that follow each other count as one.
+    std::size_t steps() const;
 
 private:
     struct step
@@ -31,7 +33,7 @@
     };
 
     std::deque<step> m_steps; ///< Each goes on from the one before.
-    std::size_t m_rows = 0;
+    std::size_t m_bytes = 0;
     std::uint64_t m_version = 0;
     instant m_askedAt;
 };
--- a/src/serving/feed_relay.cpp
+++ b/src/serving/feed_relay.cpp
@@ -52,9 +52,7 @@
     if (context.storeFailedAt != instant{}) {
         out.storeFailedMs = age(context.storeFailedAt);
     }
-    for (auto &changed : changes.rows) {
-        out.rows.push_back({std::move(changed.key), std::move(changed.value), changed.removed});
-    }
+    out.rows = std::move(changes.rows);
     return out;
 }
 
@@ -127,10 +125,7 @@
         co_return absl::UnavailableError("the relay's last call to the store failed");
     }
     // The answer was made after the question was sent, so its age counts back from there at the latest.
-    table_changes out{.version = feed->version, .askedAt = sentAt - std::chrono::milliseconds(feed->ageMs)};
-    for (auto &changed : feed->rows) {
-        out.rows.push_back({std::move(changed.key), std::move(changed.value), changed.removed});
-    }
+    table_changes out{.rows = std::move(feed->rows), .version = feed->version, .askedAt = sentAt - std::chrono::milliseconds(feed->ageMs)};
     co_return out;
 }
 
--- a/src/serving/platform_port.h
+++ b/src/serving/platform_port.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "protocol/control.h"
+#include "protocol/relayed_feed.h"
 #include "serving/endpoint_registry.h"
 #include "serving/part_index.h"
 #include "serving/serving_config.h"
@@ -78,12 +79,6 @@
 /// Rows as of one version, or the changes that led to it.
 struct table_changes
 {
-    struct changed_row
-    {
-        std::string key;
-        std::string value;
-        bool removed = false;
-    };
     std::vector<changed_row> rows;
     std::uint64_t version = 0; ///< Go on from here.
     instant askedAt; ///< Nothing that was acknowledged before is missing.
--- a/tests/edge_feed_test.cpp
+++ b/tests/edge_feed_test.cpp
@@ -139,12 +139,31 @@
 {
     feed_history history;
     history.restart(changesTo(1, {}));
-    for (std::uint64_t version = 2; version <= 5001; ++version) {
+    for (std::uint64_t version = 2; version <= 50001; ++version) {
         history.add(changesTo(version, {"key"}));
     }
     EXPECT_FALSE(history.since(1));
-    ASSERT_TRUE(history.since(4000));
-    EXPECT_EQ(history.since(4000)->rows.size(), 1001U);
+    ASSERT_TRUE(history.since(49000));
+    EXPECT_EQ(history.since(49000)->rows.size(), 1001U);
+}
+
+// Guards against a relay that can't answer, or grows, because the version rises without changes of its table.
+TEST(feed_history, joins_steps_without_rows)
+{
+    feed_history history;
+    history.restart(changesTo(1, {}));
+    for (std::uint64_t version = 2; version <= 100; ++version) {
+        history.add(changesTo(version, {}));
+    }
+    EXPECT_EQ(history.steps(), 1U);
+    ASSERT_TRUE(history.since(50));
+    EXPECT_TRUE(history.since(50)->rows.empty());
+    history.add(changesTo(101, {"a"}));
+    history.add(changesTo(102, {}));
+    history.add(changesTo(103, {}));
+    EXPECT_EQ(history.steps(), 3U);
+    EXPECT_EQ(keysOf(*history.since(60)), std::vector<std::string>{"a"});
+    EXPECT_TRUE(history.since(102)->rows.empty());
 }
 
 // Guards against relays that all daemons of a domain change when one daemon is lost, and against relays in other domains.
