--- a/soak/faultsoak.cpp
+++ b/soak/faultsoak.cpp
@@ -36,6 +36,7 @@
 constexpr int plainEndpoints = 4;
 constexpr int streamEndpoints = 3;
 constexpr int requestsPerConnection = 15;
+constexpr std::int64_t addressLimitMs = 1000; // An address answer takes a few milliseconds.
 constexpr std::int64_t answerLimitMs = 6000; // Above every route's timeout.
 
 std::vector<std::string> keyNames()
@@ -341,13 +342,7 @@
     const auto address = pick(m_daemons)->addressesAddress();
     const auto port = static_cast<unsigned short>(std::stoi(address.substr(address.find(':') + 1)));
     tcp::socket socket(m_loop);
-    asio::steady_timer limit(m_loop, std::chrono::seconds(1));
-    limit.async_wait([&socket](const boost::system::error_code &error) {
-        if (!error) {
-            boost::system::error_code ignored;
-            socket.close(ignored);
-        }
-    });
+    close_timer limit(socket, addressLimitMs);
     boost::system::error_code error;
     co_await socket.async_connect({asio::ip::make_address("127.0.0.1"), port}, errorTo(error));
     const std::string ask = "GET /-/resolve?name=host.example&region=r&zone=domain-0 HTTP/1.1\r\nHost: d\r\n\r\n";
@@ -378,13 +373,7 @@
     std::string text = (reads ? "GET /" : "POST /") + std::string(prefixes[static_cast<std::size_t>(view.kind)])
         + "/x HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: " + view.id + "\r\nX-Api-Key: " + view.key + "\r\nX-Deadline-Ms: 4000\r\n";
     text += reads ? "\r\n" : "Content-Length: " + std::to_string(view.id.size()) + "\r\n\r\n" + view.id;
-    asio::steady_timer limit(m_loop, std::chrono::milliseconds(answerLimitMs));
-    limit.async_wait([&socket](const boost::system::error_code &error) {
-        if (!error) {
-            boost::system::error_code ignored;
-            socket.close(ignored);
-        }
-    });
+    close_timer limit(socket, answerLimitMs);
     boost::system::error_code error;
     co_await asio::async_write(socket, asio::buffer(text), errorTo(error));
     beast::flat_buffer buffer;
--- a/soak/loop.h
+++ b/soak/loop.h
@@ -7,6 +7,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <memory>
 #include <string>
 
 namespace faultsoak
@@ -33,6 +34,32 @@
     co_await timer.async_wait(errorTo(ignored));
 }
 
+/// Closes a socket after a time. Its handler may still be queued when this ends, so it asks first whether the socket is there.
+class close_timer
+{
+public:
+    close_timer(tcp::socket &socket, std::int64_t time)
+        : m_timer(socket.get_executor(), std::chrono::milliseconds(time))
+    {
+        m_timer.async_wait([&socket, open = std::weak_ptr(m_open)](const boost::system::error_code &error) {
+            if (!error && !open.expired()) {
+                boost::system::error_code ignored;
+                socket.close(ignored);
+            }
+        });
+    }
+
+    void cancel()
+    {
+        m_open.reset();
+        m_timer.cancel();
+    }
+
+private:
+    std::shared_ptr<bool> m_open = std::make_shared<bool>(true);
+    asio::steady_timer m_timer;
+};
+
 inline std::int64_t nowMs()
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
--- a/src/coordination/fleet_control.cpp
+++ b/src/coordination/fleet_control.cpp
@@ -230,8 +230,7 @@
     });
     for (const auto &[id, since] : m_retiring) {
         const auto *report = findReport(facts, id);
-        const bool reportedSince
-            = report != nullptr && now - std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(report->ageMs)) >= since + retireNotice;
+        const bool reportedSince = report != nullptr && now - fromMs(report->ageMs) >= since + retireNotice;
         if (!reportedSince || hasWork(*report)) {
             continue;
         }
--- a/src/coordination/node_control.cpp
+++ b/src/coordination/node_control.cpp
@@ -116,7 +116,7 @@
 {
     for (const auto &report : m_endpoints.reports(now)) {
         if (const auto settings = m_fleet.find(report.endpoint); settings != m_fleet.end()) {
-            const auto age = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(report.ageMs));
+            const auto age = fromMs(report.ageMs);
             m_orderKeeper.noteReport(report, now - age, settings->second.checksFencing);
         }
     }
--- a/src/coordination/node_peers.cpp
+++ b/src/coordination/node_peers.cpp
@@ -93,7 +93,7 @@
     const instant now = m_now();
     for (const auto &report : message.reports) {
         m_endpoints.takeReport(report, now);
-        m_poller->noteOther(report.endpoint, now - std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(report.ageMs)));
+        m_poller->noteOther(report.endpoint, now - fromMs(report.ageMs));
     }
     for (const auto &suspect : message.suspects) {
         m_suspects.merge(suspect.fingerprint, suspect.crashes, now);
--- a/src/protocol/relayed_feed.cpp
+++ b/src/protocol/relayed_feed.cpp
@@ -1,12 +1,8 @@
 #include "protocol/relayed_feed.h"
 
+#include "protocol/packed_message.h"
 #include "protocol/relayed_feed.capnp.h"
 
-#include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/exception.h>
-#include <kj/io.h>
-
 namespace lacewinglock
 {
 
@@ -31,19 +27,15 @@
         rows[i].setValue(kj::arrayPtr(reinterpret_cast<const kj::byte *>(row.value.data()), row.value.size()));
         rows[i].setRemoved(row.removed);
     }
-    kj::VectorOutputStream out;
-    capnp::writePackedMessage(out, message);
-    const auto bytes = out.getArray();
-    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+    return packMessage(message);
 }
 
 absl::StatusOr<relayed_feed> parseFeed(std::string_view body)
 {
-    try {
-        kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte *>(body.data()), body.size()));
-        capnp::PackedMessageReader message(in, capnp::ReaderOptions{.traversalLimitInWords = maxMessageWords});
+    relayed_feed out;
+    const auto status = unpackMessage(body, "body is no relayed feed", maxMessageWords, [&out](capnp::MessageReader &message) {
         const auto root = message.getRoot<wire::RelayedFeed>();
-        relayed_feed out{.version = root.getVersion(), .ageMs = root.getAgeMs()};
+        out = {.version = root.getVersion(), .ageMs = root.getAgeMs()};
         if (root.getStoreFailedMs() >= 0) {
             out.storeFailedMs = static_cast<std::uint32_t>(root.getStoreFailedMs());
         }
@@ -51,10 +43,11 @@
             const auto value = row.getValue();
             out.rows.push_back({row.getKey(), std::string(reinterpret_cast<const char *>(value.begin()), value.size()), row.getRemoved()});
         }
-        return out;
-    } catch (const kj::Exception &error) {
-        return absl::InvalidArgumentError("body is no relayed feed: " + std::string(error.getDescription().cStr()));
+    });
+    if (!status.ok()) {
+        return status;
     }
+    return out;
 }
 
 }
--- a/src/protocol/summary.cpp
+++ b/src/protocol/summary.cpp
@@ -1,12 +1,9 @@
 #include "protocol/summary.h"
 
+#include "protocol/packed_message.h"
 #include "protocol/summary.capnp.h"
 
 #include <algorithm>
-#include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/exception.h>
-#include <kj/io.h>
 
 namespace lacewinglock
 {
@@ -56,19 +53,15 @@
     for (unsigned i = 0; i < reserved.size(); ++i) {
         reserved.set(i, summary.reserved[i]);
     }
-    kj::VectorOutputStream out;
-    capnp::writePackedMessage(out, message);
-    const auto bytes = out.getArray();
-    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+    return packMessage(message);
 }
 
 absl::StatusOr<daemon_summary> parseSummary(std::string_view datagram)
 {
-    try {
-        kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte *>(datagram.data()), datagram.size()));
-        capnp::PackedMessageReader message(in, capnp::ReaderOptions{.traversalLimitInWords = maxMessageWords});
+    daemon_summary out;
+    const auto status = unpackMessage(datagram, "datagram is no summary", maxMessageWords, [&out](capnp::MessageReader &message) {
         const auto root = message.getRoot<wire::Summary>();
-        daemon_summary out{
+        out = {
             .sender = root.getSender(),
             .sequence = root.getSequence(),
             .incarnation = root.getIncarnation(),
@@ -92,10 +85,11 @@
         for (const auto engine : root.getReserved()) {
             out.reserved.push_back(engine);
         }
-        return out;
-    } catch (const kj::Exception &error) {
-        return absl::InvalidArgumentError("datagram is no summary: " + std::string(error.getDescription().cStr()));
+    });
+    if (!status.ok()) {
+        return status;
     }
+    return out;
 }
 
 }
--- a/src/serving/edge_settings.cpp
+++ b/src/serving/edge_settings.cpp
@@ -128,7 +128,7 @@
         if (!value.is_number() || value.get<double>() < 0) {
             return wrong(name, "a time in milliseconds");
         }
-        kind.target(out) = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(value.get<double>()));
+        kind.target(out) = fromMs(value.get<double>());
         return absl::OkStatus();
     }
 
--- a/src/serving/feed_relay.cpp
+++ b/src/serving/feed_relay.cpp
@@ -36,9 +36,9 @@
 
 bool isMemberAddress(const edge_context &context, const tcp::endpoint &remote)
 {
+    const std::string host = absl::StrCat(remote.address().to_string(), ":");
     return std::ranges::any_of(context.members, [&](const auto &member) {
-        const auto address = parseAddress(member.second);
-        return address.ok() && address->address() == remote.address();
+        return member.second.starts_with(host);
     });
 }
 
--- a/src/serving/fleet_duty.cpp
+++ b/src/serving/fleet_duty.cpp
@@ -48,6 +48,22 @@
     std::map<std::string, int> reclaimable; ///< Running of the cheaper kind, by domain, as seen last.
 };
 
+/// Work under way at the engines of a service.
+struct engine_work
+{
+    double promptQueueMs = 0; ///< Reading that waits at all engines for prompts.
+    double outputQueueMs = 0; ///< And at all engines for outputs.
+    int busy = 0; ///< Engines with a request.
+};
+
+// Work under way tells the demand whatever kind of engine it waits at: an engine whose queue is longer than a step counts as busy.
+double demandOf(const engine_work &work)
+{
+    // Reading that would take one engine 100 ms keeps it busy for a plan interval's fifth; several such bursts come in each interval.
+    constexpr double queueMsPerEngine = 100;
+    return std::max(work.busy * 0.5, (work.promptQueueMs + work.outputQueueMs) / queueMsPerEngine);
+}
+
 class engine_planner
 {
 public:
@@ -62,10 +78,9 @@
 
 private:
     static bool isUnavailable(const service_plan &plan, const std::string &domain);
+    engine_work measureWork(const std::string &service) const;
     fleet_input makeInput(const serving_service &service, service_plan &plan) const;
-    double measureDemand(const std::string &service) const;
     task<void> planService(const serving_service &service);
-    void measureQueues(const std::string &service, service_plan &plan) const;
     task<void> planRoles(std::string service);
     task<void> changeRole(std::string service, engine_role_change change);
     task<void> order(service_plan &plan, endpoint_count_order wanted, int running);
@@ -76,21 +91,18 @@
     std::map<std::string, service_plan> m_plans;
 };
 
-// Work under way tells the demand whatever kind of engine it waits at: an engine whose queue is longer than a step counts as busy.
-double engine_planner::measureDemand(const std::string &service) const
+engine_work engine_planner::measureWork(const std::string &service) const
 {
-    const auto &model = m_context.settings.engines;
-    double queuedMs = 0;
-    double busy = 0;
+    engine_work work;
     for (const auto &engine : m_context.endpoints.ofService(service)) {
+        const auto role = engine->entry.role.value_or(endpoint_role::Mixed);
         const double tokens = engine->own.promptTokens + engine->peers.promptTokens;
         const int running = engine->own.running + engine->peers.running;
-        queuedMs += readingMs(model, engine->entry.role.value_or(endpoint_role::Mixed), tokens, 0, running);
-        busy += running > 0 ? 1 : 0;
+        const double ms = readingMs(m_context.settings.engines, role, tokens, 0, running);
+        (role == endpoint_role::Prefill ? work.promptQueueMs : work.outputQueueMs) += ms;
+        work.busy += running > 0 ? 1 : 0;
     }
-    // Reading that would take one engine 100 ms keeps it busy for a plan interval's fifth; several such bursts come in each interval.
-    constexpr double queueMsPerEngine = 100;
-    return std::max(busy * 0.5, queuedMs / queueMsPerEngine);
+    return work;
 }
 
 bool engine_planner::isUnavailable(const service_plan &plan, const std::string &domain)
@@ -102,7 +114,10 @@
 fleet_input engine_planner::makeInput(const serving_service &service, service_plan &plan) const
 {
     const instant now = bootNow();
-    plan.engines.emplace_back(now, measureDemand(service.name));
+    const auto work = measureWork(service.name);
+    plan.promptQueueMs += queueWeight * (work.promptQueueMs - plan.promptQueueMs);
+    plan.outputQueueMs += queueWeight * (work.outputQueueMs - plan.outputQueueMs);
+    plan.engines.emplace_back(now, demandOf(work));
     while (now - plan.engines.front().first > peakHorizon) {
         plan.engines.pop_front();
     }
@@ -198,20 +213,6 @@
     }
 }
 
-void engine_planner::measureQueues(const std::string &service, service_plan &plan) const
-{
-    double prompt = 0;
-    double output = 0;
-    for (const auto &engine : m_context.endpoints.ofService(service)) {
-        const auto role = engine->entry.role.value_or(endpoint_role::Mixed);
-        const double tokens = engine->own.promptTokens + engine->peers.promptTokens;
-        const double ms = readingMs(m_context.settings.engines, role, tokens, 0, engine->own.running + engine->peers.running);
-        (role == endpoint_role::Prefill ? prompt : output) += ms;
-    }
-    plan.promptQueueMs += queueWeight * (prompt - plan.promptQueueMs);
-    plan.outputQueueMs += queueWeight * (output - plan.outputQueueMs);
-}
-
 // Engines are shared out between the roles as the reading that waits at them is.
 task<void> engine_planner::planRoles(std::string service)
 {
@@ -290,7 +291,6 @@
             if (!service.scaling || !m_lease.authority(callMargin)) {
                 continue;
             }
-            measureQueues(name, m_plans[name]);
             co_await planService(service);
             co_await planRoles(name);
         }
--- a/src/serving/service_forward.cpp
+++ b/src/serving/service_forward.cpp
@@ -52,27 +52,6 @@
     return input;
 }
 
-/// Registers an answer that is due, so that a silent endpoint shows before its requests time out.
-class due_answer
-{
-public:
-    due_answer(endpoint_ptr endpoint, instant due)
-        : m_endpoint(std::move(endpoint))
-        , m_place(m_endpoint->unanswered.insert(due))
-    {
-    }
-    ~due_answer()
-    {
-        m_endpoint->unanswered.erase(m_place);
-    }
-    due_answer(const due_answer &) = delete;
-    due_answer &operator=(const due_answer &) = delete;
-
-private:
-    endpoint_ptr m_endpoint;
-    std::multiset<instant>::iterator m_place;
-};
-
 task<attempt> send(edge_context &context, const caller_request &request, const endpoint_ptr &endpoint, instant deadline, double predictedMs)
 {
     attempt out;
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -223,9 +223,11 @@
         exchange->cancel();
     });
     m_outcome.endpoint = engine->entry.id;
-    const auto due = engine->unanswered.insert(now + std::chrono::milliseconds(std::lround(3 * placed.firstEventMs + 100)));
-    const auto state = co_await exchange->begin(message);
-    engine->unanswered.erase(due);
+    exchange_state state = exchange_state::NotSent;
+    {
+        const due_answer due(engine, now + std::chrono::milliseconds(std::lround(3 * placed.firstEventMs + 100)));
+        state = co_await exchange->begin(message);
+    }
     const bool unused = state == exchange_state::NotSent
         || (state != exchange_state::Lost && state != exchange_state::TimedOut && state != exchange_state::Cancelled && state != exchange_state::Malformed
             && saysNotRun(m_context, exchange->head()));
@@ -262,13 +264,12 @@
     m_request.reply->onGone([exchange] {
         exchange->cancel();
     });
-    const auto due = reader->unanswered.insert(now + std::chrono::milliseconds(std::lround(2 * predictedMs + 100)));
+    const due_answer due(reader, now + std::chrono::milliseconds(std::lround(2 * predictedMs + 100)));
     std::string body;
     auto state = co_await exchange->begin(message);
     if (state == exchange_state::Going) {
         state = co_await exchange->readAll(body, maxErrorBytes);
     }
-    reader->unanswered.erase(due);
     noteLoadNews(m_context, tokens); // Sent after the claim has ended.
     m_request.reply->onGone(nullptr);
     const bool answered = state == exchange_state::Whole;
--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -79,9 +79,8 @@
     }
 }
 
-duration storeWait(const edge_context &context, platform_table table)
+duration storeWait(const edge_context &context, platform_table table, const feed_role &role)
 {
-    const auto role = feedRole(context);
     if (!role.ask.empty()) {
         return freshProofWait;
     }
@@ -96,16 +95,12 @@
     instant provedAt; ///< What the follower holds was the newest at that time.
 };
 
-// Nothing when there is no relay, or it gave no answer that is recent enough.
+// Nothing when the relay gave no answer that is recent enough.
 task<std::optional<table_changes>>
-readFromRelay(edge_context &context, platform_table table, const table_handler &handler, std::uint64_t version, feed_source &source)
+readFromRelay(edge_context &context, platform_table table, const table_handler &handler, std::uint64_t version, const feed_role &role, feed_source &source)
 {
-    const auto relays = feedRole(context).ask;
-    if (relays.empty() || std::exchange(source.askStore, false)) {
-        co_return std::nullopt;
-    }
     const auto bounds = boundsOf(context.settings, table);
-    const std::string &relay = relays[source.turn % relays.size()];
+    const std::string &relay = role.ask[source.turn % role.ask.size()];
     auto answer = co_await askRelay(context, relay, table, version, bounds.relayWait);
     context.counters.count(metric_counter::RelayReads);
     if (answer.ok() && bootNow() - answer->askedAt <= bounds.evidenceLimit) {
@@ -134,8 +129,9 @@
     feed_source source;
     while (true) {
         const bool whole = !version;
-        if (!whole) {
-            if (const auto relayed = co_await readFromRelay(context, table, handler, *version, source)) {
+        const auto role = feedRole(context);
+        if (!whole && !role.ask.empty() && !std::exchange(source.askStore, false)) {
+            if (const auto relayed = co_await readFromRelay(context, table, handler, *version, role, source)) {
                 version = relayed->version;
                 source.provedAt = std::max(source.provedAt, relayed->askedAt);
                 handler.apply(*relayed, false);
@@ -147,7 +143,7 @@
         if (whole) {
             answer = co_await context.platform.store.readAll(table);
         } else {
-            answer = co_await context.platform.store.changes(table, *version, storeWait(context, table));
+            answer = co_await context.platform.store.changes(table, *version, storeWait(context, table, role));
         }
         context.counters.count(metric_counter::StoreReads);
         if (!answer.ok()) {
--- a/src/standin/virtual_daemon_peers.cpp
+++ b/src/standin/virtual_daemon_peers.cpp
@@ -51,7 +51,7 @@
     const auto config = life.config.current();
     for (const auto &report : life.endpoints.reports(now())) {
         if (const auto found = config->parsed.endpoints.find(report.endpoint); found != config->parsed.endpoints.end()) {
-            const auto age = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(report.ageMs));
+            const auto age = fromMs(report.ageMs);
             life.orders.noteReport(report, now() - age, found->second.checksFencing);
         }
     }
@@ -105,7 +105,7 @@
         auto report = polled.report;
         report.ageMs = toMs(from.now() - polled.takenAt);
         life.endpoints.takeReport(report, now());
-        life.pollTurns.noteOther(id, now() - std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(report.ageMs)));
+        life.pollTurns.noteOther(id, now() - fromMs(report.ageMs));
     }
     for (const auto &suspect : sender.suspects.entries(from.now())) {
         life.suspects.merge(suspect.fingerprint, suspect.crashes, now());
--- a/src/state/endpoint_table.cpp
+++ b/src/state/endpoint_table.cpp
@@ -99,7 +99,7 @@
         return;
     }
     auto &known = found->second;
-    const instant takenAt = now - std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(report.ageMs));
+    const instant takenAt = now - fromMs(report.ageMs);
     if (takenAt <= known.reportTakenAt) {
         return;
     }
--- a/src/transport/core_time.h
+++ b/src/transport/core_time.h
@@ -25,4 +25,10 @@
     return std::chrono::duration<double, std::milli>(value).count();
 }
 
+/// The duration of so many milliseconds.
+constexpr duration fromMs(double value)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(value));
+}
+
 }
--- a/tests/edge_feed_test.cpp
+++ b/tests/edge_feed_test.cpp
@@ -79,14 +79,6 @@
         return out;
     }
 
-    static platform_port makePort(connection_pool &pool, const edge_settings &given)
-    {
-        return {.wire = platform::makeWire(),
-                .store = platform::makeStore(pool, given.storeAddress),
-                .orders = platform::makeOrders(pool, given.ordersAddress),
-                .parsers = platform::makeRowParsers()};
-    }
-
     absl::StatusOr<table_changes> ask(std::uint64_t version, duration wait)
     {
         absl::StatusOr<table_changes> result = absl::UnknownError("not answered");
--- a/tests/edge_fixture.h
+++ b/tests/edge_fixture.h
@@ -167,18 +167,7 @@
         settings.storeAddress = store.address();
         settings.ordersAddress = store.address();
         settings.retries = {.ratio = 0.2, .slack = 58, .window = std::chrono::seconds(10)};
-        context = std::make_unique<edge_context>(
-            loop,
-            settings,
-            [](connection_pool &pool, const edge_settings &given) {
-                return platform_port{
-                    .wire = platform::makeWire(),
-                    .store = platform::makeStore(pool, given.storeAddress),
-                    .orders = platform::makeOrders(pool, given.ordersAddress),
-                    .parsers = platform::makeRowParsers(),
-                };
-            },
-            lines);
+        context = std::make_unique<edge_context>(loop, settings, makePort, lines);
         server = std::make_unique<http_server>(loop,
                                                server_hooks{
                                                    .handle =
@@ -204,6 +193,16 @@
         server->listen(callers);
     }
 
+    static platform_port makePort(connection_pool &pool, const edge_settings &given)
+    {
+        return {
+            .wire = platform::makeWire(),
+            .store = platform::makeStore(pool, given.storeAddress),
+            .orders = platform::makeOrders(pool, given.ordersAddress),
+            .parsers = platform::makeRowParsers(),
+        };
+    }
+
     static serving_route makeRoute(const std::string &prefix, std::string service)
     {
         serving_route route{.name = prefix, .host = "host.example", .pathPrefix = prefix};
