Keep the engine planner while a role change is under way

Cause: changeRole() runs detached and used the planner, a local of planEngines() that ends when the daemon stops.

Ruled out: the other detached coroutines refer to the context or to state that they share, which outlive the loop.

Change: the coroutine owns the planner. Test: fleet_duty_test.a_stop_during_a_role_change_ends_in_order; the access shows under the address sanitizer.

--- a/src/serving/fleet_duty.cpp
+++ b/src/serving/fleet_duty.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <memory>
 #include <set>
 
 namespace lacewinglock
@@ -65,7 +66,7 @@
     return std::max(work.busy * 0.5, (work.prefillQueueMs + work.decodeQueueMs) / queueMsPerEngine);
 }
 
-class engine_planner
+class engine_planner : public std::enable_shared_from_this<engine_planner>
 {
 public:
     engine_planner(edge_context &context, lease_runner &lease)
@@ -83,7 +84,8 @@
     fleet_input makeInput(const serving_service &service, service_plan &plan) const;
     task<void> planService(const serving_service &service);
     task<void> planRoles(std::string service);
-    task<void> changeRole(std::string service, role_change change);
+    /// `self` keeps the planner while the coroutine runs, which may outlast run().
+    task<void> changeRole(std::shared_ptr<engine_planner> self, std::string service, role_change change);
     task<void> order(service_plan &plan, endpoint_count_order wanted, int running);
 
     edge_context &m_context;
@@ -245,12 +247,12 @@
     }
     plan.changingRole = true;
     plan.roleChangedAt = now;
-    asio::co_spawn(m_context.loop, changeRole(std::move(service), *change), asio::detached);
+    asio::co_spawn(m_context.loop, changeRole(shared_from_this(), std::move(service), *change), asio::detached);
 }
 
 // Step 1: announce to all daemons that the engine gets no new requests. Step 2: send the order, unless the engine has accepted another one since.
 // Step 3: wait until the engine lists itself with the new role.
-task<void> engine_planner::changeRole(std::string service, role_change change)
+task<void> engine_planner::changeRole(std::shared_ptr<engine_planner> /*self*/, std::string service, role_change change)
 {
     auto &plan = m_plans[service];
     const auto engine = m_context.endpoints.find(change.id);
@@ -303,8 +305,8 @@
 
 task<void> planEngines(edge_context &context, lease_runner &lease)
 {
-    engine_planner planner(context, lease);
-    co_await planner.run();
+    const auto planner = std::make_shared<engine_planner>(context, lease);
+    co_await planner->run();
 }
 
 }
