Exchange loads and states through aggregators instead of a mesh

Cause: each daemon sent its whole summary to every other one, and one more round at the start and end of each long prefill. Links of 10 Mbit/s queued, and requests, cancels and relayed configurations waited behind control traffic (CONFIG, DRAIN, GONE). The age of a load grew with the daemons too.

Ruled out: a longer spacing of the rounds (loads grow older, bytes still grow with the square), gossip (sums cannot be gossiped without counting twice).

Change: each daemon sends its summary to two aggregators of its failure domain and polls one; aggregators merge their domain, poll those of the others and answer with what changed since the position of the poll. Large changes are pushed. A peer's liveness is that of the exchange; address answers no longer leave out a peer after a fixed 1,000 ms (test: a_dead_daemon_is_gone_within_its_time_out replaces the line of a silent daemon in choose_addresses). Member rows carry domain, caller address and capacity.

--- a/src/serving/address_selection.cpp
+++ b/src/serving/address_selection.cpp
@@ -8,7 +8,6 @@
 namespace
 {
 
-constexpr double heartbeatTimeoutMs = 1000; // Several heartbeats. A failed daemon that is still listed costs a caller one attempt: it tries another address.
 constexpr std::size_t minLocalDaemons = 2; // One daemon may fail while callers still use the list.
 
 }
@@ -17,7 +16,7 @@
 {
     std::vector<const daemon_candidate *> serving;
     for (const auto &daemon : daemons) {
-        if (daemon.serving && daemon.sinceLastMessageMs <= heartbeatTimeoutMs) {
+        if (daemon.serving) {
             serving.push_back(&daemon);
         }
     }
--- a/src/serving/address_selection.h
+++ b/src/serving/address_selection.h
@@ -16,8 +16,7 @@
     std::string id;
     std::string callerAddress;
     std::string failureDomain;
-    bool serving = false; ///< Ready and not draining, according to its last message.
-    double sinceLastMessageMs = 0; ///< Age of its last message in milliseconds; 0 for this daemon.
+    bool serving = false; ///< Ready and not draining, according to its last summary.
     double capacity = 1; ///< Relative processor and network capacity.
 };
 
--- a/src/serving/edge_context.cpp
+++ b/src/serving/edge_context.cpp
@@ -11,10 +11,6 @@
 {
 
 constexpr auto keyMargin = std::chrono::milliseconds(300); // On a slow machine, a request may wait this long in its socket before it is read.
-constexpr auto minSummaryInterval = std::chrono::milliseconds(50); // Half of the prefill time of one long prompt.
-constexpr auto summaryIntervalPerDaemon = std::chrono::milliseconds(5); // Limits a daemon without load updates to 200 datagrams per second.
-constexpr auto minPeerTimeout = std::chrono::seconds(1); // Shorter gaps occur on a busy machine.
-constexpr int missedSummaryLimit = 3;
 
 }
 
@@ -25,11 +21,12 @@
     , pool(io)
     , platform(makePlatform(pool, settings))
     , random(std::random_device{}())
+    , incarnation(random())
     , retryBudget(settings.retries)
     , usage(std::chrono::duration_cast<std::chrono::milliseconds>(settings.usageWindow).count())
-    , summarySchedule{.timer = asio::steady_timer(io)}
+    , exchange(settings.id, settings.failureDomain, incarnation)
+    , exchangeTimer(io)
 {
-    incarnation = random();
 }
 
 log_line edge_context::line(std::string_view event) const
@@ -40,11 +37,8 @@
 std::int64_t edge_context::correctedTimeMs() const
 {
     std::vector<std::int64_t> differences;
-    const instant now = bootNow();
     for (const auto &[id, peer] : peers) {
-        if (peer.alive && now - peer.lastReceivedAt <= peerTimeout()) {
-            differences.push_back(peer.clockDifferenceMs);
-        }
+        differences.push_back(peer.clockDifferenceMs + exchange.sourceClockDifferenceMs());
     }
     return wallMs() + clockCorrection(std::move(differences));
 }
@@ -54,28 +48,6 @@
     return std::uniform_real_distribution<double>(0, 1)(random);
 }
 
-duration edge_context::summaryInterval() const
-{
-    return std::max<duration>(minSummaryInterval, summaryIntervalPerDaemon * static_cast<int>(members.size()));
-}
-
-duration edge_context::peerTimeout() const
-{
-    return std::max<duration>(minPeerTimeout, missedSummaryLimit * summaryInterval());
-}
-
-double edge_context::peerAgeMs() const
-{
-    const instant now = bootNow();
-    double oldest = 0;
-    for (const auto &[id, peer] : peers) {
-        if (peer.alive) {
-            oldest = std::max(oldest, toMs(now - peer.lastReceivedAt));
-        }
-    }
-    return oldest;
-}
-
 std::vector<std::string> edge_context::memberIds() const
 {
     std::vector<std::string> ids;
--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "coordination/lease_keeper.h"
-#include "protocol/summary.h"
 #include "serving/edge_settings.h"
 #include "serving/endpoint_registry.h"
 #include "serving/feed_history.h"
@@ -9,6 +8,7 @@
 #include "serving/prefix_index.h"
 #include "serving/retry_budget.h"
 #include "serving/serving_config.h"
+#include "serving/state_exchange.h"
 #include "serving/usage_windows.h"
 #include "state/metrics.h"
 #include "state/suspect_table.h"
@@ -27,21 +27,13 @@
 namespace lacewinglock
 {
 
-/// Another daemon as described by its last summary.
-struct peer_state
+/// A daemon that is listed in the store, from its row there.
+struct member_entry
 {
-    daemon_summary last;
-    instant lastReceivedAt; ///< Arrival of the last summary.
-    std::int64_t clockDifferenceMs = 0; ///< Wall clock of the peer minus that of this machine, as of the last summary.
-    bool alive = false; ///< False before the first summary and after peerTimeout() without one.
-};
-
-/// Time of the next summary. A large change of load brings it forward.
-struct summary_schedule
-{
-    asio::steady_timer timer;
-    instant lastSent;
-    instant nextDue;
+    std::string address; ///< For the state exchange over UDP and relayed feeds over TCP.
+    std::string callerAddress;
+    std::string failureDomain;
+    double capacity = 1; ///< Relative processor and link capacity.
 };
 
 /// Recent changes of a platform table, and the requests of other daemons that wait for the next one.
@@ -65,12 +57,6 @@
     std::int64_t correctedTimeMs() const;
     /// A random number, uniform in [0, 1).
     double jitter();
-    /// Interval between two summaries when no load update brings the next one forward.
-    duration summaryInterval() const;
-    /// A peer without a summary for this long counts as lost until its next one.
-    duration peerTimeout() const;
-    /// Age of the oldest last summary among the peers that are alive, in milliseconds; 0 without such peers.
-    double peerAgeMs() const;
     std::vector<std::string> memberIds() const;
     /// Number of member daemons, including this one; at least 1.
     std::size_t daemons() const;
@@ -100,13 +86,16 @@
     usage_windows usage;
     std::map<std::string, double> workMs; ///< Moving average of the processing time, by route name.
 
-    std::map<std::string, peer_state, std::less<>> peers; ///< By daemon id.
-    std::map<std::string, std::string, std::less<>> members; ///< Peer address by daemon id, from the member rows in the store.
-    bool unknownSender = false; ///< A daemon outside the members sent a summary; the members are read again.
+    state_exchange exchange;
+    asio::steady_timer exchangeTimer; ///< Expires when the exchange has something to send.
+    instant exchangeDue; ///< Time for which the timer is set.
+    std::map<std::string, daemon_status, std::less<>> peers; ///< The other daemons that are alive, by id.
+    std::map<std::string, member_entry, std::less<>> members; ///< By daemon id, from the member rows in the store.
+    bool unknownSender = false; ///< A daemon outside the members was heard of; the members are read again.
     bool holdsLease = false; ///< This daemon holds the lease of the platform duties.
     std::vector<std::uint64_t> reserved; ///< Hashes of engines whose role this daemon is changing.
-    std::vector<daemon_summary::prefix_block_use> unsentPrefixBlocks; ///< To be sent with the next summary.
-    summary_schedule summarySchedule;
+    std::vector<prefix_use> unsentPrefixUses; ///< To be sent with the next summary.
+    std::map<std::pair<std::uint64_t, std::uint64_t>, instant> announcedPrefixes; ///< Time of the last announcement by block and engine.
     std::array<relayed_table, 2> feeds; ///< Indexed by platform_table.
 
     bool stopping = false;
--- a/src/serving/edge_daemon.cpp
+++ b/src/serving/edge_daemon.cpp
@@ -5,7 +5,7 @@
 #include "serving/feed_relay.h"
 #include "serving/fleet_duty.h"
 #include "serving/lease_runner.h"
-#include "serving/peer_summaries.h"
+#include "serving/peer_exchange.h"
 #include "serving/table_follower.h"
 #include "serving/usage_duty.h"
 #include "transport/boot_clock.h"
@@ -159,8 +159,8 @@
     asio::co_spawn(loop, followEndpoints(m_context), asio::detached);
     asio::co_spawn(loop, maintainMembership(m_context), asio::detached);
     if (m_peers.is_open()) {
-        asio::co_spawn(loop, sendSummaries(m_context, m_peers), asio::detached);
-        asio::co_spawn(loop, receiveSummaries(m_context, m_peers), asio::detached);
+        asio::co_spawn(loop, sendExchange(m_context, m_peers), asio::detached);
+        asio::co_spawn(loop, receiveExchange(m_context, m_peers), asio::detached);
     }
     if (settings.reportsUsage) {
         asio::co_spawn(loop, storeUsage(m_context), asio::detached);
@@ -195,7 +195,6 @@
         co_await reply.send(makeErrorResponse(m_context, http::status::not_found, "not_found", "no such call"));
         co_return;
     }
-    const instant now = bootNow();
     std::vector<daemon_candidate> daemons;
     daemons.push_back({
         .id = m_context.settings.id,
@@ -205,8 +204,8 @@
         .capacity = m_context.settings.capacity,
     });
     for (const auto &[id, peer] : m_context.peers) {
-        if (peer.alive) {
-            daemons.push_back({id, peer.last.callerAddress, peer.last.failureDomain, peer.last.serving, toMs(now - peer.lastReceivedAt), peer.last.capacity});
+        if (const auto member = m_context.members.find(id); member != m_context.members.end()) {
+            daemons.push_back({id, member->second.callerAddress, member->second.failureDomain, peer.serving, member->second.capacity});
         }
     }
     const auto addresses = chooseAddresses(daemons, queryValue(target, wire.callerDomainParameter), maxAddresses);
--- a/src/serving/endpoint_registry.cpp
+++ b/src/serving/endpoint_registry.cpp
@@ -48,13 +48,8 @@
         state = std::make_shared<endpoint_state>();
         state->hash = hash;
         m_byHash[hash] = state;
-        for (const auto &[peer, loads] : m_peerLoads) {
-            for (const auto &[endpoint, load] : loads) {
-                if (endpoint == hash) {
-                    state->peers.running += load.running;
-                    state->peers.promptTokens += load.promptTokens;
-                }
-            }
+        if (const auto load = m_peerLoads.find(hash); load != m_peerLoads.end()) {
+            state->peers = load->second;
         }
     }
     // A draining process never becomes ready again, so a delayed "ready" entry with the same start time is ignored.
@@ -160,33 +155,26 @@
     endpoint.failureRate += failureWeight * (failed - endpoint.failureRate);
 }
 
-void endpoint_registry::addPeerLoad(const std::vector<std::pair<std::uint64_t, endpoint_load>> &loads, int sign)
+void endpoint_registry::setPeerLoad(const load_entry &entry)
 {
-    for (const auto &[hash, load] : loads) {
-        if (const auto endpoint = findByHash(hash)) {
-            endpoint->peers.running = std::max(0, endpoint->peers.running + sign * load.running);
-            endpoint->peers.promptTokens = std::max(0.0, endpoint->peers.promptTokens + sign * load.promptTokens);
-        }
+    if (entry.load == endpoint_load{}) {
+        m_peerLoads.erase(entry.endpoint);
+    } else {
+        m_peerLoads[entry.endpoint] = entry.load;
     }
-}
-
-void endpoint_registry::setPeerLoad(std::string_view peer, std::vector<std::pair<std::uint64_t, endpoint_load>> loads)
-{
-    auto found = m_peerLoads.find(peer);
-    if (found == m_peerLoads.end()) {
-        found = m_peerLoads.emplace(std::string(peer), std::vector<std::pair<std::uint64_t, endpoint_load>>{}).first;
+    if (const auto endpoint = findByHash(entry.endpoint)) {
+        endpoint->peers = entry.load;
     }
-    addPeerLoad(found->second, -1);
-    addPeerLoad(loads, 1);
-    found->second = std::move(loads);
 }
 
-void endpoint_registry::dropPeer(std::string_view peer)
+void endpoint_registry::clearPeerLoads()
 {
-    if (const auto found = m_peerLoads.find(peer); found != m_peerLoads.end()) {
-        addPeerLoad(found->second, -1);
-        m_peerLoads.erase(found);
+    for (const auto &[hash, load] : m_peerLoads) {
+        if (const auto endpoint = findByHash(hash)) {
+            endpoint->peers = {};
+        }
     }
+    m_peerLoads.clear();
 }
 
 load_reservation::load_reservation(endpoint_ptr endpoint, double promptTokens)
--- a/src/serving/endpoint_registry.h
+++ b/src/serving/endpoint_registry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "protocol/configuration.h"
+#include "protocol/exchange_messages.h"
 #include "transport/core_time.h"
 
 #include <cstdint>
@@ -31,13 +32,6 @@
     std::int64_t startedMs = 0; ///< Unix time of the process start. A new value means a new process with an empty cache.
 };
 
-/// Outstanding work at an endpoint.
-struct endpoint_load
-{
-    int running = 0; ///< Requests sent and not yet ended.
-    double promptTokens = 0; ///< Prompt tokens sent whose prefill has not ended.
-};
-
 /// Outcome of one attempt, as far as it concerns the endpoint.
 enum class attempt_result {
     Succeeded,
@@ -54,7 +48,7 @@
     endpoint_entry entry;
     std::uint64_t hash = 0; ///< Hash of the id and the start time; identifies the endpoint in messages between daemons.
     endpoint_load own; ///< Load sent by this daemon.
-    endpoint_load peers; ///< Load sent by the other daemons, according to their last messages.
+    endpoint_load peers; ///< Load sent by the other daemons, as known from the state exchange.
     int consecutiveUnreachable = 0;
     instant downUntil; ///< End of the backoff after a failed connection. No request is sent before.
     double failureRate = 0; ///< Moving average over the attempts that reached the endpoint and were not rejected.
@@ -95,18 +89,17 @@
     /// Updates the failure rate and the connection backoff after an attempt.
     void noteResult(endpoint_state &endpoint, attempt_result result, instant now);
 
-    /// Replaces the load that a peer reported earlier. Loads of endpoints not listed yet are added once they are listed.
-    void setPeerLoad(std::string_view peer, std::vector<std::pair<std::uint64_t, endpoint_load>> loads);
-    /// Removes the load that a lost peer reported.
-    void dropPeer(std::string_view peer);
+    /// Replaces the load that the other daemons have at an endpoint. That of an endpoint not listed yet is used once it is listed.
+    void setPeerLoad(const load_entry &entry);
+    /// Removes the loads of the other daemons.
+    void clearPeerLoads();
 
 private:
-    void addPeerLoad(const std::vector<std::pair<std::uint64_t, endpoint_load>> &loads, int sign);
     void erase(std::map<std::string, endpoint_ptr, std::less<>>::iterator found);
 
     std::map<std::string, endpoint_ptr, std::less<>> m_byId;
     std::unordered_map<std::uint64_t, endpoint_ptr> m_byHash;
-    std::map<std::string, std::vector<std::pair<std::uint64_t, endpoint_load>>, std::less<>> m_peerLoads;
+    std::unordered_map<std::uint64_t, endpoint_load> m_peerLoads; ///< Sums over the other daemons, also for endpoints that are not listed.
 };
 
 /// Counts a request in the load of an endpoint from its dispatch until it ends.
--- a/src/serving/feed_relay.cpp
+++ b/src/serving/feed_relay.cpp
@@ -27,8 +27,8 @@
 {
     std::map<std::string, std::string> out{{context.settings.id, context.settings.failureDomain}};
     for (const auto &[id, peer] : context.peers) {
-        if (peer.alive && context.members.contains(id)) {
-            out[id] = peer.last.failureDomain;
+        if (const auto member = context.members.find(id); member != context.members.end()) {
+            out[id] = member->second.failureDomain;
         }
     }
     return out;
@@ -38,7 +38,7 @@
 {
     const std::string host = absl::StrCat(remote.address().to_string(), ":");
     return std::ranges::any_of(context.members, [&](const auto &member) {
-        return member.second.starts_with(host);
+        return member.second.address.starts_with(host);
     });
 }
 
@@ -97,7 +97,7 @@
 {
     const auto member = context.members.find(relay);
     const auto address
-        = member == context.members.end() ? absl::NotFoundError(absl::StrCat("relay ", relay, " is not a member")) : parseAddress(member->second);
+        = member == context.members.end() ? absl::NotFoundError(absl::StrCat("relay ", relay, " is not a member")) : parseAddress(member->second.address);
     if (!address.ok()) {
         co_return address.status();
     }
--- a/src/serving/lease_runner.cpp
+++ b/src/serving/lease_runner.cpp
@@ -35,7 +35,7 @@
         if (m_context.stopping && !releasing) {
             releasing = true;
             m_keeper.release(now, effects);
-        } else if (!peerHoldsLease(now)) {
+        } else if (!peerHoldsLease()) {
             m_keeper.handle(tick_event{}, now, effects);
         }
         co_await perform(std::move(effects));
@@ -44,11 +44,11 @@
     }
 }
 
-// While the summaries of the holder report that it has the lease, reading the row would give no new information.
-bool lease_runner::peerHoldsLease(instant now) const
+// While the holder reports that it has the lease, reading the row would give no new information.
+bool lease_runner::peerHoldsLease() const
 {
-    return !m_holding && std::ranges::any_of(m_context.peers, [&](const auto &peer) {
-        return peer.second.alive && peer.second.last.holdsLease && now - peer.second.lastReceivedAt < m_context.peerTimeout();
+    return !m_holding && std::ranges::any_of(m_context.peers, [](const auto &peer) {
+        return peer.second.holdsLease;
     });
 }
 
--- a/src/serving/lease_runner.h
+++ b/src/serving/lease_runner.h
@@ -21,7 +21,7 @@
 private:
     task<void> perform(std::vector<control_effect> effects);
     void updateHolding();
-    bool peerHoldsLease(instant now) const;
+    bool peerHoldsLease() const;
 
     edge_context &m_context;
     lease_keeper m_keeper;
--- a/src/serving/service_forward.cpp
+++ b/src/serving/service_forward.cpp
@@ -38,7 +38,7 @@
         .configVersion = request.configuration->version,
         .workMs = toTenth(work == context.workMs.end() ? initialWorkMs : work->second),
         .remainingMs = toTenth(toMs(request.deadline - now)),
-        .peerAgeMs = toTenth(context.peerAgeMs()),
+        .peerAgeMs = toTenth(context.exchange.ageMs(bootNow())),
         .jitter = toTenth(context.jitter()),
     };
     for (const auto &endpoint : endpoints) {
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -1,7 +1,7 @@
 #include "serving/caller_exchange.h"
 
 #include "serving/event_stream.h"
-#include "serving/peer_summaries.h"
+#include "serving/peer_exchange.h"
 #include "serving/placement_log.h"
 #include "transport/boot_clock.h"
 
@@ -90,7 +90,7 @@
         .targetMs = toTenth(toMs(m_route.target)),
         .remainingMs = toTenth(toMs(m_request.deadline - now)),
         .mayDisaggregate = m_prompt && m_prompt->promptTokens > 0 && !m_streaming,
-        .peerAgeMs = toTenth(m_context.peerAgeMs()),
+        .peerAgeMs = toTenth(m_context.exchange.ageMs(bootNow())),
         .jitter = toTenth(m_context.jitter()),
     };
     const auto service = m_request.configuration->services.find(m_request.service);
@@ -492,11 +492,7 @@
         unshared -= block.tokens;
     }
     unshared = std::max(0.0, unshared);
-    m_context.prefixBlocks.noteUnsharedSuffix(engine->hash, unshared);
-    for (const auto &block : shared) {
-        m_context.prefixBlocks.noteUse(block, engine->hash);
-        m_context.unsentPrefixBlocks.push_back({block.id, engine->hash, block.tokens, std::exchange(unshared, 0)});
-    }
+    announcePrefix(m_context, shared, unshared, engine->hash);
 }
 
 task<void> sendFreeKvHandle(edge_context &context, tcp::endpoint address, http_request message)
--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -1,6 +1,7 @@
 #include "serving/table_follower.h"
 
 #include "serving/feed_relay.h"
+#include "serving/peer_exchange.h"
 #include "transport/boot_clock.h"
 
 #include <absl/strings/str_cat.h>
@@ -24,6 +25,30 @@
 constexpr auto memberCheckInterval = std::chrono::milliseconds(500);
 const std::string memberPrefix = "member/";
 
+nlohmann::json encodeMember(const edge_context &context)
+{
+    const auto &settings = context.settings;
+    return {{"address", settings.peerAddress},
+            {"caller_address", settings.callerAddress},
+            {"failure_domain", settings.failureDomain},
+            {"capacity", settings.capacity},
+            {"incarnation", context.incarnation}};
+}
+
+// Returns nullopt for a malformed row.
+std::optional<member_entry> parseMember(std::string_view text)
+{
+    const auto value = nlohmann::json::parse(text, nullptr, false);
+    const auto isText = [&](const char *name) {
+        return value.contains(name) && value[name].is_string();
+    };
+    if (!value.is_object() || !isText("address") || !isText("caller_address") || !isText("failure_domain") || !value.contains("capacity")
+        || !value["capacity"].is_number()) {
+        return std::nullopt;
+    }
+    return member_entry{value["address"], value["caller_address"], value["failure_domain"], value["capacity"]};
+}
+
 /// How long requests for changes wait, derived from the bound within which a change must take effect. Data of a relay is up to two store waits old,
 /// and the request to the relay adds one relay wait. Older data means that the relay lost the store; the store is then queried well within the bound.
 struct feed_bounds
@@ -274,7 +299,7 @@
     bool stored = false;
     while (!context.stopping) {
         if (!stored) {
-            const nlohmann::json value = {{"address", context.settings.peerAddress}, {"incarnation", context.incarnation}};
+            const nlohmann::json value = encodeMember(context);
             transaction change{.writes = {{.key = memberPrefix + context.settings.id, .value = value.dump()}}};
             const auto outcome = co_await context.platform.store.commit(std::move(change));
             context.counters.count(metric_counter::StoreWrites);
@@ -293,18 +318,18 @@
             continue;
         }
         noteStoreSuccess(context, "read_members", failing);
-        std::map<std::string, std::string, std::less<>> members;
+        std::map<std::string, member_entry, std::less<>> members;
         for (const auto &row : *rows) {
-            const auto value = nlohmann::json::parse(row.value, nullptr, false);
-            if (!value.is_object() || !value.contains("address") || !value["address"].is_string()) {
+            auto member = parseMember(row.value);
+            if (!member) {
                 auto line = context.line("member_unreadable");
                 line.add("key", row.key).add("version", row.version);
                 context.log.write(line);
                 continue;
             }
-            members[row.key.substr(memberPrefix.size())] = value["address"].get<std::string>();
+            members[row.key.substr(memberPrefix.size())] = std::move(*member);
         }
-        context.members = std::move(members);
+        updateMembers(context, std::move(members));
         context.unknownSender = false;
         const instant readAt = bootNow();
         while (!context.stopping && !context.unknownSender && bootNow() - readAt < memberReadInterval) {
--- /dev/null
+++ b/tests/state_exchange_test.cpp
@@ -0,0 +1,528 @@
+#include "virtual_exchange.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr double maxLoadAgeMs = 150; // Target for the 95th percentile, at any number of daemons.
+constexpr double maxControlBytesPerSecond = 14000; // Target of each daemon for control traffic, sent and received.
+constexpr auto lossDetectionTime = 1500ms; // The time-out of the exchange, and the way of its result to all daemons.
+
+double percentile(std::vector<double> values, double fraction)
+{
+    std::ranges::sort(values);
+    return values.empty() ? 0 : values[static_cast<std::size_t>(fraction * static_cast<double>(values.size() - 1))];
+}
+
+void giveLoads(virtual_exchange &cell, std::uint64_t endpoints)
+{
+    for (std::size_t i = 0; i < cell.daemons.size(); ++i) {
+        for (std::uint64_t endpoint = 1; endpoint <= endpoints; ++endpoint) {
+            if ((i + endpoint) % 3 != 0) {
+                cell.daemons[i].own[endpoint] = {.running = static_cast<int>(i % 5 + endpoint), .promptTokens = static_cast<double>(100 * i + endpoint)};
+            }
+        }
+    }
+}
+
+/// The first daemon whose knowledge of the others differs from the truth, as text; empty if there is none.
+std::string firstDifference(const virtual_exchange &cell, std::uint64_t endpoints)
+{
+    std::size_t live = 0;
+    for (const auto &daemon : cell.daemons) {
+        live += daemon.alive ? 1 : 0;
+    }
+    for (std::size_t i = 0; i < cell.daemons.size(); ++i) {
+        const auto &daemon = cell.daemons[i];
+        if (!daemon.alive) {
+            continue;
+        }
+        for (std::uint64_t endpoint = 1; endpoint <= endpoints; ++endpoint) {
+            const auto known = cell.knownOthers(i, endpoint);
+            const auto truth = cell.trueOthers(i, endpoint);
+            if (!(known == truth)) {
+                return daemon.id + " knows " + std::to_string(known.running) + " running at " + std::to_string(endpoint) + ", true are "
+                    + std::to_string(truth.running);
+            }
+        }
+        const std::size_t others = daemon.peers.size() - daemon.peers.count(daemon.id);
+        if (others != live - 1) {
+            return daemon.id + " knows " + std::to_string(others) + " daemons, alive are " + std::to_string(live - 1);
+        }
+    }
+    return {};
+}
+
+/// Marks one endpoint per sampled daemon with the time, and collects the age of what the others know of it.
+struct age_probe
+{
+    virtual_exchange &cell;
+    std::vector<std::size_t> marked;
+    std::vector<double> ages{};
+
+    void mark() const
+    {
+        for (const auto index : marked) {
+            cell.daemons[index].own[markEndpoint(index)] = {.running = static_cast<int>(tenths())};
+        }
+    }
+
+    void observe(std::size_t reader)
+    {
+        for (const auto index : marked) {
+            if (const auto known = cell.knownOthers(reader, markEndpoint(index)); index != reader && known.running > 0) {
+                ages.push_back(static_cast<double>(tenths() - known.running) / 10);
+            }
+        }
+    }
+
+    static std::uint64_t markEndpoint(std::size_t index)
+    {
+        return 1000000 + index;
+    }
+
+    std::int64_t tenths() const
+    {
+        return std::chrono::duration_cast<std::chrono::microseconds>(cell.now - instant() - 1h).count() / 100;
+    }
+};
+
+/// Requests of `perSecond` that run 300 ms each at a random one of `engines`, sent by random daemons. Their prefill takes a third of the time.
+void playLoad(virtual_exchange &cell, double perSecond, std::uint64_t engines, duration time)
+{
+    std::mt19937_64 random(7);
+    std::exponential_distribution<double> gap(perSecond);
+    for (double at = gap(random); at < std::chrono::duration<double>(time).count(); at += gap(random)) {
+        const std::size_t sender = random() % cell.daemons.size();
+        const std::uint64_t engine = 1 + random() % engines;
+        const bool isLong = random() % 7 == 0;
+        const double tokens = isLong ? 17000 : 380;
+        const instant begin = cell.now + std::chrono::duration_cast<duration>(std::chrono::duration<double>(at));
+        const auto change = [&cell, sender, engine](int running, double promptTokens) {
+            auto &load = cell.daemons[sender].own[engine];
+            load.running += running;
+            load.promptTokens += promptTokens;
+            if (load == endpoint_load{}) {
+                cell.daemons[sender].own.erase(engine);
+            }
+        };
+        cell.schedule(begin, [&cell, sender, engine, tokens, isLong, change] {
+            change(1, tokens);
+            if (isLong) {
+                cell.daemons[sender].exchange->expedite(cell.now);
+                cell.wake(sender);
+                cell.daemons[sender].unsentUses.push_back({engine * 31, engine, 13300, 3700});
+            }
+        });
+        cell.schedule(begin + 100ms, [change, tokens] {
+            change(0, -tokens);
+        });
+        cell.schedule(begin + 300ms, [change] {
+            change(-1, 0);
+        });
+    }
+}
+
+struct exchange_figures
+{
+    double ageP95 = 0;
+    double leafBytes = 0; ///< Most bytes sent and received per second by a daemon that does not aggregate.
+    double aggregatorBytes = 0; ///< The same of one that does.
+};
+
+exchange_figures measure(std::size_t daemons, std::size_t domains, exchange_intervals intervals = {})
+{
+    virtual_exchange cell(daemons, domains, 1, intervals);
+    age_probe probe{.cell = cell, .marked = {0, 1, daemons / 2, daemons - 1}};
+    cell.run(2s, [&] {
+        probe.mark();
+    });
+    for (auto &daemon : cell.daemons) {
+        daemon.bytesSent = daemon.bytesReceived = 0;
+    }
+    playLoad(cell, 450, 78, 3s);
+    int count = 0;
+    cell.run(3s, [&] {
+        probe.mark();
+        if (++count % 20 == 0) {
+            for (std::size_t reader = 0; reader < daemons; reader += 7) {
+                probe.observe(reader);
+            }
+        }
+    });
+    exchange_figures out{.ageP95 = percentile(probe.ages, 0.95)};
+    for (const auto &daemon : cell.daemons) {
+        auto &largest = daemon.exchange->aggregates(cell.now) ? out.aggregatorBytes : out.leafBytes;
+        largest = std::max(largest, (daemon.bytesSent + daemon.bytesReceived) / 3);
+    }
+    return out;
+}
+
+}
+
+// Guards against fields lost in encoding, and malformed datagrams that crash the daemon.
+TEST(exchange_messages, round_trip_and_reject_garbage)
+{
+    daemon_summary summary{.sender = "d", .sequence = 4, .incarnation = 9, .serving = true, .holdsLease = true, .wallMs = -3};
+    summary.loads = {{11, {3, 250}}};
+    summary.prefixUses = {{21, 11, 512, 7}};
+    summary.suspects = {{"f", 2, 30}};
+    summary.reserved = {5};
+    summary.poll = table_position{1, 2, 3, 4};
+    const auto bytes = encodeExchange(summary);
+    const auto parsed = parseExchange(bytes);
+    ASSERT_TRUE(parsed.ok());
+    const auto &got = std::get<daemon_summary>(*parsed);
+    EXPECT_EQ(got.sender, "d");
+    EXPECT_EQ(got.sequence, 4U);
+    EXPECT_EQ(got.incarnation, 9U);
+    EXPECT_TRUE(got.serving);
+    EXPECT_TRUE(got.holdsLease);
+    EXPECT_EQ(got.wallMs, -3);
+    EXPECT_EQ(got.loads, summary.loads);
+    EXPECT_EQ(got.prefixUses, summary.prefixUses);
+    ASSERT_EQ(got.suspects.size(), 1U);
+    EXPECT_EQ(got.suspects[0].fingerprint, "f");
+    EXPECT_EQ(got.suspects[0].crashes, 2);
+    EXPECT_EQ(got.suspects[0].ageMs, 30);
+    EXPECT_EQ(got.reserved, summary.reserved);
+    EXPECT_EQ(got.poll, summary.poll);
+    exchange_tables tables{.sender = "a", .sequence = 6, .wallMs = 7, .ageMs = 8, .complete = true, .warm = true, .position = {9, 10, 11, 12}};
+    tables.daemons = {{"x", std::nullopt}, {"y", daemon_status{true, true, -44}}};
+    const auto answer = parseExchange(encodeExchange(tables));
+    ASSERT_TRUE(answer.ok());
+    const auto &gotTables = std::get<exchange_tables>(*answer);
+    EXPECT_EQ(gotTables.sequence, 6U);
+    EXPECT_EQ(gotTables.wallMs, 7);
+    EXPECT_EQ(gotTables.ageMs, 8);
+    EXPECT_TRUE(gotTables.complete);
+    EXPECT_TRUE(gotTables.warm);
+    EXPECT_EQ(gotTables.position, tables.position);
+    ASSERT_EQ(gotTables.daemons.size(), 2U);
+    EXPECT_FALSE(gotTables.daemons[0].status);
+    EXPECT_EQ(gotTables.daemons[1].status, tables.daemons[1].status);
+    const auto poll = parseExchange(encodeExchange(domain_poll{"p", {1, 2, 3, 4}}));
+    ASSERT_TRUE(poll.ok());
+    EXPECT_EQ(std::get<domain_poll>(*poll).position, (table_position{1, 2, 3, 4}));
+    EXPECT_FALSE(parseExchange("garbage that is no message").ok());
+    for (std::size_t size = 0; size + 1 < bytes.size(); ++size) {
+        parseExchange(bytes.substr(0, size)).IgnoreError();
+    }
+}
+
+// Guards against a reader that misses a change, or gets an entry that it was told is gone.
+RC_GTEST_PROP(versioned_table, a_reader_holds_what_the_table_holds, ())
+{
+    versioned_table<int, int> table;
+    std::map<int, int> copy;
+    std::uint64_t version = 0;
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange(0, 4)));
+    const auto read = [&](std::size_t limit) {
+        const auto changes = table.since(version, limit);
+        version = changes.version;
+        for (const auto &[key, value] : changes.entries) {
+            copy[key] = value;
+        }
+        std::erase_if(copy, [](const auto &entry) {
+            return entry.second == 0;
+        });
+        return changes.complete;
+    };
+    for (const auto &[key, value] : steps) {
+        table.set(key, value);
+        if (key == 0) {
+            read(2);
+        }
+        if (key == 1) {
+            table.prune(version); // The reader has read up to here.
+        }
+    }
+    while (!read(3)) {
+    }
+    std::map<int, int> held;
+    for (const auto &[key, entry] : table.entries()) {
+        if (entry.value != 0) {
+            held[key] = entry.value;
+        }
+    }
+    RC_ASSERT(copy == held);
+}
+
+// Guards against loads that are lost or counted twice on their way through the aggregators, at the sizes in use.
+TEST(state_exchange, every_daemon_learns_the_loads_of_all_others)
+{
+    for (const auto &[count, domains] : {std::pair<std::size_t, std::size_t>{1, 1}, {2, 1}, {3, 3}, {8, 4}, {9, 3}, {24, 5}, {91, 5}}) {
+        virtual_exchange cell(count, domains);
+        giveLoads(cell, 20);
+        cell.run(2s);
+        EXPECT_EQ(firstDifference(cell, 20), "") << count << " daemons";
+    }
+}
+
+// Guards against loads that are lost or counted twice while aggregators are killed, frozen, restarted, cut one way, slow and datagrams get lost.
+RC_GTEST_PROP(state_exchange, loads_are_exact_again_after_faults, ())
+{
+    const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1000000);
+    std::mt19937_64 random(seed);
+    virtual_exchange cell(12 + random() % 12, 2 + random() % 3, seed);
+    cell.lossRate = 0.05;
+    giveLoads(cell, 6);
+    cell.run(1s);
+    std::set<std::size_t> frozen;
+    for (int step = 0; step < 12; ++step) {
+        // Half of the faults hit the first aggregators of a domain.
+        const auto ranked = cell.ranked("domain-" + std::to_string(random() % 2));
+        const std::size_t victim = random() % 2 == 0 ? ranked[random() % 2] : random() % cell.daemons.size();
+        auto &daemon = cell.daemons[victim];
+        switch (random() % 6) {
+        case 0:
+            cell.kill(victim);
+            break;
+        case 1:
+            if (daemon.alive) {
+                daemon.frozen = true;
+                frozen.insert(victim);
+            }
+            break;
+        case 2:
+            cell.cuts.insert({victim, random() % cell.daemons.size()});
+            break;
+        case 3:
+            daemon.extraDelay = 400ms;
+            break;
+        case 4:
+            if (!daemon.alive) {
+                cell.start(victim);
+                daemon.own[1] = {.running = 1, .promptTokens = 5};
+            }
+            break;
+        default:
+            if (daemon.alive) {
+                daemon.own[1 + random() % 6] = {.running = static_cast<int>(random() % 9), .promptTokens = static_cast<double>(random() % 20000)};
+            }
+        }
+        cell.run(std::chrono::milliseconds(random() % 900));
+    }
+    for (const auto victim : frozen) {
+        if (cell.daemons[victim].alive && cell.daemons[victim].frozen) {
+            cell.thaw(victim);
+        }
+    }
+    cell.cuts.clear();
+    cell.lossRate = 0;
+    for (auto &daemon : cell.daemons) {
+        daemon.extraDelay = duration::zero();
+    }
+    cell.run(4s);
+    RC_ASSERT(firstDifference(cell, 6) == "");
+}
+
+// Guards against daemons that lose the loads of live daemons, or count them twice, in the moment in which they change to another aggregator.
+TEST(state_exchange, a_change_of_aggregator_leaves_the_other_loads_in_place)
+{
+    virtual_exchange cell(20, 2);
+    giveLoads(cell, 5);
+    cell.run(2s);
+    ASSERT_EQ(firstDifference(cell, 5), "");
+    for (const auto &domain : {"domain-0", "domain-1"}) {
+        const std::size_t victim = cell.ranked(domain)[0];
+        const auto ownBefore = cell.daemons[victim].own;
+        cell.kill(victim);
+        std::size_t wrong = 0;
+        cell.run(3s, [&] {
+            for (std::size_t i = 0; i < cell.daemons.size(); ++i) {
+                for (std::uint64_t endpoint = 1; endpoint <= 5 && cell.daemons[i].alive; ++endpoint) {
+                    const auto truth = cell.trueOthers(i, endpoint);
+                    auto withVictim = truth;
+                    if (const auto found = ownBefore.find(endpoint); found != ownBefore.end()) {
+                        withVictim.running += found->second.running;
+                        withVictim.promptTokens += found->second.promptTokens;
+                    }
+                    const auto known = cell.knownOthers(i, endpoint);
+                    wrong += known == truth || known == withVictim ? 0 : 1;
+                }
+            }
+        });
+        EXPECT_EQ(wrong, 0U) << domain;
+        EXPECT_EQ(firstDifference(cell, 5), "") << domain;
+    }
+}
+
+// Guards against callers and requests that are sent to a daemon, or held back for the load of a daemon, that is gone.
+TEST(state_exchange, a_dead_daemon_is_gone_within_its_time_out)
+{
+    virtual_exchange cell(40, 4);
+    giveLoads(cell, 5);
+    cell.run(2s);
+    const std::size_t leaf = cell.ranked("domain-1").back();
+    const std::size_t aggregator = cell.ranked("domain-2").front();
+    cell.kill(leaf);
+    cell.kill(aggregator);
+    cell.run(lossDetectionTime);
+    EXPECT_EQ(firstDifference(cell, 5), "");
+}
+
+// Guards against a daemon that answers with tables from before it was frozen.
+TEST(state_exchange, a_thawed_aggregator_hands_on_no_old_loads)
+{
+    virtual_exchange cell(20, 2);
+    age_probe probe{.cell = cell, .marked = {0, 1, 5, 8}};
+    cell.run(2s, [&] {
+        probe.mark();
+    });
+    const std::size_t victim = cell.ranked("domain-0")[0];
+    std::erase(probe.marked, victim);
+    cell.daemons[victim].frozen = true;
+    cell.run(3s, [&] {
+        probe.mark();
+    });
+    cell.thaw(victim);
+    int count = 0;
+    cell.run(2s, [&] {
+        probe.mark();
+        if (++count > 20 && count % 5 == 0) {
+            for (std::size_t reader = 0; reader < cell.daemons.size(); ++reader) {
+                if (reader != victim) {
+                    probe.observe(reader);
+                }
+            }
+        }
+    });
+    // Silence of the aggregator is noticed after 250 ms; older data than that would come from before the freeze.
+    EXPECT_LT(percentile(probe.ages, 1), 500);
+}
+
+// Guards against daemons that are lost to all others because one aggregator cannot reach them, or they cannot reach it.
+TEST(state_exchange, a_cut_in_one_direction_between_a_daemon_and_an_aggregator_is_bridged)
+{
+    for (const bool towardsAggregator : {true, false}) {
+        virtual_exchange cell(20, 2);
+        giveLoads(cell, 5);
+        cell.run(2s);
+        const auto ranked = cell.ranked("domain-0");
+        cell.cuts.insert(towardsAggregator ? std::pair(ranked[4], ranked[0]) : std::pair(ranked[0], ranked[4]));
+        for (std::size_t i = 0; i < cell.daemons.size(); ++i) {
+            cell.daemons[i].own[3] = {.running = 50, .promptTokens = 0};
+        }
+        cell.run(3s);
+        // The cut daemon itself must know all loads. Others may miss its load only if the first aggregator does not get its summaries.
+        EXPECT_EQ(cell.knownOthers(ranked[4], 3), cell.trueOthers(ranked[4], 3)) << towardsAggregator;
+        if (!towardsAggregator) {
+            EXPECT_EQ(firstDifference(cell, 5), "");
+        }
+    }
+}
+
+// Guards against a wrong time of day that is corrected by the clocks of the wrong daemons.
+TEST(state_exchange, clock_differences_are_known_across_failure_domains)
+{
+    virtual_exchange cell(15, 3);
+    for (std::size_t i = 0; i < cell.daemons.size(); ++i) {
+        cell.daemons[i].clockOffsetMs = static_cast<std::int64_t>(i) * 1000;
+    }
+    cell.run(2s);
+    for (std::size_t reader = 0; reader < cell.daemons.size(); ++reader) {
+        for (std::size_t other = 0; other < cell.daemons.size(); ++other) {
+            if (reader == other) {
+                continue;
+            }
+            const auto found = cell.daemons[reader].peers.find(cell.daemons[other].id);
+            ASSERT_NE(found, cell.daemons[reader].peers.end());
+            const auto difference = found->second.clockDifferenceMs + cell.daemons[reader].exchange->sourceClockDifferenceMs();
+            const auto truth = (static_cast<std::int64_t>(other) - static_cast<std::int64_t>(reader)) * 1000;
+            EXPECT_NEAR(static_cast<double>(difference), static_cast<double>(truth), 60) << reader << " of " << other;
+        }
+    }
+}
+
+// Guards against prefixes that daemons learn of several times, or that those of other failure domains never learn of.
+TEST(state_exchange, a_prefix_use_reaches_every_other_daemon_once)
+{
+    virtual_exchange cell(30, 3);
+    cell.run(2s);
+    cell.daemons[7].unsentUses = {{70, 5, 13300, 3700}};
+    cell.run(1s);
+    for (std::size_t i = 0; i < cell.daemons.size(); ++i) {
+        EXPECT_EQ(cell.daemons[i].uses.size(), i == 7 ? 0U : 1U) << i;
+    }
+}
+
+// Guards against loads that grow older, and traffic of a daemon that grows, with the number of daemons.
+TEST(state_exchange, age_and_traffic_do_not_grow_with_the_daemons)
+{
+    // Fewer daemons leave room for more pushes, so that the age is even smaller there. Without them it must be the same at every size.
+    exchange_intervals withoutPushes;
+    withoutPushes.push = 1h;
+    const auto small = measure(30, 5, withoutPushes);
+    EXPECT_LE(measure(30, 5).ageP95, small.ageP95);
+    for (const std::size_t count : {195, 300}) {
+        const auto large = measure(count, 5);
+        EXPECT_LE(large.ageP95, maxLoadAgeMs) << count;
+        EXPECT_LE(large.ageP95, 1.05 * small.ageP95) << count;
+        EXPECT_LE(large.leafBytes, maxControlBytesPerSecond) << count;
+        RecordProperty("age_p95_ms_" + std::to_string(count), std::to_string(large.ageP95));
+        RecordProperty("leaf_bytes_per_second_" + std::to_string(count), std::to_string(large.leafBytes));
+    }
+    EXPECT_LE(small.ageP95, maxLoadAgeMs);
+}
+
+// Guards against aggregators that need more than the target allows a daemon. Open: see KNOWN-RED.txt.
+TEST(state_exchange, an_aggregator_stays_within_the_control_budget)
+{
+    const auto figures = measure(195, 5);
+    RecordProperty("aggregator_bytes_per_second_195", std::to_string(figures.aggregatorBytes));
+    EXPECT_LE(figures.aggregatorBytes, maxControlBytesPerSecond);
+}
+
+// Guards against daemons that place a long prompt on an engine because they learn too late of the one that another daemon has just placed there.
+TEST(state_exchange, a_long_prefill_is_known_to_a_small_cell_at_once)
+{
+    virtual_exchange cell(9, 3);
+    cell.run(2s);
+    for (std::size_t sender = 0; sender < cell.daemons.size(); ++sender) {
+        cell.daemons[sender].own[sender + 1] = {.running = 1, .promptTokens = 17000};
+        cell.daemons[sender].exchange->expedite(cell.now);
+        cell.wake(sender);
+        cell.run(50ms);
+        for (std::size_t reader = 0; reader < cell.daemons.size(); ++reader) {
+            EXPECT_EQ(cell.knownOthers(reader, sender + 1), cell.trueOthers(reader, sender + 1)) << sender << " to " << reader;
+        }
+        cell.run(200ms);
+    }
+}
+
+// Guards against requests and configurations that wait behind control traffic on a slow link. A summary to every member, as once sent, breaks the bound.
+TEST(state_exchange, a_request_does_not_wait_behind_control_traffic)
+{
+    constexpr std::size_t count = 90;
+    constexpr double maxQueueMs = 10; // A small part of the 120 ms in which the shortest request must be answered.
+    const auto queueTimes = [&](bool toEveryMember) {
+        virtual_exchange cell(count, 5);
+        cell.linkMbps = 10;
+        cell.run(1s);
+        playLoad(cell, 620, 89, 3s);
+        std::vector<double> waits;
+        std::mt19937_64 random(3);
+        int count = 0;
+        cell.run(3s, [&] {
+            auto &sender = cell.daemons[random() % cell.daemons.size()];
+            waits.push_back(std::max(0.0, toMs(sender.uplinkFreeAt - cell.now)));
+            // A round of summaries to all members of one daemon: 94 long prompts a second start and end, each with a round.
+            if (toEveryMember && ++count % 5 == 0) {
+                cell.occupyUplink(cell.daemons[random() % cell.daemons.size()], (cell.daemons.size() - 1) * 400);
+            }
+        });
+        return percentile(waits, 0.99);
+    };
+    EXPECT_LE(queueTimes(false), maxQueueMs);
+    EXPECT_GT(queueTimes(true), maxQueueMs);
+}
+
+}
