Write usage rows by failure domain, split large transactions

Cause: at 195 daemons the rows of an old usage window were deleted in one transaction of 196 entries, which the store refuses (100 entries or 1 MB): the rows stayed for ever and each later scan was longer. Each daemon wrote its final counts with a call of its own, and domains of four or five daemons had no relays.

Change: commitInParts() splits unconditional writes at the store's limits. The frozen row of a window is deleted last, so that windows whose deletion failed, or that another holder left, are found again. Daemons hand their final counts to a relay of their domain, which commits them together, and write them themselves if it fails; final counts do not change, so a repetition is harmless. Relays from four daemons a domain on.

Tests: usage_relay_test.* with an in-memory store that has the limits; failed commits and lost answers included.

--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -43,6 +43,20 @@
     std::set<asio::steady_timer *> waiters; ///< One per waiting request; cancelling the timer wakes the request.
 };
 
+/// Rows that are committed together, and the writers that wait for the outcome.
+struct pending_batch
+{
+    explicit pending_batch(asio::io_context &io)
+        : done(io, asio::steady_timer::time_point::max())
+    {
+    }
+
+    std::vector<row_write> writes;
+    instant due;
+    asio::steady_timer done; ///< Cancelled when the outcome is known.
+    commit_outcome outcome = commit_outcome::Unknown;
+};
+
 /// Creates the platform adapter, which uses the connection pool of this daemon.
 using platform_factory = std::function<platform_port(connection_pool &pool, const edge_settings &settings)>;
 
@@ -97,6 +111,7 @@
     std::vector<prefix_use> unsentPrefixUses; ///< To be sent with the next summary.
     std::map<std::pair<std::uint64_t, std::uint64_t>, instant> announcedPrefixes; ///< Time of the last announcement by block and engine.
     std::array<relayed_table, 2> feeds; ///< Indexed by platform_table.
+    std::shared_ptr<pending_batch> usageBatch; ///< Usage rows of the own failure domain that the next commit will write; null if there are none.
 
     bool stopping = false;
     instant stoppingSince; ///< Set when `stopping` is.
--- a/src/serving/edge_daemon.cpp
+++ b/src/serving/edge_daemon.cpp
@@ -8,6 +8,7 @@
 #include "serving/peer_exchange.h"
 #include "serving/table_follower.h"
 #include "serving/usage_duty.h"
+#include "serving/usage_relay.h"
 #include "transport/boot_clock.h"
 #include "transport/url_query.h"
 
@@ -81,7 +82,7 @@
                     return serveMetrics(request, reply);
                 }))
     , m_feeds(loop, hooks([this](received_request &request, server_reply &reply) {
-                  return serveFeed(m_context, request, reply);
+                  return isUsageWrite(request) ? serveUsageWrite(m_context, request, reply) : serveFeed(m_context, request, reply);
               }))
     , m_peers(loop)
     , m_signals(loop, SIGTERM, SIGHUP, SIGINT)
--- a/src/serving/feed_relay.cpp
+++ b/src/serving/feed_relay.cpp
@@ -17,8 +17,9 @@
 {
 
 constexpr std::size_t relaysPerDomain = 2; // Two, so that the loss of one causes no gap.
-// In a smaller domain, relays would make as many calls to the store as they save, because they must query it more often for the others.
-constexpr std::size_t smallestRelayedDomain = 6;
+// In a smaller domain, the relays would make as many calls to the store as they save: they query it up to twice as often as a daemon that only reads
+// for itself.
+constexpr std::size_t smallestRelayedDomain = 4;
 constexpr auto relayResponseMargin = std::chrono::milliseconds(300); // Time beyond the wait until the relay counts as failed and the store is queried.
 constexpr auto maxRelayWait = std::chrono::seconds(2);
 constexpr const char *feedPath = "/feed";
@@ -34,14 +35,6 @@
     return out;
 }
 
-bool isMemberAddress(const edge_context &context, const tcp::endpoint &remote)
-{
-    const std::string host = absl::StrCat(remote.address().to_string(), ":");
-    return std::ranges::any_of(context.members, [&](const auto &member) {
-        return member.second.address.starts_with(host);
-    });
-}
-
 relayed_feed makeFeed(const edge_context &context, table_changes changes)
 {
     const instant now = bootNow();
@@ -58,6 +51,14 @@
 
 }
 
+bool isMemberAddress(const edge_context &context, const tcp::endpoint &remote)
+{
+    const std::string host = absl::StrCat(remote.address().to_string(), ":");
+    return std::ranges::any_of(context.members, [&](const auto &member) {
+        return member.second.address.starts_with(host);
+    });
+}
+
 std::vector<std::string> chooseRelays(const std::map<std::string, std::string> &domainOf, std::string_view domain)
 {
     std::vector<std::string> candidates;
--- a/src/serving/usage_duty.cpp
+++ b/src/serving/usage_duty.cpp
@@ -1,7 +1,10 @@
 #include "serving/usage_duty.h"
 
+#include "serving/store_batch.h"
+#include "serving/usage_relay.h"
 #include "transport/boot_clock.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 #include <algorithm>
@@ -30,17 +33,25 @@
     return absl::StrFormat("usage/%020d/", window);
 }
 
+constexpr std::string_view frozenPrefix = "window/";
+
 std::string frozenKey(std::int64_t window)
 {
-    return absl::StrFormat("window/%020d", window);
+    return absl::StrFormat("%s%020d", std::string(frozenPrefix), window);
 }
 
 task<void> storeWindow(edge_context &context, usage_windows::change change)
 {
     const std::string key = absl::StrCat(windowPrefix(change.window), context.settings.id, "~", context.incarnation);
-    transaction commit{.writes = {{.key = key, .value = encodeUsage(change.usage)}}};
-    const auto outcome = co_await context.platform.store.commit(std::move(commit));
-    context.counters.count(metric_counter::StoreWrites);
+    row_write write{.key = key, .value = encodeUsage(change.usage)};
+    commit_outcome outcome = commit_outcome::Unknown;
+    if (change.usage.final) {
+        outcome = co_await writeFinalUsage(context, std::move(write));
+    } else {
+        transaction commit{.writes = {std::move(write)}};
+        outcome = co_await context.platform.store.commit(std::move(commit));
+        context.counters.count(metric_counter::StoreWrites);
+    }
     if (outcome == commit_outcome::Committed) {
         context.usage.markStored(change);
     } else {
@@ -115,21 +126,60 @@
     co_return std::nullopt;
 }
 
-task<void> deleteWindow(edge_context &context, std::int64_t window)
+// The frozen row is deleted last: as long as it exists, the window is known to have rows.
+task<bool> deleteWindow(edge_context &context, std::int64_t window)
 {
     const auto rows = co_await context.platform.store.scan(windowPrefix(window));
     if (!rows.ok()) {
-        co_return;
+        co_return false;
     }
-    transaction commit{.writes = {{.key = frozenKey(window), .value = std::nullopt}}};
+    std::vector<row_write> deletions;
     for (const auto &row : *rows) {
-        commit.writes.push_back({.key = row.key, .value = std::nullopt});
-    }
-    if (co_await context.platform.store.commit(std::move(commit)) != commit_outcome::Committed) {
-        context.counters.count(metric_counter::StoreErrors);
+        deletions.push_back({.key = row.key, .value = std::nullopt});
     }
+    deletions.push_back({.key = frozenKey(window), .value = std::nullopt});
+    co_return co_await commitInParts(context, deletions) == commit_outcome::Committed;
 }
 
+/// Windows whose rows are in the store.
+class stored_windows
+{
+public:
+    void add(std::int64_t window)
+    {
+        m_windows.insert(window);
+    }
+
+    /// Deletes the rows of the windows before `window`. Those that cannot be deleted now are deleted with the next call; those that an earlier holder
+    /// of the duty left are found by their frozen rows.
+    task<void> deleteBefore(edge_context &context, std::int64_t window)
+    {
+        if (!m_listed) {
+            const auto frozen = co_await context.platform.store.scan(std::string(frozenPrefix));
+            if (!frozen.ok()) {
+                co_return;
+            }
+            m_listed = true;
+            for (const auto &row : *frozen) {
+                if (std::int64_t found = 0; absl::SimpleAtoi(row.key.substr(frozenPrefix.size()), &found)) {
+                    m_windows.insert(found);
+                }
+            }
+        }
+        while (!m_windows.empty() && *m_windows.begin() < window) {
+            const std::int64_t oldest = *m_windows.begin();
+            if (!co_await deleteWindow(context, oldest)) {
+                co_return;
+            }
+            m_windows.erase(oldest);
+        }
+    }
+
+private:
+    std::set<std::int64_t> m_windows;
+    bool m_listed = false; ///< The windows that other daemons left have been added.
+};
+
 }
 
 task<void> storeUsage(edge_context &context)
@@ -154,6 +204,7 @@
 task<void> reportUsage(edge_context &context, lease_runner &lease)
 {
     std::set<std::int64_t> reported;
+    stored_windows stored;
     while (!context.stopping) {
         co_await sleepFor(reportPollInterval);
         const std::int64_t now = context.correctedTimeMs();
@@ -164,6 +215,7 @@
             const auto authority = lease.authority(leaseMargin);
             if (!authority) {
                 reported.clear();
+                stored = {};
                 break;
             }
             if (reported.contains(window)) {
@@ -174,6 +226,7 @@
             if (!counts) {
                 break;
             }
+            stored.add(window);
             if (counts->empty()) {
                 reported.insert(window);
                 continue;
@@ -188,7 +241,7 @@
             context.log.write(line);
             if (outcome == delivery_outcome::Accepted || outcome == delivery_outcome::Refused) {
                 reported.insert(window);
-                co_await deleteWindow(context, window - retainedWindows);
+                co_await stored.deleteBefore(context, window - retainedWindows + 1);
             } else {
                 break;
             }
--- /dev/null
+++ b/tests/usage_relay_test.cpp
@@ -0,0 +1,253 @@
+#include "edge_fixture.h"
+
+#include "serving/feed_relay.h"
+#include "serving/store_batch.h"
+#include "serving/usage_duty.h"
+#include "serving/usage_relay.h"
+#include "state/table_store.h"
+
+#include <absl/strings/str_format.h>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t storeMaxEntries = 100; // Of one transaction; the store refuses larger ones.
+constexpr std::size_t storeMaxBytes = 1000000;
+
+/// A daemon with an in-memory store that has the limits of the platform's store, and a relay of the same failure domain on loopback.
+class usage_relay_test : public edge_fixture
+{
+protected:
+    usage_relay_test()
+        : relaySettings(named("relay"))
+        , relay(std::make_unique<edge_context>(loop, relaySettings, makePort, lines))
+        , relayServer(loop,
+                      {.handle =
+                           [this](received_request &request, server_reply &reply) {
+                               return serveUsageWrite(*relay, request, reply);
+                           },
+                       .limits =
+                           [] {
+                               return server_limits{};
+                           },
+                       .closing =
+                           [] {
+                               return false;
+                           },
+                       .errorBody =
+                           [](std::string_view reason) {
+                               return std::string(reason);
+                           }})
+    {
+        useStore(*context);
+        useStore(*relay);
+        tcp::acceptor probe(loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        relayAddress = probe.local_endpoint();
+        probe.close();
+        // Whichever other daemon of the domain is the relay, its address leads to the one that listens.
+        relay->members[settings.id] = {.address = "127.0.0.1:1", .failureDomain = "domain-a"};
+        for (int i = 0; i < 12; ++i) {
+            const std::string id = "peer-" + std::to_string(i);
+            context->members[id] = {.address = absl::StrCat("127.0.0.1:", relayAddress.port()), .failureDomain = "domain-a"};
+            context->peers[id] = {.serving = true};
+        }
+        EXPECT_EQ(feedRole(*context).relays.size(), 2U);
+    }
+
+    static edge_settings named(const std::string &id)
+    {
+        edge_settings out;
+        out.id = id;
+        out.failureDomain = "domain-a";
+        out.storeAddress = "127.0.0.1:1";
+        out.ordersAddress = "127.0.0.1:1";
+        return out;
+    }
+
+    void useStore(edge_context &user)
+    {
+        user.platform.store.scan = [this](std::string prefix) -> task<absl::StatusOr<std::vector<row>>> {
+            co_return table.scan(prefix, 100000, "");
+        };
+        user.platform.store.read = [this](std::string key) -> task<absl::StatusOr<std::optional<row>>> {
+            co_return table.read(key);
+        };
+        user.platform.store.commit = [this](transaction change) -> task<commit_outcome> {
+            ++commits;
+            std::size_t bytes = 0;
+            for (const auto &write : change.writes) {
+                bytes += write.key.size() + (write.value ? write.value->size() * 4 / 3 : 0);
+            }
+            const bool tooLarge = change.writes.size() + change.conditions.size() > storeMaxEntries || bytes > storeMaxBytes;
+            if (tooLarge || commits == failingCommit) {
+                co_return tooLarge ? commit_outcome::Unknown : commit_outcome::Unavailable;
+            }
+            const auto outcome = table.commit(change);
+            co_return commits == unansweredCommit ? commit_outcome::Unknown : outcome;
+        };
+    }
+
+    template <typename Result>
+    Result await(task<Result> work, std::chrono::milliseconds limit = 6s)
+    {
+        std::optional<Result> result;
+        asio::co_spawn(
+            loop,
+            [](task<Result> inner, std::optional<Result> &out) -> task<void> {
+                out = co_await std::move(inner);
+            }(std::move(work), result),
+            asio::detached);
+        runUntil(
+            [&] {
+                return result.has_value();
+            },
+            limit);
+        return std::move(*result);
+    }
+
+    std::size_t storedRows(const std::string &prefix) const
+    {
+        return table.scan(prefix, 100000, "")->size();
+    }
+
+    memory_table table;
+    int commits = 0;
+    int failingCommit = 0; ///< Number of the commit that has no effect; 0: none.
+    int unansweredCommit = 0; ///< Number of the commit that takes effect, but whose answer is lost.
+    edge_settings relaySettings;
+    std::unique_ptr<edge_context> relay;
+    http_server relayServer;
+    tcp::endpoint relayAddress;
+};
+
+}
+
+// Guards against transactions that the store refuses because they are too large, and against writes that are lost or doubled in a split.
+TEST_F(usage_relay_test, writes_are_split_at_the_limits_of_the_store)
+{
+    std::vector<row_write> writes;
+    for (int i = 0; i < 257; ++i) {
+        writes.push_back({.key = absl::StrFormat("usage/%04d", i), .value = std::string(20, 'x')});
+    }
+    EXPECT_EQ(await(commitInParts(*context, writes)), commit_outcome::Committed);
+    EXPECT_EQ(commits, 3);
+    EXPECT_EQ(storedRows("usage/"), 257U);
+    std::vector<row_write> large;
+    for (int i = 0; i < 30; ++i) {
+        large.push_back({.key = absl::StrFormat("large/%04d", i), .value = std::string(60000, 'x')});
+    }
+    EXPECT_EQ(await(commitInParts(*context, large)), commit_outcome::Committed);
+    EXPECT_EQ(storedRows("large/"), 30U);
+    // A part fails or its answer is lost: the outcome says so, and a repetition completes the writes.
+    for (int *fault : {&failingCommit, &unansweredCommit}) {
+        *fault = commits + 2;
+        std::vector<row_write> deletions;
+        for (const auto &write : writes) {
+            deletions.push_back({.key = write.key, .value = std::nullopt});
+        }
+        EXPECT_NE(await(commitInParts(*context, deletions)), commit_outcome::Committed);
+        EXPECT_EQ(await(commitInParts(*context, deletions)), commit_outcome::Committed);
+        EXPECT_EQ(storedRows("usage/"), 0U);
+        EXPECT_EQ(await(commitInParts(*context, writes)), commit_outcome::Committed);
+    }
+}
+
+// Guards against calls to the store that grow with the daemons: the usage rows of a failure domain go into one transaction.
+TEST_F(usage_relay_test, a_relay_commits_the_rows_of_its_domain_together)
+{
+    relayServer.listen(relayAddress);
+    int written = 0;
+    for (int i = 0; i < 40; ++i) {
+        asio::co_spawn(
+            loop,
+            [&, i]() -> task<void> {
+                row_write write{.key = absl::StrFormat("usage/1/d-%d", i), .value = "{}"};
+                written += co_await writeFinalUsage(*context, std::move(write)) == commit_outcome::Committed ? 1 : 0;
+            },
+            asio::detached);
+    }
+    EXPECT_TRUE(runUntil(
+        [&] {
+            return written == 40;
+        },
+        5s));
+    EXPECT_EQ(commits, 1);
+    EXPECT_EQ(storedRows("usage/1/"), 40U);
+}
+
+// Guards against usage that is lost because the relay is gone, or because its commit failed.
+TEST_F(usage_relay_test, a_daemon_writes_its_row_itself_if_the_relay_fails)
+{
+    row_write first{.key = "usage/1/a", .value = "{}"};
+    EXPECT_EQ(await(writeFinalUsage(*context, first)), commit_outcome::Committed); // Nothing listens at the relay's address.
+    EXPECT_EQ(storedRows("usage/"), 1U);
+    relayServer.listen(relayAddress);
+    failingCommit = commits + 1;
+    row_write second{.key = "usage/1/b", .value = "{}"};
+    EXPECT_EQ(await(writeFinalUsage(*context, second)), commit_outcome::Committed);
+    EXPECT_EQ(storedRows("usage/"), 2U);
+}
+
+// Guards against rows that a member could write outside the usage counts, and against writes of machines that are no members.
+TEST_F(usage_relay_test, the_relay_writes_usage_rows_of_members_only)
+{
+    relayServer.listen(relayAddress);
+    const auto post = [&](const std::string &body) {
+        http_request request(http::verb::post, "/usage", 11);
+        request.body() = body;
+        request.prepare_payload();
+        const auto answer = await(callServer(context->pool, relayAddress, request, {.deadline = bootNow() + 3s}));
+        return answer.ok() ? answer->result_int() : 0U;
+    };
+    EXPECT_EQ(post(R"({"key":"usage/1/a","value":"{}"})"), 200U);
+    EXPECT_EQ(post(R"({"key":"lease/main/platform","value":"{}"})"), 400U);
+    EXPECT_EQ(post(R"({"key":"usage/1/a"})"), 400U);
+    EXPECT_EQ(post("no json"), 400U);
+    relay->members = {{"daemon-1", {.address = "127.0.0.9:1"}}};
+    EXPECT_EQ(post(R"({"key":"usage/1/b","value":"{}"})"), 403U);
+    EXPECT_EQ(storedRows(""), 1U);
+}
+
+// Guards against rows of old windows that stay in the store for ever, because a daemon wrote more of them than one transaction may delete, because a
+// deletion failed, or because the holder of the duty changed.
+TEST_F(usage_relay_test, rows_of_old_windows_are_deleted)
+{
+    settings.usageWindow = 5s;
+    const std::int64_t current = wallMs() / 5000;
+    for (const std::int64_t age : {60, 30, 20}) {
+        transaction frozen{.writes = {{.key = absl::StrFormat("window/%020d", current - age), .value = "{}"}}};
+        table.commit(frozen);
+        for (int i = 0; i < 195; ++i) {
+            transaction usage{.writes = {{.key = absl::StrFormat("usage/%020d/d-%03d", current - age, i), .value = R"({"counts":{},"final":true})"}}};
+            table.commit(usage);
+        }
+    }
+    failingCommit = 12; // One of the deletions, after the lease has been won.
+    context->platform.orders.reportUsage = [](order_authority, std::int64_t, usage_counts) -> task<delivery_outcome> {
+        co_return delivery_outcome::Accepted;
+    };
+    context->members = {{settings.id, {.address = "127.0.0.1:1", .failureDomain = "domain-a"}}};
+    context->peers.clear();
+    for (std::int64_t window = current - 2; window <= current + 8; ++window) {
+        context->usage.countRequest("o", context->usage.windowEndMs(window) - 1);
+    }
+    lease_runner lease(*context, "platform");
+    asio::co_spawn(loop, lease.run(), asio::detached);
+    asio::co_spawn(loop, storeUsage(*context), asio::detached);
+    asio::co_spawn(loop, reportUsage(*context, lease), asio::detached);
+    EXPECT_TRUE(runUntil(
+        [&] {
+            return table.scan(absl::StrFormat("usage/%020d", current - 60), 1000, "")->empty()
+                && table.scan(absl::StrFormat("usage/%020d", current - 30), 1000, "")->empty()
+                && table.scan(absl::StrFormat("usage/%020d", current - 20), 1000, "")->empty()
+                && !table.read(absl::StrFormat("window/%020d", current - 20))->has_value();
+        },
+        40s));
+}
+
+}
