Plan prefills in time linear in the engines

Cause: planPrefill() compared each engine with every other as a source of cached prefix blocks, for each request.

Change: fetch times depend only on the length of the cached prefix and the failure domain, and prefixes end at block boundaries, so one engine of each kind is compared.

--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
+#include <span>
 
 namespace lacewinglock
 {
@@ -60,8 +61,26 @@
     double costMs = 0; ///< For comparison with other engines, with penalties.
 };
 
+// The engines to compare as sources of cached prefix blocks, by index. Fetch times depend only on the length of the cached prefix and the failure
+// domain, so one engine of each kind is enough. Prefixes end at block boundaries, so there are few kinds, whatever the number of engines.
+std::vector<int> kvSources(const generation_input &input)
+{
+    std::vector<int> sources;
+    for (std::size_t i = 0; i < input.engines.size(); ++i) {
+        const auto &candidate = input.engines[i];
+        const bool known = std::ranges::any_of(sources, [&](int source) {
+            const auto &other = input.engines[static_cast<std::size_t>(source)];
+            return other.cachedTokens == candidate.cachedTokens && other.local == candidate.local;
+        });
+        if (!candidate.excluded && candidate.cachedTokens > 0 && !known) {
+            sources.push_back(static_cast<int>(i));
+        }
+    }
+    return sources;
+}
+
 // The cheapest way to prefill the prompt on one engine: with its own cached prefix or with a longer one fetched from another engine.
-prefill_plan planPrefill(const generation_input &input, const engine_model &model, int index)
+prefill_plan planPrefill(const generation_input &input, const engine_model &model, std::span<const int> sources, int index)
 {
     const auto &engine = input.engines[static_cast<std::size_t>(index)];
     const double queue = queueMs(model, engine);
@@ -70,16 +89,16 @@
     };
     prefill_plan best{
         .engine = index, .queueMs = queue, .doneMs = queue + workFor(engine.cachedTokens) + model.firstTokenOverheadMs, .workMs = workFor(engine.cachedTokens)};
-    for (std::size_t other = 0; other < input.engines.size(); ++other) {
-        const auto &holder = input.engines[other];
-        if (static_cast<int>(other) == index || holder.excluded || holder.cachedTokens <= engine.cachedTokens) {
+    for (const int source : sources) {
+        const auto &holder = input.engines[static_cast<std::size_t>(source)];
+        if (holder.cachedTokens <= engine.cachedTokens) {
             continue;
         }
         const double fetch = transferMs(input, model, holder.cachedTokens - engine.cachedTokens, holder.local == engine.local);
         const double work = workFor(holder.cachedTokens);
         const double done = std::max(queue, fetch) + work + model.firstTokenOverheadMs;
         if (done < best.doneMs) {
-            best.kvSourceIndex = static_cast<int>(other);
+            best.kvSourceIndex = source;
             best.doneMs = done;
             best.workMs = work;
         }
@@ -125,6 +144,7 @@
 // engine. Step 3: run the request on the cheapest path, or refuse it if it would start too late.
 generation_result placeGeneration(const generation_input &input, const engine_model &model)
 {
+    const auto sources = kvSources(input);
     std::optional<prefill_plan> disaggregated;
     generation_result best;
     double bestCost = 0;
@@ -140,7 +160,7 @@
         }
         shortestQueueMs = std::min(shortestQueueMs, queueMs(model, engine));
         if (engine.role == endpoint_role::Prefill && input.mayDisaggregate) {
-            if (const auto plan = planPrefill(input, model, static_cast<int>(i)); !disaggregated || plan.costMs < disaggregated->costMs) {
+            if (const auto plan = planPrefill(input, model, sources, static_cast<int>(i)); !disaggregated || plan.costMs < disaggregated->costMs) {
                 disaggregated = plan;
             }
         }
@@ -163,7 +183,7 @@
             continue;
         }
         const int index = static_cast<int>(i);
-        const auto combined = planPrefill(input, model, index);
+        const auto combined = planPrefill(input, model, sources, index);
         const bool delaysOthers = anyPrefillEngine && combined.queueMs + combined.workMs > mixedPrefillFraction * input.targetMs;
         if (!delaysOthers) {
             consider(combined.costMs, combined, -1, index, combined.doneMs);
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -56,6 +56,27 @@
     EXPECT_LT(outcome.sharedTokensRecomputed, baseline.sharedTokensRecomputed / 4);
 }
 
+// Guards against a cached prefix that is not found because another engine with a shorter one, or with the same one further away, was compared first.
+TEST(place_generation, fetches_the_best_cached_prefix)
+{
+    auto input = twoEngines();
+    for (int i = 0; i < 4; ++i) {
+        input.engines.push_back({.id = "far-" + std::to_string(i), .role = endpoint_role::Prefill, .running = 64, .slots = 64, .cachedTokens = 13000});
+        input.engines.push_back(
+            {.id = "short-" + std::to_string(i), .role = endpoint_role::Prefill, .local = true, .running = 64, .slots = 64, .cachedTokens = 500});
+    }
+    const auto far = placeGeneration(input, model);
+    ASSERT_GE(far.kvSourceIndex, 0);
+    EXPECT_EQ(input.engines[static_cast<std::size_t>(far.kvSourceIndex)].id, "far-0");
+    input.engines.push_back({.id = "near", .role = endpoint_role::Prefill, .local = true, .running = 64, .slots = 64, .cachedTokens = 13000});
+    const auto near = placeGeneration(input, model);
+    ASSERT_GE(near.kvSourceIndex, 0);
+    EXPECT_EQ(input.engines[static_cast<std::size_t>(near.kvSourceIndex)].id, "near");
+    EXPECT_LT(near.firstEventMs, far.firstEventMs);
+    input.engines.back().excluded = true;
+    EXPECT_EQ(placeGeneration(input, model).kvSourceIndex, far.kvSourceIndex);
+}
+
 // Guards against queues that grow without bound when the fleet is too small: excess requests must be refused, so that accepted ones run on time.
 TEST(place_generation, refuses_excess_load_of_a_small_fleet)
 {
