Send each prefix use to a reader once

Cause: a push and the answer to the poll that crossed it both listed the prefix uses after the position of that poll. Loads may be applied twice, but the tokens of a prefix use are added up, so caches seemed fuller than they are.

Change: an aggregator remembers what it sent to each reader. A lost datagram loses its uses, as in the mesh before. Test: state_exchange.pushes_repeat_no_prefix_use.

--- a/src/serving/state_exchange.cpp
+++ b/src/serving/state_exchange.cpp
@@ -265,7 +265,9 @@
         return {};
     }
     auto &poller = m_pollers[summary.sender];
-    poller = {.ofAllDomains = true, .position = *summary.poll, .polledAt = now};
+    poller.ofAllDomains = true;
+    poller.position = *summary.poll;
+    poller.polledAt = now;
     return {answer(summary.sender, poller, now, wallMs)};
 }
 
@@ -276,7 +278,8 @@
     }
     m_lastPolled = now;
     auto &poller = m_pollers[poll.sender];
-    poller = {.position = poll.position, .polledAt = now};
+    poller.position = poll.position;
+    poller.polledAt = now;
     return {answer(poll.sender, poller, now, wallMs)};
 }
 
@@ -421,8 +424,11 @@
 {
     poller.answeredAt = now;
     poller.pushDue.reset();
-    return {reader,
-            poller.ofAllDomains ? makeTables(m_allTables, poller.position, reader, now, wallMs) : makeTables(m_domainTables, poller.position, {}, now, wallMs)};
+    poller.position.prefixUses = std::max(poller.position.prefixUses, poller.sentUses);
+    auto tables
+        = poller.ofAllDomains ? makeTables(m_allTables, poller.position, reader, now, wallMs) : makeTables(m_domainTables, poller.position, {}, now, wallMs);
+    poller.sentUses = tables.position.prefixUses;
+    return {reader, std::move(tables)};
 }
 
 // Placement of a long prompt depends on the other long prompts of the last milliseconds, so their start and end are not held until the next poll.
--- a/src/serving/state_exchange.h
+++ b/src/serving/state_exchange.h
@@ -132,6 +132,7 @@
     {
         bool ofAllDomains = false;
         table_position position; ///< Of its last poll.
+        std::uint64_t sentUses = 0; ///< Prefix uses up to this one were sent; unlike loads, they must not be applied twice.
         instant polledAt;
         instant answeredAt;
         std::optional<instant> pushDue; ///< Set after a large change, until an answer.
--- a/tests/state_exchange_test.cpp
+++ b/tests/state_exchange_test.cpp
@@ -454,6 +454,27 @@
     }
 }
 
+// Guards against prefixes that are counted several times because large changes of load are pushed between the polls.
+TEST(state_exchange, pushes_repeat_no_prefix_use)
+{
+    virtual_exchange cell(9, 3);
+    cell.run(2s);
+    std::size_t announced = 0;
+    for (int round = 0; round < 60; ++round) {
+        const std::size_t sender = static_cast<std::size_t>(round) % 2;
+        cell.daemons[sender].own[1] = {.running = 1, .promptTokens = round % 4 < 2 ? 17000.0 : 0.0};
+        cell.daemons[sender].unsentUses = {{static_cast<std::uint64_t>(round), 5, 13300, 3700}};
+        cell.daemons[sender].exchange->expedite(cell.now);
+        cell.wake(sender);
+        cell.run(20ms);
+        announced += 1;
+    }
+    cell.run(1s);
+    for (std::size_t i = 2; i < cell.daemons.size(); ++i) {
+        EXPECT_EQ(cell.daemons[i].uses.size(), announced) << i;
+    }
+}
+
 // Guards against loads that grow older, and traffic of a daemon that grows, with the number of daemons.
 TEST(state_exchange, age_and_traffic_do_not_grow_with_the_daemons)
 {
