--- a/src/serving/edge_context.cpp
+++ b/src/serving/edge_context.cpp
@@ -37,6 +37,7 @@
 std::int64_t edge_context::correctedTimeMs() const
 {
     std::vector<std::int64_t> differences;
+    differences.reserve(peers.size());
     for (const auto &[id, peer] : peers) {
         differences.push_back(peer.clockDifferenceMs + exchange.sourceClockDifferenceMs());
     }
