--- a/tests/usage_relay_test.cpp
+++ b/tests/usage_relay_test.cpp
@@ -131,6 +131,7 @@
 TEST_F(usage_relay_test, writes_are_split_at_the_limits_of_the_store)
 {
     std::vector<row_write> writes;
+    writes.reserve(257);
     for (int i = 0; i < 257; ++i) {
         writes.push_back({.key = absl::StrFormat("usage/%04d", i), .value = std::string(20, 'x')});
     }
@@ -138,6 +139,7 @@
     EXPECT_EQ(commits, 3);
     EXPECT_EQ(storedRows("usage/"), 257U);
     std::vector<row_write> large;
+    large.reserve(30);
     for (int i = 0; i < 30; ++i) {
         large.push_back({.key = absl::StrFormat("large/%04d", i), .value = std::string(60000, 'x')});
     }
@@ -147,6 +149,7 @@
     for (int *fault : {&failingCommit, &unansweredCommit}) {
         *fault = commits + 2;
         std::vector<row_write> deletions;
+        deletions.reserve(writes.size());
         for (const auto &write : writes) {
             deletions.push_back({.key = write.key, .value = std::nullopt});
         }
