--- a/tests/state_exchange_test.cpp
+++ b/tests/state_exchange_test.cpp
@@ -217,6 +217,18 @@
     }
 }
 
+// Guards against a delayed summary or answer that replaces a newer one, also one of the process before.
+TEST(message_order, ignores_late_and_repeated_messages)
+{
+    message_order order;
+    EXPECT_TRUE(order.accept(1, 2));
+    EXPECT_FALSE(order.accept(1, 1));
+    EXPECT_FALSE(order.accept(1, 2));
+    EXPECT_TRUE(order.accept(2, 1)); // The sender restarted.
+    EXPECT_FALSE(order.accept(1, 9));
+    EXPECT_TRUE(order.accept(2, 2));
+}
+
 // Guards against a reader that misses a change, or gets an entry that it was told is gone.
 RC_GTEST_PROP(versioned_table, a_reader_holds_what_the_table_holds, ())
 {
