Limit bytes that are no answer and that never end

The limits of the parser cover headers and bodies, not chunk headers and trailers, and the buffer before it had none; interim responses and responses to other requests were read without limit; an incomplete event was kept whatever its size. Besides, connections of orders, engine reports and freed handles, whose answers bear no request id, were used again for requests: a late second copy of such an answer would have failed the next request.

Ruled out: endless status lines, header lines and fields, bytes behind an answer, and a stream that trickles: those held before.

Change: 96 KB of unparsed bytes, 1 MB and three responses that are not the awaited one, 1 MB an event; the connection is closed at once and the caller gets 502 (a calling client 400 or 431). Connections of calls without a request id are not pooled.

--- a/src/serving/event_stream.cpp
+++ b/src/serving/event_stream.cpp
@@ -73,9 +73,9 @@
     return stream_event{event, findId(event)};
 }
 
-bool event_splitter::hasPartialEvent() const
+std::size_t event_splitter::partialBytes() const
 {
-    return m_begin < m_buffer.size();
+    return m_buffer.size() - m_begin;
 }
 
 }
--- a/src/serving/event_stream.h
+++ b/src/serving/event_stream.h
@@ -23,8 +23,8 @@
     void feed(std::string_view bytes);
     /// Returns the next complete event, or nullopt when more bytes are needed.
     std::optional<stream_event> next();
-    /// True when the buffer holds bytes of an incomplete event.
-    bool hasPartialEvent() const;
+    /// Number of bytes of an incomplete event in the buffer.
+    std::size_t partialBytes() const;
 
 private:
     std::string m_buffer;
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -16,6 +16,7 @@
 {
 
 constexpr int maxUnreachableEngines = 4; // Unreachable engines and failed prefills that one request tolerates.
+constexpr std::size_t maxEventBytes = 1U << 20U; // An event is passed on when it is complete.
 constexpr std::size_t maxErrorBytes = 1U << 20U; // Limit of a response body that is not a stream.
 constexpr auto prefillTimeoutMargin = std::chrono::milliseconds(400); // Added to the scaled prediction before a prefill counts as timed out.
 constexpr double prefillTimeoutFactor = 3; // Predictions can be too low by this factor when several daemons send at the same time.
@@ -405,6 +406,10 @@
                 m_lastEventId = event->id;
             }
         }
+        if (events.partialBytes() > maxEventBytes) {
+            exchange.cancel();
+            state = exchange_state::Malformed;
+        }
         if (!ready.empty()) {
             if (first) {
                 first = false;
@@ -433,7 +438,7 @@
         }
     }
     const instant now = bootNow();
-    if (state == exchange_state::Complete && !events.hasPartialEvent() && m_streaming) {
+    if (state == exchange_state::Complete && events.partialBytes() == 0 && m_streaming) {
         m_context.endpoints.noteResult(*engine, attempt_result::Succeeded, now);
         m_context.suspects.recordSuccess(m_request.fingerprint, now);
         m_outcome.reason = "answered";
@@ -497,7 +502,8 @@
 
 task<void> sendFreeKvHandle(edge_context &context, tcp::endpoint address, http_request message)
 {
-    const auto answer = co_await callServer(context.pool, address, std::move(message), {.deadline = bootNow() + freeHandleTimeout});
+    const exchange_options options{.deadline = bootNow() + freeHandleTimeout, .reuseConnection = false, .keepConnection = false};
+    const auto answer = co_await callServer(context.pool, address, std::move(message), options);
     if (!answer.ok()) {
         auto line = context.line("handle_not_freed");
         line.add("error", answer.status().ToString());
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -17,10 +17,13 @@
 constexpr std::size_t maxHeadBytes = 32U << 10U; // Response headers of servers have a few hundred bytes.
 constexpr std::uint64_t maxBodyBytes = std::uint64_t{1}
     << 40U; // Stands for no limit, because that option fails in Boost.Beast 1.74. Callers limit bodies themselves.
+// Of received bytes that the parser has not consumed. It waits for a whole header, chunk header or trailer.
+constexpr std::size_t maxBufferedBytes = maxHeadBytes + (64U << 10U);
+constexpr std::size_t maxForeignBytes = 1U << 20U; // Of responses to other requests, which are read and dropped.
 constexpr std::size_t inlineWriteBytes = 8U << 10U; // Fits into the socket buffer. Longer bodies are written concurrently with reading the response.
 constexpr std::size_t maxControlResponseBytes = 16U << 20U; // Above the size of the largest page of the table service or of a list.
 constexpr std::size_t maxIdlePerServer = 64;
-constexpr int maxSkippedResponses = 3; // More responses to other requests than this mean that the connection can not be used.
+constexpr int maxSkippedResponses = 3; // More interim responses and responses to other requests than this mean that the connection can not be used.
 constexpr auto defaultIdleLimit = std::chrono::seconds(2); // For servers that send no keep-alive timeout.
 
 std::uint64_t poolKey(const tcp::endpoint &server)
@@ -52,6 +55,12 @@
 
 }
 
+client_connection::client_connection(asio::io_context &loop)
+    : socket(loop)
+    , buffer(maxBufferedBytes)
+{
+}
+
 std::string_view toText(exchange_state state)
 {
     constexpr std::array<std::string_view, 7> names{"going", "whole", "not_sent", "lost", "malformed", "timed_out", "cancelled"};
@@ -268,6 +277,7 @@
 
 task<exchange_state> client_exchange::readHead(bool skipBody)
 {
+    std::size_t foreignBytes = 0;
     for (int skipped = 0; skipped <= maxSkippedResponses;) {
         m_parser.emplace();
         m_parser->header_limit(maxHeadBytes);
@@ -280,6 +290,7 @@
             co_return failure(error);
         }
         if (m_parser->get().result_int() < 200) {
+            ++skipped;
             continue;
         }
         if (!isForeignResponse()) {
@@ -291,14 +302,19 @@
             co_return exchange_state::InProgress;
         }
         std::string foreign;
-        while (!m_parser->is_done()) {
+        while (!m_parser->is_done() && foreignBytes <= maxForeignBytes) {
             if (const auto state = co_await readSome(foreign); state != exchange_state::InProgress && state != exchange_state::Complete) {
                 co_return state;
             }
+            foreignBytes += foreign.size();
             foreign.clear();
         }
+        if (foreignBytes > maxForeignBytes) {
+            break;
+        }
         ++skipped;
     }
+    cancel();
     m_done = true;
     co_return exchange_state::Malformed;
 }
@@ -360,7 +376,8 @@
     }
     m_done = true;
     m_timer.cancel();
-    const bool reusable = m_requestWritten && !m_bodyEndsAtClose && m_parser->keep_alive() && m_connection->buffer.size() == 0 && !m_cancelled;
+    const bool reusable
+        = m_options.keepConnection && m_requestWritten && !m_bodyEndsAtClose && m_parser->keep_alive() && m_connection->buffer.size() == 0 && !m_cancelled;
     if (!reusable) {
         boost::system::error_code ignored;
         m_connection->socket.close(ignored);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -30,10 +30,7 @@
 /// Persistent connection to a server.
 struct client_connection
 {
-    explicit client_connection(asio::io_context &loop)
-        : socket(loop)
-    {
-    }
+    explicit client_connection(asio::io_context &loop);
 
     tcp::socket socket;
     beast::flat_buffer buffer;
@@ -81,6 +78,9 @@
     instant deadline; ///< Time at which the exchange ends as TimedOut.
     duration connectTimeout = std::chrono::milliseconds(400); ///< For the TCP handshake. It is below the second after which TCP repeats a lost first packet.
     bool reuseConnection = true; ///< Allows an idle pooled connection, which the server may close just as the request is sent.
+    /// Allows the connection to be pooled afterwards. False for calls whose response bears no request ID: a late second copy of it could not be told from
+    /// the response to the next request.
+    bool keepConnection = true;
     duration minIdleTimeLeft = std::chrono::milliseconds(500); ///< Pooled connections that the server closes sooner are not used.
     /// Resets the connection when the exchange times out or is cancelled, so that bytes still in the send buffer do not arrive later.
     bool resetWhenAbandoned = false;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -16,6 +16,7 @@
 constexpr auto writeTimeout = std::chrono::seconds(10); // A client that does not accept a write within this time is treated as disconnected.
 constexpr auto lingerTimeout
     = std::chrono::milliseconds(500); // Gives the client time to read an error response. Closing at once with unread input would reset the connection.
+constexpr std::size_t maxReadBytes = 64U << 10U; // Received and not yet parsed, beyond a whole header.
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50); // After a failed accept, for example when the process has no file descriptors left.
 
 std::string headText(const http::response_header<> &head)
@@ -241,6 +242,7 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     parser.body_limit(limits.bodyBytes);
+    client.buffer.max_size(limits.headerBytes + maxReadBytes);
     boost::system::error_code error;
     client.idle = client.buffer.size() == 0;
     client.startTimeout(limits.idleTimeout);
--- a/tests/serving_state_test.cpp
+++ b/tests/serving_state_test.cpp
@@ -274,12 +274,12 @@
     EXPECT_EQ(first->id, 1U);
     EXPECT_EQ(first->bytes, "id: 1\ndata: a\n\n");
     EXPECT_FALSE(splitter.next());
-    EXPECT_TRUE(splitter.hasPartialEvent());
+    EXPECT_EQ(splitter.partialBytes(), 8U);
     splitter.feed("ta: b\r\n\r\n");
     const auto second = splitter.next();
     ASSERT_TRUE(second);
     EXPECT_EQ(second->id, 2U);
-    EXPECT_FALSE(splitter.hasPartialEvent());
+    EXPECT_EQ(splitter.partialBytes(), 0U);
 }
 
 // Guards against events without an id that are dropped or given an id.
