--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -228,6 +228,20 @@
     EXPECT_EQ(answer->version, 8U);
 }
 
+// Guards against a page that is read again for ever because the store announces more rows and gives none, or the same ones.
+TEST_F(platform_store_test, ends_when_a_page_gets_no_further)
+{
+    std::string page = R"({"ver":9,"now-ms":1,"has-more":true,"rows":[]})";
+    storeScript = [&page](const http_request &request, int number) {
+        EXPECT_LT(number, 10);
+        return scripted_answer{.bytes = wholeAnswer(request, 200, page), .close = number >= 10};
+    };
+    EXPECT_EQ(await(context->platform.store.readAll(platform_table::Endpoints)).status().code(), absl::StatusCode::kDataLoss);
+    page = R"({"ver":9,"now-ms":1,"has-more":true,"rows":[{"table":"servers","part":"","key":"a","value":"e30=","ver":3}]})";
+    EXPECT_EQ(await(context->platform.store.readAll(platform_table::Endpoints)).status().code(), absl::StatusCode::kDataLoss);
+    EXPECT_EQ(await(context->platform.store.scan("member/")).status().code(), absl::StatusCode::kDataLoss);
+}
+
 // Guards against feed calls that wait so long that a daemon considers its API keys stale although the store answers.
 TEST_F(platform_store_test, keeps_keys_fresh_between_feed_calls)
 {
