Report a success of a suspect request for a short time only

Cause: found in reading the change. The age of a report lacks its time on the way, so two daemons told each other the same success for ever, each time as a newer one, and its place among the eight reports of a message was never free. Besides, crashes older than the refusal time counted again with a new one.

Change: only a success that voids a crash is a change; old crashes are dropped. order_permits::stop, which only tests called, is removed with its two assertions in them: lease_runner_test checks that a daemon that stops gives no orders.

Before: suspect_requests.a_success_is_reported_for_a_short_time and .forgets_crashes_after_the_refusal_time fail. After: they pass.

--- a/src/coordination/order_permits.cpp
+++ b/src/coordination/order_permits.cpp
@@ -13,9 +13,6 @@
 
 std::optional<lease_grant> order_permits::permit(const lease_keeper &keeper, instant now)
 {
-    if (m_stopped) {
-        return std::nullopt;
-    }
     const auto grant = valid(keeper, now);
     if (grant) {
         m_lastPermitted = now;
@@ -23,11 +20,6 @@
     return grant;
 }
 
-void order_permits::stop()
-{
-    m_stopped = true;
-}
-
 bool order_permits::settled(instant now) const
 {
     return !m_lastPermitted || now - *m_lastPermitted >= tunables::orderCallLimit;
--- a/src/coordination/order_permits.h
+++ b/src/coordination/order_permits.h
@@ -18,14 +18,11 @@
     static std::optional<lease_grant> valid(const lease_keeper &keeper, instant now);
     /// Permits one order. The caller sends it at once and gives it up after tunables::orderCallLimit.
     std::optional<lease_grant> permit(const lease_keeper &keeper, instant now);
-    /// Permits no more orders.
-    void stop();
     /// Whether all permitted orders have been answered or given up.
     bool settled(instant now) const;
 
 private:
     std::optional<instant> m_lastPermitted;
-    bool m_stopped = false;
 };
 
 }
--- a/src/serving/suspect_requests.cpp
+++ b/src/serving/suspect_requests.cpp
@@ -49,6 +49,9 @@
 void suspect_requests::recordCrash(std::string_view fingerprint, std::uint64_t process, instant now)
 {
     auto &known = find(fingerprint, now);
+    if (now - known.lastCrash > tunables::suspectRefusalTime) {
+        known.crashed.clear();
+    }
     if (std::ranges::find(known.crashed, process) != known.crashed.end()) {
         return;
     }
@@ -65,8 +68,13 @@
     if (found == m_entries.end()) {
         return;
     }
-    auto &known = found->second;
-    known.clearedAt = now;
+    setSuccess(found->second, now, now);
+}
+
+// Only what voids a crash is a change to report: the age of a report lacks the time on the way, so its time of success is always a little newer.
+void suspect_requests::setSuccess(entry &known, instant at, instant now)
+{
+    known.clearedAt = at;
     if (!known.crashed.empty()) {
         known.crashed.clear();
         known.changedAt = now;
@@ -79,9 +87,7 @@
     auto &known = find(report.fingerprint, now);
     if (report.crashed.empty()) {
         if (at > known.lastCrash && at > known.clearedAt) {
-            known.clearedAt = at;
-            known.crashed.clear();
-            known.changedAt = now;
+            setSuccess(known, at, now);
         }
         return;
     }
--- a/src/serving/suspect_requests.h
+++ b/src/serving/suspect_requests.h
@@ -45,6 +45,7 @@
         instant triedAt; ///< Start of the last trial.
     };
 
+    static void setSuccess(entry &known, instant at, instant now);
     entry &find(std::string_view fingerprint, instant now);
     void prune(instant now);
 
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -129,7 +129,6 @@
     std::string m_responseId;
     bool m_timedOut = false;
     bool m_cancelled = false;
-    bool m_connecting = false;
     bool m_requestWritten = false;
     bool m_bodyEndsAtClose = false;
     bool m_done = false;
--- a/tests/order_permits_test.cpp
+++ b/tests/order_permits_test.cpp
@@ -349,8 +349,6 @@
     }
     EXPECT_TRUE(permits.settled(at(3)));
     ASSERT_TRUE(permits.permit(keeper, at(3)));
-    permits.stop();
-    EXPECT_FALSE(permits.permit(keeper, at(3.1)));
     EXPECT_FALSE(permits.settled(at(4.4)));
     EXPECT_TRUE(permits.settled(at(4.5)));
 }
--- a/tests/suspect_requests_test.cpp
+++ b/tests/suspect_requests_test.cpp
@@ -90,6 +90,38 @@
     EXPECT_EQ(reported.size(), 101U);
 }
 
+// Guards against daemons that report a success to each other for ever, each time as a newer one, and so leave no room for other reports.
+TEST(suspect_requests, a_success_is_reported_for_a_short_time)
+{
+    suspect_requests first;
+    suspect_requests second;
+    first.recordCrash("r", 1, start);
+    second.merge({"r", {1}, 0}, start + 5ms);
+    first.recordSuccess("r", start + 1s);
+    for (int i = 0; i < 200; ++i) {
+        const instant now = start + 1s + i * 65ms;
+        for (const auto &report : first.reports(8, now)) {
+            second.merge(report, now + 5ms);
+        }
+        for (const auto &report : second.reports(8, now + 30ms)) {
+            first.merge(report, now + 35ms);
+        }
+    }
+    EXPECT_EQ(second.crashes("r", start + 14s), 0);
+    EXPECT_TRUE(first.reports(8, start + 14s).empty());
+    EXPECT_TRUE(second.reports(8, start + 14s).empty());
+}
+
+// Guards against a request that is refused because of crashes long ago.
+TEST(suspect_requests, forgets_crashes_after_the_refusal_time)
+{
+    suspect_requests suspects;
+    suspects.recordCrash("r", 1, start);
+    suspects.recordCrash("r", 2, start);
+    suspects.recordCrash("r", 3, start + 11min);
+    EXPECT_EQ(suspects.crashes("r", start + 11min), 1);
+}
+
 // Guards against memory that grows with the number of different requests.
 TEST(suspect_requests, keeps_a_bounded_number)
 {
