--- a/tests/endless_bytes_test.cpp
+++ b/tests/endless_bytes_test.cpp
@@ -117,9 +117,9 @@
     std::string head; ///< After the status line; empty: nothing before the filler.
 };
 
-void PrintTo(const endless_answer &answer, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const endless_answer &answer)
 {
-    *out << answer.name;
+    return out << answer.name;
 }
 
 const std::string chunked = "X-Request-Id: r1\r\nX-Response-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -184,7 +184,7 @@
 {
     flooding_endpoint endpoint(
         loop,
-        [this](const http_request &) {
+        [](const http_request &) {
             return GetParam().head.empty() ? std::string() : "HTTP/1.1 200 OK\r\n" + GetParam().head;
         },
         GetParam().filler);
