--- a/tests/order_permits_test.cpp
+++ b/tests/order_permits_test.cpp
@@ -269,7 +269,7 @@
             if (m_now < order.arrivesAt || m_now < self.cutUntil) {
                 return false;
             }
-            // The rules exempt what a healed link delivers while its sender is frozen: no sender can withdraw it.
+            // A link that heals while its sender is frozen delivers what it held. No sender can prevent that, so it does not count.
             if (m_now < order.givenUpAt || !frozen) {
                 m_arrivals.push_back({order.daemon, order.token, m_now});
             }
