--- a/src/serving/suspect_requests.cpp
+++ b/src/serving/suspect_requests.cpp
@@ -138,7 +138,7 @@
     for (const auto &current : m_entries) {
         if (now - current.second.changedAt <= changeReportTime) {
             changed.push_back(&current);
-        } else if (crashes(current.first, now) > 0) {
+        } else if (!current.second.crashed.empty() && now - current.second.lastCrash <= tunables::suspectRefusalTime) {
             live.push_back(&current);
         }
     }
