Log why a request ended without a complete answer

A request that was read and then ended unanswered left no line, or one with caller_gone, whatever the cause. No change of behaviour.

--- a/src/serving/edge_daemon.cpp
+++ b/src/serving/edge_daemon.cpp
@@ -119,6 +119,14 @@
             [this](std::string_view reason) {
                 return m_context.platform.wire.errorBody("bad_request", reason);
             },
+        .unanswered =
+            [this](const received_request &request, unanswered_cause cause) {
+                auto line = m_context.line("unanswered");
+                line.add("id", toView(request.message[fromView(m_context.platform.wire.fields.requestId)])).add("cause", toText(cause));
+                line.add("ms", toMs(bootNow() - request.receivedAt));
+                m_context.log.write(line);
+                m_context.counters.count(metric_counter::RequestsUnanswered);
+            },
     };
 }
 
--- a/src/state/metrics.cpp
+++ b/src/state/metrics.cpp
@@ -32,6 +32,7 @@
     {"lacewinglock_refusals_total", "{run_state=\"not_run\"}"},
     {"lacewinglock_refusals_total", "{run_state=\"unknown\"}"},
     {"lacewinglock_refusals_total", "{run_state=\"partial\"}"},
+    {"lacewinglock_requests_unanswered_total", ""},
     {"lacewinglock_control_bytes_sent_total", ""},
     {"lacewinglock_control_bytes_received_total", ""},
     {"lacewinglock_store_reads_total", ""},
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -21,6 +21,7 @@
     RefusalsNotRun,
     RefusalsUnknown,
     RefusalsPartial,
+    RequestsUnanswered,
     ControlBytesSent,
     ControlBytesReceived,
     StoreReads,
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -3,7 +3,9 @@
 #include "transport/boot_clock.h"
 
 #include <algorithm>
+#include <array>
 #include <glog/logging.h>
+#include <optional>
 #include <set>
 #include <sys/socket.h>
 
@@ -55,6 +57,12 @@
 
 }
 
+std::string_view toText(unanswered_cause cause)
+{
+    constexpr std::array<std::string_view, 4> names{"client_closed", "connection_failed", "timed_out", "abandoned"};
+    return names.at(static_cast<std::size_t>(cause));
+}
+
 struct http_server::state : std::enable_shared_from_this<http_server::state>
 {
     struct connection;
@@ -90,11 +98,20 @@
         timer.expires_after(time);
         timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
             if (const auto self = weak.lock(); self && !error) {
+                self->noteEnd(unanswered_cause::TimedOut);
                 self->close();
             }
         });
     }
 
+    // The first cause counts: closing the connection makes further operations fail.
+    void noteEnd(unanswered_cause cause)
+    {
+        if (!endCause) {
+            endCause = cause;
+        }
+    }
+
     void close()
     {
         boost::system::error_code ignored;
@@ -113,6 +130,7 @@
             char byte = 0;
             const auto got = ::recv(self->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
             if (got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
+                self->noteEnd(got == 0 ? unanswered_cause::ClientClosed : unanswered_cause::ConnectionFailed);
                 self->handleDisconnect();
             }
             // Pipelined requests stay unread. A disconnect after them is detected when they are read.
@@ -134,6 +152,7 @@
         co_await asio::async_write(socket, asio::buffer(text.data(), text.size()), errorTo(error));
         timer.cancel();
         if (error) {
+            noteEnd(unanswered_cause::ConnectionFailed);
             handleDisconnect();
         }
         co_return !error;
@@ -195,6 +214,7 @@
     asio::steady_timer timer;
     beast::flat_buffer buffer;
     std::function<void()> disconnectAction;
+    std::optional<unanswered_cause> endCause;
     bool idle = true; ///< No byte of the next request has arrived.
     bool closeAfter = false;
     bool skipBody = false;
@@ -333,6 +353,9 @@
             client->watching = false;
         }
         if (!client->responseComplete || client->disconnected) {
+            if (hooks.unanswered) {
+                hooks.unanswered(request, client->endCause.value_or(unanswered_cause::Abandoned));
+            }
             break;
         }
         keepAlive = !client->closeAfter;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace lacewinglock
 {
@@ -48,6 +49,17 @@
     tcp::endpoint remote;
 };
 
+/// Why a request that was being handled ended without a complete response.
+enum class unanswered_cause {
+    ClientClosed, ///< The client closed the connection.
+    ConnectionFailed, ///< The connection was reset, or a write failed.
+    TimedOut, ///< A timeout of this server closed the connection.
+    Abandoned, ///< The handler ended before its response was complete, for example after a stream broke.
+};
+
+/// Name of a cause for logs, in snake case.
+std::string_view toText(unanswered_cause cause);
+
 /// Callbacks through which the owner of a server handles requests and configures it.
 struct server_hooks
 {
@@ -56,6 +68,8 @@
     std::function<bool()> closing; ///< True while the server shuts down; responses then carry "Connection: close".
     /// Makes the body of the error response to a request that is malformed or exceeds a limit.
     std::function<std::string(std::string_view reason)> errorBody;
+    /// Called when a request ends without a complete response. May be empty.
+    std::function<void(const received_request &, unanswered_cause)> unanswered;
 };
 
 /// HTTP/1.1 server on one event loop. Each connection has a coroutine that handles its requests in sequence.
