Add failing tests: expired timeouts cut requests that were passed on

A caller writes its request while the server process does not run, until after the idle timeout (or the timeout of the header or of the body) of the connection. On the next poll the server sees the readable socket first, reads the request and hands it over; then the handler of the expired timer, which restarting the timer no longer reaches, closes the connection. The caller gets no answer.

--- /dev/null
+++ b/tests/http_server_test.cpp
@@ -0,0 +1,150 @@
+#include "transport/boot_clock.h"
+#include "transport/http_server.h"
+
+#include <array>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// A server whose answers take 20 ms, and one caller with a blocking socket.
+class http_server_test : public testing::Test
+{
+protected:
+    http_server_test()
+        : server(loop,
+                 {
+                     .handle =
+                         [this](received_request & /*request*/, server_reply &reply) {
+                             return answerLater(reply);
+                         },
+                     .limits =
+                         [this] {
+                             return limits;
+                         },
+                     .closing =
+                         [] {
+                             return false;
+                         },
+                     .errorBody =
+                         [](std::string_view reason) {
+                             return std::string(reason);
+                         },
+                 })
+        , caller(callerLoop)
+    {
+    }
+
+    void connect()
+    {
+        tcp::acceptor probe(loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        const auto address = probe.local_endpoint();
+        probe.close();
+        server.listen(address);
+        caller.connect(address);
+        loop.run_for(20ms);
+    }
+
+    /// Writes as a caller whose bytes arrive while the server does not run for 80 ms.
+    void writeDuringPause(std::string_view bytes)
+    {
+        std::this_thread::sleep_for(80ms);
+        write(bytes);
+    }
+
+    void write(std::string_view bytes)
+    {
+        asio::write(caller, asio::buffer(bytes.data(), bytes.size()));
+        loop.restart();
+    }
+
+    /// Runs the server for 300 ms and returns the bytes that the caller receives.
+    std::string readAnswer()
+    {
+        std::string out;
+        std::array<char, 4096> piece{};
+        caller.non_blocking(true);
+        const auto end = std::chrono::steady_clock::now() + 300ms;
+        while (std::chrono::steady_clock::now() < end) {
+            loop.restart();
+            loop.run_for(5ms);
+            boost::system::error_code error;
+            const auto got = caller.read_some(asio::buffer(piece), error);
+            out.append(piece.data(), got);
+            if (error && error != asio::error::would_block) {
+                break;
+            }
+        }
+        return out;
+    }
+
+    asio::io_context loop{1};
+    asio::io_context callerLoop;
+    server_limits limits;
+    http_server server;
+    tcp::socket caller;
+    int handled = 0;
+
+private:
+    task<void> answerLater(server_reply &reply)
+    {
+        ++handled;
+        co_await sleepFor(20ms);
+        co_await reply.send(http_response(http::status::ok, 11));
+    }
+};
+
+constexpr std::string_view wholeRequest = "GET / HTTP/1.1\r\nHost: host.example\r\n\r\n";
+
+}
+
+// Guards against a request that is served and cut off by the idle timeout of its connection, which expired while the process did not run.
+TEST_F(http_server_test, an_expired_idle_timeout_does_not_cut_a_request_that_has_arrived)
+{
+    limits.idleTimeout = 50ms;
+    connect();
+    writeDuringPause(wholeRequest);
+    EXPECT_TRUE(readAnswer().starts_with("HTTP/1.1 200"));
+    EXPECT_EQ(handled, 1);
+}
+
+// Guards against the same with the timeouts of header and body: a request that is passed on gets its answer.
+TEST_F(http_server_test, an_expired_header_timeout_does_not_cut_a_request_that_was_passed_on)
+{
+    limits.headerTimeout = 50ms;
+    connect();
+    write(wholeRequest.substr(0, 10));
+    loop.run_for(20ms);
+    writeDuringPause(wholeRequest.substr(10));
+    const bool answered = readAnswer().starts_with("HTTP/1.1 200");
+    EXPECT_EQ(answered, handled == 1);
+}
+
+TEST_F(http_server_test, an_expired_body_timeout_does_not_cut_a_request_that_was_passed_on)
+{
+    limits.bodyTimeout = 50ms;
+    connect();
+    write("POST / HTTP/1.1\r\nHost: host.example\r\nContent-Length: 4\r\n\r\n12");
+    loop.run_for(20ms);
+    writeDuringPause("34");
+    const bool answered = readAnswer().starts_with("HTTP/1.1 200");
+    EXPECT_EQ(answered, handled == 1);
+}
+
+// Guards against a timeout that never ends a connection.
+TEST_F(http_server_test, closes_a_connection_that_stays_idle)
+{
+    limits.idleTimeout = 50ms;
+    connect();
+    loop.restart();
+    loop.run_for(100ms);
+    EXPECT_EQ(server.connections(), 0U);
+}
+
+}
