Never let an expired timeout close a connection whose next step has begun

Callers saw a request on a reused connection passed on and its connection closed without an answer. Cause: the idle, header and body timeouts of a connection share an asio timer, and restarting or cancelling it does not reach a handler that is already queued. After a pause of the process the readable socket and the expired timer come from one poll, the socket first: the request is read and handed over, then the stale handler closes the connection.

timeout numbers its starts; the handler of an earlier start does nothing.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,6 +1,7 @@
 #include "transport/http_server.h"
 
 #include "transport/boot_clock.h"
+#include "transport/timeout.h"
 
 #include <algorithm>
 #include <array>
@@ -95,9 +96,8 @@
     // Closes the socket after `time`, which makes a pending operation fail.
     void startTimeout(duration time)
     {
-        timer.expires_after(time);
-        timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
-            if (const auto self = weak.lock(); self && !error) {
+        timer.start(time, [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
                 self->noteEnd(unanswered_cause::TimedOut);
                 self->close();
             }
@@ -211,7 +211,7 @@
     }
 
     tcp::socket socket;
-    asio::steady_timer timer;
+    timeout timer;
     beast::flat_buffer buffer;
     std::function<void()> disconnectAction;
     std::optional<unanswered_cause> endCause;
