--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -24,8 +24,43 @@
 
     std::string generation(int promptTokens = 300)
     {
-        return post("/gen/1", "prompt", absl::StrCat("X-Model-Name: m\r\nX-Token-Counts: ", promptTokens, ",20\r\nX-Prefix-Hash: a1:200,b2:100\r\n"));
+        return generationWith("a1:200,b2:100", promptTokens);
     }
+
+    static std::string generationWith(std::string_view parts, int promptTokens = 300)
+    {
+        return post("/gen/1",
+                    absl::StrCat("prompt ", std::string(parts)),
+                    absl::StrCat("X-Model-Name: m\r\nX-Token-Counts: ", promptTokens, ",20\r\nX-Prefix-Hash: ", std::string(parts), "\r\n"));
+    }
+
+    /// Starts engines that crash when they begin to write an answer to a prompt with the part "bad".
+    void startCrashingEngines(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            engines.push_back(std::make_unique<scripted_server>(loop, [this, i](const http_request &request, int) {
+                if (toView(request["X-Prefix-Hash"]).find("bad:") != std::string_view::npos) {
+                    engines[i]->stop();
+                    ++crashedEngines;
+                    return scripted_answer{.bytes = streamHead(request), .reset = true};
+                }
+                return scripted_answer{.bytes = streamHead(request) + chunk(event(1)) + "0\r\n\r\n"};
+            }));
+            addEndpoint(absl::StrCat("e", i), "engines", engines.back()->address(), endpoint_role::Decode);
+        }
+    }
+
+    void pause(std::chrono::milliseconds time)
+    {
+        runUntil(
+            [] {
+                return false;
+            },
+            time);
+    }
+
+    std::vector<std::unique_ptr<scripted_server>> engines;
+    int crashedEngines = 0;
 };
 
 }
@@ -149,4 +184,25 @@
     EXPECT_LT(result.ms, 200);
 }
 
+// Guards against prompts that are all different, but share a part that crashes each engine, crashing one engine after the other.
+TEST_F(stream_forward, refuses_prompts_with_a_part_that_crashed_several_engines)
+{
+    configure({streamRoute(false)});
+    startCrashingEngines(12);
+    for (int i = 0; i < 4; ++i) {
+        call(generationWith(absl::StrCat("a1:100,bad:100,f", i, ":100")));
+        pause(std::chrono::milliseconds(150));
+    }
+    pause(std::chrono::milliseconds(500));
+    const int crashedBefore = crashedEngines;
+    for (int i = 0; i < 4; ++i) {
+        const auto refused = call(generationWith(absl::StrCat("a1:100,bad:100,e", i, ":100")));
+        EXPECT_EQ(refused.status, 503);
+        EXPECT_FALSE(refused.head["Retry-After"].empty());
+    }
+    EXPECT_EQ(crashedEngines, crashedBefore);
+    // The same caller, with the same first part and with a part that was in none of the crashes.
+    EXPECT_TRUE(call(generationWith("a1:100,c3:100,d4:100")).whole);
+}
+
 }
