Refuse prompts with a part that crashed several endpoints

Cause: a suspect was identified by a hash of path, organisation and body, so each of these requests had a single crash to its name.

Crashes are now counted for each part of the prompt too, except the last, by endpoint process and with their times; a success of any request voids the crashes of its parts. Requests with a part that was in three crashes at least 100 ms apart are refused with 503 and a retry time from 0.4 s after the third, before a prefill, before decoding and before each retry. A part is not blamed for crashes that a part outside the request explains as well, so sound prompts that share the caller, the first part or another part are served. A refused part is tried again at one daemon after 30 s, then at doubled intervals. Reports carry the time of each crash and of the last success; those of a single crash go last. suspect_request names the request and the counts of its parts, so that requests counted apart and lost reports can be told apart.

--- a/src/protocol/exchange.capnp
+++ b/src/protocol/exchange.capnp
@@ -77,8 +77,10 @@
   unshared @3 :UInt32;  # Prompt tokens that no other prompt shares: those after the last shared block.
 }
 
-struct Suspect {
+struct Suspect {  # A request, or a part of prompts, that was running when endpoints crashed.
   fingerprint @0 :Text;
   crashed @1 :List(UInt64);  # Hashes of the endpoint processes that crashed; empty: the request succeeded.
   ageMs @2 :UInt32;  # Since the last crash or the success.
+  crashAgesMs @3 :List(UInt32);  # Since each crash, in the order of `crashed`.
+  successAgeMs @4 :UInt32 = 0xffffffff;  # Since the last success; the largest value if there was none.
 }
--- a/src/protocol/exchange.capnp.h
+++ b/src/protocol/exchange.capnp.h
@@ -165,7 +165,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f08b804e527cb9d2, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f08b804e527cb9d2, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1105,6 +1105,11 @@
 
   inline  ::uint32_t getAgeMs() const;
 
+  inline bool hasCrashAgesMs() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getCrashAgesMs() const;
+
+  inline  ::uint32_t getSuccessAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1151,6 +1156,17 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
+  inline bool hasCrashAgesMs();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getCrashAgesMs();
+  inline void setCrashAgesMs( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCrashAgesMs(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initCrashAgesMs(unsigned int size);
+  inline void adoptCrashAgesMs(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownCrashAgesMs();
+
+  inline  ::uint32_t getSuccessAgeMs();
+  inline void setSuccessAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2381,6 +2397,58 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Suspect::Reader::hasCrashAgesMs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Suspect::Builder::hasCrashAgesMs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Suspect::Reader::getCrashAgesMs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Suspect::Builder::getCrashAgesMs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Suspect::Builder::setCrashAgesMs( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void Suspect::Builder::setCrashAgesMs(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Suspect::Builder::initCrashAgesMs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Suspect::Builder::adoptCrashAgesMs(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Suspect::Builder::disownCrashAgesMs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Suspect::Reader::getSuccessAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, 4294967295u);
+}
+
+inline  ::uint32_t Suspect::Builder::getSuccessAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, 4294967295u);
+}
+inline void Suspect::Builder::setSuccessAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value, 4294967295u);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/protocol/exchange_messages.cpp
+++ b/src/protocol/exchange_messages.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr std::uint64_t maxMessageWords = 32U << 10U; // 256 KB, far more than a datagram holds; limits what a hostile datagram makes the decoder traverse.
+constexpr std::uint32_t noSuccess = std::numeric_limits<std::uint32_t>::max(); // Default of Suspect.successAgeMs.
 
 template <typename Integer>
 Integer clampTo(double value)
@@ -62,6 +63,14 @@
             crashed.set(k, processes[k]);
         }
         suspects[i].setAgeMs(clampTo<std::uint32_t>(static_cast<double>(message.suspects[i].ageMs)));
+        const auto &ages = message.suspects[i].crashAgesMs;
+        auto crashAges = suspects[i].initCrashAgesMs(static_cast<unsigned>(ages.size()));
+        for (unsigned k = 0; k < crashAges.size(); ++k) {
+            crashAges.set(k, clampTo<std::uint32_t>(static_cast<double>(ages[k])));
+        }
+        if (const auto success = message.suspects[i].successAgeMs) {
+            suspects[i].setSuccessAgeMs(clampTo<std::uint32_t>(static_cast<double>(*success)));
+        }
     }
     auto reserved = root.initReserved(static_cast<unsigned>(message.reserved.size()));
     for (unsigned i = 0; i < reserved.size(); ++i) {
@@ -84,6 +93,12 @@
         for (const auto process : suspect.getCrashed()) {
             added.crashed.push_back(process);
         }
+        for (const auto age : suspect.getCrashAgesMs()) {
+            added.crashAgesMs.push_back(age);
+        }
+        if (suspect.getSuccessAgeMs() != noSuccess) {
+            added.successAgeMs = suspect.getSuccessAgeMs();
+        }
     }
     for (const auto engine : root.getReserved()) {
         out.reserved.push_back(engine);
--- a/src/protocol/exchange_messages.h
+++ b/src/protocol/exchange_messages.h
@@ -41,12 +41,14 @@
     bool operator==(const prefix_use &) const = default;
 };
 
-/// A request that crashed engines, or that succeeded after it had been suspected.
+/// A request, or a part of prompts, that was running when endpoints crashed, or that succeeded after it had been suspected.
 struct suspect_report
 {
     std::string fingerprint;
     std::vector<std::uint64_t> crashed; ///< Hashes of the endpoint processes that crashed; empty: the request succeeded.
     std::int64_t ageMs = 0; ///< Time since the last crash or the success.
+    std::vector<std::int64_t> crashAgesMs; ///< Time since each crash of `crashed`; empty: `ageMs` holds for all.
+    std::optional<std::int64_t> successAgeMs; ///< Time since the last success.
 };
 
 /// State of a daemon as other daemons see it.
--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -6,9 +6,11 @@
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
+#include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 #include <algorithm>
 #include <charconv>
+#include <span>
 #include <xxhash.h>
 
 namespace lacewinglock
@@ -18,7 +20,6 @@
 {
 
 constexpr int lowestPriority = 9; // Engines accept priorities from 0 (most urgent) to 9.
-constexpr double crashRetryAfterMs = 5000;
 constexpr auto crashProbeTimeout = std::chrono::milliseconds(400); // The usual connect timeout.
 constexpr double noConfigurationRetryAfterMs = 300; // The first configuration arrives within a few store calls.
 constexpr double staleKeyRetryAfterMs = 500;
@@ -100,14 +101,47 @@
     double retryAfterMs = -1;
 };
 
+// The last part belongs to the request or its session, and the fingerprint covers it.
+std::vector<std::string> sharedPartsOf(const std::optional<prompt_info> &prompt)
+{
+    std::vector<std::string> out;
+    if (prompt && !prompt->prefixBlocks.empty()) {
+        for (const auto &block : std::span(prompt->prefixBlocks).first(prompt->prefixBlocks.size() - 1)) {
+            out.push_back(suspect_requests::partKey(block.id));
+        }
+    }
+    return out;
+}
+
+/// What a request is refused for: the key of a part of its prompt or its fingerprint; null if it is not suspect.
+const std::string *findSuspect(const edge_context &context, const caller_request &request, instant now)
+{
+    if (const auto *part = context.suspects.findCrashingPart(request.sharedParts, now)) {
+        return part;
+    }
+    return context.suspects.isSuspect(request.fingerprint, now) ? &request.fingerprint : nullptr;
+}
+
 // A suspect request is refused, except for a trial from time to time at one daemon of the fleet.
-bool isRefusedAsSuspect(edge_context &context, const std::string &fingerprint)
+std::optional<request_refusal> checkSuspects(edge_context &context, caller_request &request)
 {
     const instant now = bootNow();
-    if (!context.suspects.isSuspect(fingerprint, now)) {
-        return false;
+    const auto *suspect = findSuspect(context, request, now);
+    if (suspect == nullptr) {
+        return std::nullopt;
+    }
+    if (rendezvousRank(*suspect, context.settings.id, context.memberIds()) == 0 && context.suspects.startTrial(*suspect, now)) {
+        request.isTrial = true;
+        auto line = context.line("suspect_trial");
+        line.add("id", request.id).add("suspect", *suspect);
+        context.log.write(line);
+        return std::nullopt;
+    }
+    if (suspect != &request.fingerprint) {
+        return request_refusal{
+            http::status::service_unavailable, "part_crashes_endpoints", "a part of the prompt crashed several endpoints", crashRetryAfterMs};
     }
-    return rendezvousRank(fingerprint, context.settings.id, context.memberIds()) != 0 || !context.suspects.startTrial(fingerprint, now);
+    return request_refusal{http::status::service_unavailable, "crashes_endpoints", "the request crashed several endpoints", crashRetryAfterMs};
 }
 
 // The request must have exactly one key header: with several keys its organisation would be ambiguous.
@@ -165,10 +199,9 @@
         }
     }
     request.fingerprint = fingerprintOf(request);
-    if (isRefusedAsSuspect(context, request.fingerprint)) {
-        return request_refusal{http::status::service_unavailable, "crashes_endpoints", "the request crashed several endpoints", crashRetryAfterMs};
-    }
-    return std::nullopt;
+    request.prompt = context.platform.wire.parsePrompt(message);
+    request.sharedParts = sharedPartsOf(request.prompt);
+    return checkSuspects(context, request);
 }
 
 void logOutcome(edge_context &context, const caller_request &request, const caller_outcome &outcome)
@@ -277,7 +310,8 @@
 {
 
 // A crashed endpoint refuses or ignores a new connection; an endpoint that only lost a connection accepts one.
-task<void> confirmCrash(edge_context &context, std::string address, std::uint64_t process, std::string fingerprint)
+task<void>
+confirmCrash(edge_context &context, std::string address, std::uint64_t process, std::string id, std::string fingerprint, std::vector<std::string> parts)
 {
     const auto server = parseAddress(address);
     if (!server.ok()) {
@@ -301,17 +335,40 @@
     if (!refused && !silent) {
         co_return;
     }
-    context.suspects.recordCrash(fingerprint, process, bootNow());
+    const instant now = bootNow();
+    context.suspects.recordCrash(fingerprint, process, now);
     auto line = context.line("suspect_request");
-    line.add("fingerprint", fingerprint).add("address", address).add("error", error.message()).add("crashes", context.suspects.crashes(fingerprint, bootNow()));
+    line.add("id", id).add("fingerprint", fingerprint).add("address", address).add("error", error.message());
+    line.add("crashes", context.suspects.crashes(fingerprint, now));
+    std::vector<std::string> counts;
+    for (const auto &part : parts) {
+        context.suspects.recordCrash(part, process, now);
+        counts.push_back(absl::StrCat(part, "=", context.suspects.crashes(part, now)));
+    }
+    line.add("parts", absl::StrJoin(counts, " "));
     context.log.write(line);
 }
 
 }
 
-void checkForCrash(edge_context &context, const endpoint_state &endpoint, const std::string &fingerprint)
+void checkForCrash(edge_context &context, const endpoint_state &endpoint, const caller_request &request)
+{
+    asio::co_spawn(
+        context.loop, confirmCrash(context, endpoint.entry.address, endpoint.hash, request.id, request.fingerprint, request.sharedParts), asio::detached);
+}
+
+void recordSuccess(edge_context &context, const caller_request &request)
+{
+    const instant now = bootNow();
+    context.suspects.recordSuccess(request.fingerprint, now);
+    for (const auto &part : request.sharedParts) {
+        context.suspects.recordSuccess(part, now);
+    }
+}
+
+bool crashesEndpoints(const edge_context &context, const caller_request &request)
 {
-    asio::co_spawn(context.loop, confirmCrash(context, endpoint.entry.address, endpoint.hash, fingerprint), asio::detached);
+    return !request.isTrial && findSuspect(context, request, bootNow()) != nullptr;
 }
 
 exchange_options forwardOptions(const edge_context &context, const caller_request &request, instant deadline)
--- a/src/serving/caller_exchange.h
+++ b/src/serving/caller_exchange.h
@@ -3,12 +3,16 @@
 #include "serving/edge_context.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace lacewinglock
 {
 
+inline constexpr double crashRetryAfterMs = 5000; ///< Sent with refusals of requests that crash endpoints.
+
 /// A request of a caller with its route, deadline and identity. routeRequest() in caller_exchange.cpp fills it in.
 struct caller_request
 {
@@ -20,6 +24,9 @@
     std::string id;
     std::string organisation;
     std::string fingerprint; ///< Hash of path, organisation and body. Identifies a request that crashes endpoints when it is sent again under a new id.
+    std::optional<prompt_info> prompt;
+    std::vector<std::string> sharedParts; ///< Keys of the parts of the prompt that other requests may share: all but the last.
+    bool isTrial = false; ///< Suspected to crash endpoints, and let through to find out whether it still does.
     int priority = 5;
     instant arrivedAt;
     instant deadline; ///< The earlier of the deadline that the caller sent and the end of the route's timeout.
@@ -55,8 +62,15 @@
 bool isSealed(const edge_context &context, const http::response_header<> &head);
 
 /// Call after a connection ended while it carried the request. Probes the endpoint in the background; if it has crashed, counts a crash against the
-/// request's fingerprint.
-void checkForCrash(edge_context &context, const endpoint_state &endpoint, const std::string &fingerprint);
+/// request's fingerprint and the shared parts of its prompt.
+void checkForCrash(edge_context &context, const endpoint_state &endpoint, const caller_request &request);
+
+/// Records that an endpoint served the request to its end, so that neither the request nor a part of its prompt caused earlier crashes.
+void recordSuccess(edge_context &context, const caller_request &request);
+
+/// Whether the request is to be refused because it, or a part of its prompt, crashed several endpoints. Call again before each attempt: other
+/// requests may have given the evidence meanwhile.
+bool crashesEndpoints(const edge_context &context, const caller_request &request);
 
 /// Options for one attempt at an endpoint that ends at `deadline`.
 exchange_options forwardOptions(const edge_context &context, const caller_request &request, instant deadline);
--- a/src/serving/service_forward.cpp
+++ b/src/serving/service_forward.cpp
@@ -123,6 +123,10 @@
             retryAfterMs = placement.retryAfterMs;
             break;
         }
+        if (outcome.attempts > 0 && crashesEndpoints(context, request)) {
+            code = "crashes_endpoints";
+            break;
+        }
         if (outcome.attempts > 0 && !context.retryBudget.tryAcquire(request.service, context.daemons(), now)) {
             code = "retry_budget";
             break;
@@ -156,7 +160,7 @@
             break;
         }
         if (last.state == exchange_state::Lost) {
-            checkForCrash(context, *endpoint, request.fingerprint);
+            checkForCrash(context, *endpoint, request);
         }
         failure = last.state == exchange_state::TimedOut ? http::status::gateway_timeout : http::status::bad_gateway;
         code = toText(last.state);
@@ -174,7 +178,7 @@
             outcome.reason = "answered";
             outcome.firstByteMs = toMs(bootNow() - request.arrivedAt);
             if (outcome.status < 500) {
-                context.suspects.recordSuccess(request.fingerprint, bootNow());
+                recordSuccess(context, request);
                 auto &mean = context.workMs.try_emplace(route.name, outcome.firstByteMs).first->second;
                 mean += workSmoothing * (outcome.firstByteMs - mean);
             }
--- a/src/serving/state_exchange.cpp
+++ b/src/serving/state_exchange.cpp
@@ -11,6 +11,17 @@
 namespace
 {
 
+void addAge(suspect_report &report, std::int64_t ms)
+{
+    report.ageMs += ms;
+    for (auto &age : report.crashAgesMs) {
+        age += ms;
+    }
+    if (report.successAgeMs) {
+        *report.successAgeMs += ms;
+    }
+}
+
 // Limits of one answer, so that it fits one packet of 1,400 bytes. The rest follows with the next poll.
 constexpr std::size_t maxLoadsPerAnswer = 64;
 constexpr std::size_t maxDaemonsPerAnswer = 16;
@@ -487,7 +498,7 @@
     }
     for (const auto &[at, suspect] : m_suspects) {
         out.suspects.push_back(suspect);
-        out.suspects.back().ageMs += std::chrono::ceil<std::chrono::milliseconds>(now - at).count();
+        addAge(out.suspects.back(), std::chrono::ceil<std::chrono::milliseconds>(now - at).count());
     }
     const bool ofAllDomains = &tables == &m_allTables;
     for (const auto &[id, sender] : m_senders) {
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -61,7 +61,7 @@
     edge_context &m_context;
     caller_request &m_request;
     const serving_route &m_route;
-    std::optional<prompt_info> m_prompt;
+    const std::optional<prompt_info> &m_prompt;
     caller_outcome m_outcome;
     std::set<std::string> m_failed;
     int m_unreachable = 0;
@@ -76,7 +76,7 @@
     : m_context(context)
     , m_request(request)
     , m_route(*request.route)
-    , m_prompt(context.platform.wire.parsePrompt(request.received->message))
+    , m_prompt(request.prompt)
 {
 }
 
@@ -152,6 +152,10 @@
             co_await refuse(placement.reason, placement.retryAfterMs);
             break;
         }
+        if (crashesEndpoints(m_context, m_request)) {
+            co_await refuse("crashes_endpoints", crashRetryAfterMs);
+            break;
+        }
         if (m_outcome.attempts > 0 && !acquireRetry()) {
             co_await refuse("retry_budget", m_retryAfterMs);
             break;
@@ -194,6 +198,10 @@
             m_outcome.reason = "caller_gone";
             co_return step::Done;
         }
+        if (crashesEndpoints(m_context, m_request)) {
+            freeKvHandle(prefillEngine, handle);
+            co_return co_await refuse("crashes_endpoints", crashRetryAfterMs);
+        }
         // The decode engine of the first placement may be leaving or busier by now, so choose again.
         const auto enginesNow = m_context.endpoints.ofService(m_request.service);
         const int decodeIndex
@@ -297,7 +305,7 @@
         --m_prefillAttempts;
     } else if (state == exchange_state::Lost) {
         result = attempt_result::ConnectionLost;
-        checkForCrash(m_context, *prefillEngine, m_request.fingerprint);
+        checkForCrash(m_context, *prefillEngine, m_request);
     } else if (state == exchange_state::TimedOut) {
         result = attempt_result::NoAnswer;
     }
@@ -349,7 +357,7 @@
         const bool silent = state == exchange_state::TimedOut;
         m_context.endpoints.noteResult(*engine, silent ? attempt_result::NoAnswer : attempt_result::ConnectionLost, now);
         if (!silent) {
-            checkForCrash(m_context, *engine, m_request.fingerprint);
+            checkForCrash(m_context, *engine, m_request);
         }
         m_failed.insert(engine->entry.id);
         if (mayRetry()) {
@@ -451,7 +459,7 @@
     }
     m_context.endpoints.noteResult(*engine, state == exchange_state::TimedOut ? attempt_result::NoAnswer : attempt_result::ConnectionLost, now);
     if (first) {
-        checkForCrash(m_context, *engine, m_request.fingerprint);
+        checkForCrash(m_context, *engine, m_request);
     }
     m_failed.insert(engine->entry.id);
     exchange.cancel();
--- a/tests/service_forward_test.cpp
+++ b/tests/service_forward_test.cpp
@@ -327,7 +327,9 @@
 {
     tcp::acceptor endpoint(loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
     const endpoint_state state{.entry = {.id = "e1", .address = absl::StrCat("127.0.0.1:", endpoint.local_endpoint().port())}, .hash = 7};
-    checkForCrash(*context, state, "common");
+    caller_request request;
+    request.fingerprint = "common";
+    checkForCrash(*context, state, request);
     endpoint.non_blocking(true);
     boost::system::error_code error = asio::error::would_block;
     tcp::socket accepted(loop);
--- a/tests/state_exchange_test.cpp
+++ b/tests/state_exchange_test.cpp
@@ -173,7 +173,7 @@
     daemon_summary summary{.sender = "d", .sequence = 4, .incarnation = 9, .serving = true, .holdsLease = true, .wallMs = -3};
     summary.loads = {{11, {3, 250}}};
     summary.prefixUses = {{21, 11, 512, 7}};
-    summary.suspects = {{"f", {7, 9}, 30}};
+    summary.suspects = {{"f", {7, 9}, 30, {50, 30}, 70}};
     summary.reserved = {5};
     summary.poll = table_position{1, 2, 3, 4};
     const auto bytes = encodeExchange(summary);
@@ -192,6 +192,8 @@
     EXPECT_EQ(got.suspects[0].fingerprint, "f");
     EXPECT_EQ(got.suspects[0].crashed, (std::vector<std::uint64_t>{7, 9}));
     EXPECT_EQ(got.suspects[0].ageMs, 30);
+    EXPECT_EQ(got.suspects[0].crashAgesMs, (std::vector<std::int64_t>{50, 30}));
+    EXPECT_EQ(got.suspects[0].successAgeMs, 70);
     EXPECT_EQ(got.reserved, summary.reserved);
     EXPECT_EQ(got.poll, summary.poll);
     exchange_tables tables{.sender = "a", .sequence = 6, .wallMs = 7, .ageMs = 8, .complete = true, .warm = true, .position = {9, 10, 11, 12}};
--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -205,4 +205,29 @@
     EXPECT_TRUE(call(generationWith("a1:100,c3:100,d4:100")).whole);
 }
 
+// Guards against sending a prompt to a decode engine although a part of it was found to crash engines while the prompt was prefilled.
+TEST_F(stream_forward, frees_the_prompt_when_a_part_is_refused_during_the_prefill)
+{
+    scripted_server prefillEngine(loop, [this](const http_request &request, int) {
+        for (std::uint64_t process = 1; process <= 3; ++process) {
+            context->suspects.recordCrash(suspect_requests::partKey(0xbad), process, bootNow() - std::chrono::milliseconds(1000 - 200 * process));
+        }
+        return scripted_answer{.bytes = wholeAnswer(request, 200, R"({"kv-handle":"h1"})")};
+    });
+    scripted_server decodeEngine(loop, [](const http_request &request, int) {
+        return scripted_answer{.bytes = streamHead(request) + chunk(event(1)) + "0\r\n\r\n"};
+    });
+    configure({streamRoute(false)});
+    addEndpoint("p1", "engines", prefillEngine.address(), endpoint_role::Prefill);
+    addEndpoint("d1", "engines", decodeEngine.address(), endpoint_role::Decode);
+    EXPECT_EQ(call(generationWith("a1:100,bad:16800,f1:100", 17000)).status, 503);
+    EXPECT_TRUE(decodeEngine.requests.empty());
+    EXPECT_TRUE(runUntil(
+        [&] {
+            return prefillEngine.requests.size() == 2;
+        },
+        std::chrono::seconds(1)));
+    EXPECT_EQ(prefillEngine.requests[1].method(), http::verb::delete_);
+}
+
 }
--- a/tests/suspect_requests_test.cpp
+++ b/tests/suspect_requests_test.cpp
@@ -14,6 +14,28 @@
 
 constexpr instant start{1h};
 
+std::vector<std::string> parts(std::initializer_list<std::uint64_t> ids)
+{
+    std::vector<std::string> out;
+    for (const auto id : ids) {
+        out.push_back(suspect_requests::partKey(id));
+    }
+    return out;
+}
+
+/// Records that an endpoint process crashed while requests with these parts were running.
+void crash(suspect_requests &suspects, std::initializer_list<std::uint64_t> ids, std::uint64_t process, instant at)
+{
+    for (const auto &part : parts(ids)) {
+        suspects.recordCrash(part, process, at);
+    }
+}
+
+bool isRefused(const suspect_requests &suspects, std::initializer_list<std::uint64_t> ids, instant now)
+{
+    return suspects.findCrashingPart(parts(ids), now) != nullptr;
+}
+
 }
 
 // Guards against one crash that counts several times: seen by several daemons, or with several equal requests running.
@@ -134,4 +156,104 @@
     EXPECT_EQ(suspects.crashes("r0", start + 5s), 0);
 }
 
+// Guards against sound requests that are refused because they share parts with the prompts that crash endpoints.
+TEST(suspect_requests, blames_only_the_part_that_was_in_all_crashes)
+{
+    suspect_requests suspects;
+    for (std::uint64_t process = 1; process <= 6; ++process) {
+        // Part 9 crashes; 1 is shared by all prompts, 2 and 3 by every second one.
+        crash(suspects, {1, 2 + process % 2, 9}, process, start + process * 200ms);
+        if (process == 3) {
+            suspects.recordSuccess(suspect_requests::partKey(1), start + process * 200ms + 50ms);
+        }
+    }
+    const auto now = start + 2s;
+    EXPECT_TRUE(isRefused(suspects, {1, 2, 9}, now));
+    EXPECT_TRUE(isRefused(suspects, {7, 9}, now));
+    EXPECT_FALSE(isRefused(suspects, {1}, now));
+    EXPECT_FALSE(isRefused(suspects, {1, 2}, now));
+    EXPECT_FALSE(isRefused(suspects, {1, 3, 5}, now));
+}
+
+// Guards against two parts that hide each other: both were in all crashes, and requests with only one of them tell which it was.
+TEST(suspect_requests, tells_two_parts_apart_that_always_came_together)
+{
+    suspect_requests suspects;
+    for (std::uint64_t process = 1; process <= 4; ++process) {
+        crash(suspects, {1, 9}, process, start + process * 200ms);
+    }
+    EXPECT_TRUE(isRefused(suspects, {1, 9}, start + 2s));
+    EXPECT_FALSE(isRefused(suspects, {1, 5}, start + 2s));
+    EXPECT_FALSE(isRefused(suspects, {7, 9}, start + 2s));
+    crash(suspects, {7, 9}, 5, start + 2s);
+    EXPECT_TRUE(isRefused(suspects, {7, 9}, start + 2s));
+    EXPECT_TRUE(isRefused(suspects, {1, 9}, start + 2s));
+    EXPECT_FALSE(isRefused(suspects, {1, 5}, start + 2s));
+}
+
+// Guards against the refusal of a common part when endpoints end together for a reason of their own.
+TEST(suspect_requests, does_not_blame_a_part_for_crashes_at_the_same_time)
+{
+    suspect_requests suspects;
+    for (std::uint64_t process = 1; process <= 6; ++process) {
+        crash(suspects, {1, 2}, process, start + process * 10ms);
+    }
+    EXPECT_FALSE(isRefused(suspects, {1, 2}, start + 1s));
+}
+
+// Guards against the refusal of a part that other requests use with success, here or at another daemon.
+TEST(suspect_requests, does_not_blame_a_part_that_succeeds_between_crashes)
+{
+    suspect_requests local;
+    suspect_requests remote;
+    for (std::uint64_t process = 1; process <= 8; ++process) {
+        const auto at = start + process * 200ms;
+        crash(local, {1}, process, at);
+        for (const auto &report : local.reports(8, at + 10ms)) {
+            remote.merge(report, at + 20ms);
+        }
+        if (process % 2 == 0) {
+            remote.recordSuccess(suspect_requests::partKey(1), at + 30ms);
+        }
+        for (const auto &report : remote.reports(8, at + 40ms)) {
+            local.merge(report, at + 50ms);
+        }
+    }
+    EXPECT_FALSE(isRefused(local, {1}, start + 2200ms));
+    EXPECT_FALSE(isRefused(remote, {1}, start + 2200ms));
+}
+
+// Guards against a part that crashes one endpoint through each of several daemons and is never refused.
+TEST(suspect_requests, adds_up_the_crashes_of_a_part_that_several_daemons_saw)
+{
+    suspect_requests local;
+    for (std::uint64_t process = 1; process <= 3; ++process) {
+        suspect_requests remote;
+        crash(remote, {9}, process, start + process * 200ms);
+        for (const auto &report : remote.reports(8, start + 700ms)) {
+            local.merge(report, start + 700ms);
+        }
+    }
+    EXPECT_TRUE(isRefused(local, {9}, start + 1100ms));
+    EXPECT_FALSE(isRefused(local, {9}, start + 11min));
+}
+
+// Guards against trials of a crashing part that end an endpoint every half minute.
+TEST(suspect_requests, waits_longer_after_each_trial_of_a_part)
+{
+    suspect_requests suspects;
+    for (std::uint64_t process = 1; process <= 3; ++process) {
+        crash(suspects, {9}, process, start + process * 200ms);
+    }
+    const auto key = suspect_requests::partKey(9);
+    int trials = 0;
+    for (auto now = start; now < start + 9min; now += 1s) {
+        if (suspects.startTrial(key, now)) {
+            ++trials;
+            crash(suspects, {9}, static_cast<std::uint64_t>(100 + trials), now);
+        }
+    }
+    EXPECT_EQ(trials, 4);
+}
+
 }
