Read an answer that arrived before the deadline while the process did not run

After a pause of the daemon, the deadlines of its calls to endpoints had passed and the queued handlers of their timers closed the connections, although the answers had arrived in time and lay in the sockets. Callers got 504, or the request ran again elsewhere.

A timer that is 20 ms late or more lets reads go on for 20 ms; calls whose connection is reset when they are abandoned (orders) are not extended. The timer of an exchange is a timeout too, so that a replaced deadline never fires.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t maxControlResponseBytes = 16U << 20U; // Above the size of the largest page of the table service or of a list.
 constexpr std::size_t maxIdlePerServer = 64;
 constexpr int maxSkippedResponses = 3; // More interim responses and responses to other requests than this mean that the connection can not be used.
+constexpr auto maxTimerDelay = std::chrono::milliseconds(20); // A timer that is later than this shows that the process did not run.
+constexpr auto lateReadTime = std::chrono::milliseconds(20); // After the deadline, for bytes that arrived while the process did not run.
 constexpr auto defaultIdleLimit = std::chrono::seconds(2); // For servers that send no keep-alive timeout.
 
 std::uint64_t poolKey(const tcp::endpoint &server)
@@ -146,12 +148,17 @@
 
 client_exchange::~client_exchange() = default;
 
-void client_exchange::armTimer()
+void client_exchange::armTimer(duration time)
 {
-    m_timer.expires_after(std::max(duration::zero(), m_options.deadline - bootNow()));
-    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+    m_timer.start(time, [weak = weak_from_this()] {
         const auto self = weak.lock();
-        if (error || !self || self->m_done) {
+        if (!self || self->m_done) {
+            return;
+        }
+        // After a pause of this process, what arrived before the deadline is still to be read.
+        if (!self->m_options.resetWhenAbandoned && !self->m_lateReads && bootNow() - self->m_options.deadline > maxTimerDelay) {
+            self->m_lateReads = true;
+            self->armTimer(lateReadTime);
             return;
         }
         self->m_timedOut = true;
@@ -173,7 +180,8 @@
 void client_exchange::setDeadline(instant deadline)
 {
     m_options.deadline = deadline;
-    armTimer();
+    m_lateReads = false;
+    armTimer(m_options.deadline - bootNow());
 }
 
 void client_exchange::cancel()
@@ -235,7 +243,7 @@
 task<exchange_state> client_exchange::begin(const http_request &request)
 {
     const auto self = shared_from_this();
-    armTimer();
+    armTimer(m_options.deadline - bootNow());
     if (const auto state = co_await connect(); state != exchange_state::InProgress) {
         co_return state;
     }
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -2,6 +2,7 @@
 
 #include "transport/asio.h"
 #include "transport/core_time.h"
+#include "transport/timeout.h"
 
 #include <absl/status/statusor.h>
 #include <deque>
@@ -115,7 +116,7 @@
     task<exchange_state> readHead(bool skipBody);
     task<void> writeRequest(std::shared_ptr<const http_request> request);
     exchange_state failure(const boost::system::error_code &error) const;
-    void armTimer();
+    void armTimer(duration time);
     void abandonConnection();
     void release();
     bool isForeignResponse() const;
@@ -125,9 +126,10 @@
     exchange_options m_options;
     std::shared_ptr<client_connection> m_connection;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
-    asio::steady_timer m_timer;
+    timeout m_timer;
     std::string m_responseId;
     bool m_timedOut = false;
+    bool m_lateReads = false; ///< Reads are allowed after the deadline for a short time.
     bool m_cancelled = false;
     bool m_requestWritten = false;
     bool m_bodyEndsAtClose = false;
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -1,5 +1,7 @@
 #include "edge_fixture.h"
 
+#include <thread>
+
 namespace lacewinglock
 {
 
@@ -14,7 +16,7 @@
     exchange_state exchange(tcp::endpoint server, exchange_options options)
     {
         std::optional<exchange_state> state;
-        asio::co_spawn(loop, exchangeOnce(std::move(server), options, state), asio::detached);
+        startExchange(std::move(server), options, state);
         runUntil(
             [&] {
                 return state.has_value();
@@ -23,6 +25,12 @@
         return state.value_or(exchange_state::InProgress);
     }
 
+    /// Like exchange(), without waiting: `state` is set when the exchange has ended.
+    void startExchange(tcp::endpoint server, exchange_options options, std::optional<exchange_state> &state)
+    {
+        asio::co_spawn(loop, exchangeOnce(std::move(server), options, state), asio::detached);
+    }
+
 private:
     task<void> exchangeOnce(tcp::endpoint server, exchange_options options, std::optional<exchange_state> &state)
     {
@@ -33,7 +41,7 @@
         auto result = co_await current->begin(request);
         std::string body;
         if (result == exchange_state::InProgress) {
-            result = co_await current->readAll(body, 1000);
+            result = co_await current->readAll(body, 1U << 20U);
         }
         state = result;
     }
@@ -67,4 +75,32 @@
     EXPECT_EQ(error, asio::error::connection_reset);
 }
 
+// Guards against an answer that arrived in time and is given up because this process did not run until after the deadline.
+TEST_F(http_client_test, reads_an_answer_that_arrived_before_the_deadline_while_the_process_did_not_run)
+{
+    asio::io_context serverLoop;
+    tcp::acceptor acceptor(serverLoop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    std::thread server([&acceptor] {
+        auto socket = acceptor.accept();
+        asio::streambuf request;
+        asio::read_until(socket, request, "\r\n\r\n");
+        std::this_thread::sleep_for(40ms);
+        asio::write(socket, asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + std::string(100000, 'x')));
+        char byte = 0;
+        boost::system::error_code ended;
+        socket.read_some(asio::buffer(&byte, 1), ended);
+    });
+    std::optional<exchange_state> state;
+    startExchange(acceptor.local_endpoint(), {.deadline = bootNow() + 100ms, .keepConnection = false}, state);
+    loop.run_for(10ms); // Connects and sends.
+    std::this_thread::sleep_for(200ms);
+    runUntil(
+        [&] {
+            return state.has_value();
+        },
+        1s);
+    EXPECT_EQ(state, exchange_state::Complete);
+    server.join();
+}
+
 }
