Do not take an engine for silent while the caller takes its events

A caller that read nothing for more than a second had its stream run again at another engine, and cut if there was no second attempt: the second that an engine may be silent ran on while the daemon waited for the caller to take the events. The deadline is the request's own while events are written.

Evidence: stream_forward.a_slow_caller_does_not_make_the_engine_look_silent failed before (two engines ran the request), and passes.

--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -423,6 +423,7 @@
                 first = false;
                 noteFirstEvent(engine, reservation);
             }
+            exchange.setDeadline(m_request.deadline); // The engine is not silent while the caller takes the events.
             if (!m_streaming) {
                 m_streaming = true;
                 m_outcome.status = 200;
--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -59,6 +59,23 @@
             time);
     }
 
+    /// Sends a request and reads nothing of the answer for `silence`.
+    task<void> callSlowly(std::string bytes, std::chrono::milliseconds silence, caller_result &result, bool &done)
+    {
+        boost::system::error_code error;
+        tcp::socket socket(loop);
+        co_await socket.async_connect(callers, errorTo(error));
+        co_await asio::async_write(socket, asio::buffer(bytes), errorTo(error));
+        co_await sleepFor(silence);
+        beast::flat_buffer buffer;
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(64U << 20U);
+        co_await http::async_read(socket, buffer, parser, errorTo(error));
+        result.whole = !error;
+        result.body = parser.get().body();
+        done = true;
+    }
+
     std::vector<std::unique_ptr<scripted_server>> engines;
     int crashedEngines = 0;
 };
@@ -230,4 +247,37 @@
     EXPECT_EQ(prefillEngine.requests[1].method(), http::verb::delete_);
 }
 
+// Guards against a sound stream that is cut, and run again elsewhere, because its caller takes the events slowly.
+TEST_F(stream_forward, a_slow_caller_does_not_make_the_engine_look_silent)
+{
+    std::string events;
+    std::string body;
+    for (int id = 1; id <= 40; ++id) {
+        const auto large = absl::StrCat("id: ", id, "\ndata: ", std::string(500'000, 'x'), "\n\n");
+        events += chunk(large);
+        body += large;
+    }
+    const auto script = [&](const http_request &request, int) {
+        return scripted_answer{.bytes = streamHead(request) + events + "0\r\n\r\n"};
+    };
+    scripted_server first(loop, script);
+    scripted_server second(loop, script);
+    auto route = streamRoute(true);
+    route.timeout = std::chrono::seconds(10);
+    configure({route});
+    addEndpoint("e1", "engines", first.address(), endpoint_role::Decode);
+    addEndpoint("e2", "engines", second.address(), endpoint_role::Decode);
+    caller_result result;
+    bool done = false;
+    asio::co_spawn(loop, callSlowly(generation(), std::chrono::milliseconds(1500), result, done), asio::detached);
+    runUntil(
+        [&] {
+            return done;
+        },
+        std::chrono::seconds(10));
+    EXPECT_TRUE(result.whole);
+    EXPECT_TRUE(result.body == body);
+    EXPECT_EQ(first.requests.size() + second.requests.size(), 1U);
+}
+
 }
