Answer a request whose handler fails, and close its connection

An exception in the handler of a request was dropped with its coroutine: the caller got no answer, the connection stayed open, the request counted as running, so that a planned stop waited for it in vain, and no line was logged.

The caller gets 500 if nothing was sent, and a closed connection without the end mark otherwise; `unanswered` names handler_failed and the error is logged.

Evidence: both new tests failed before (no answer; the request stays counted).

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -60,7 +60,7 @@
 
 std::string_view toText(unanswered_cause cause)
 {
-    constexpr std::array<std::string_view, 4> names{"client_closed", "connection_failed", "timed_out", "abandoned"};
+    constexpr std::array<std::string_view, 5> names{"client_closed", "connection_failed", "timed_out", "abandoned", "handler_failed"};
     return names.at(static_cast<std::size_t>(cause));
 }
 
@@ -77,6 +77,7 @@
 
     task<void> accept();
     task<void> serve(std::shared_ptr<connection> client);
+    http_response makeErrorResponse(http::status status) const;
 
     asio::io_context &loop;
     tcp::acceptor acceptor;
@@ -160,6 +161,7 @@
 
     task<bool> send(http_response response) override
     {
+        responseBegun = true;
         responseComplete = true;
         if (closeAfter) {
             response.set(http::field::connection, "close");
@@ -176,6 +178,7 @@
 
     task<bool> beginStream(http::response_header<> head) override
     {
+        responseBegun = true;
         if (closeAfter) {
             head.set(http::field::connection, "close");
         }
@@ -218,6 +221,7 @@
     bool idle = true; ///< No byte of the next request has arrived.
     bool closeAfter = false;
     bool skipBody = false;
+    bool responseBegun = false;
     bool responseComplete = false;
     bool disconnected = false;
     bool watching = false;
@@ -320,6 +324,14 @@
 
 }
 
+http_response http_server::state::makeErrorResponse(http::status status) const
+{
+    http_response response(status, 11);
+    response.set(http::field::content_type, "application/json");
+    response.body() = hooks.errorBody(toView(http::obsolete_reason(status)));
+    return response;
+}
+
 task<void> http_server::state::serve(std::shared_ptr<connection> client)
 {
     const auto self = shared_from_this();
@@ -329,15 +341,13 @@
         http::status errorStatus = http::status::unknown;
         if (!co_await readRequest(*client, hooks, request, errorStatus)) {
             if (errorStatus != http::status::unknown) {
-                http_response response(errorStatus, 11);
-                response.set(http::field::content_type, "application/json");
-                response.body() = hooks.errorBody(toView(http::obsolete_reason(errorStatus)));
                 client->closeAfter = true;
-                co_await client->send(std::move(response));
+                co_await client->send(makeErrorResponse(errorStatus));
                 co_await lingeringClose(*client);
             }
             break;
         }
+        client->responseBegun = false;
         client->responseComplete = false;
         client->skipBody = request.message.method() == http::verb::head;
         client->closeAfter = !request.message.keep_alive() || hooks.closing();
@@ -345,7 +355,19 @@
         if (!client->watching) {
             client->watchForDisconnect();
         }
-        co_await hooks.handle(request, *client);
+        bool failed = false;
+        try {
+            co_await hooks.handle(request, *client);
+        } catch (const std::exception &error) {
+            LOG(ERROR) << "handle a request: " << error.what();
+            client->noteEnd(unanswered_cause::HandlerFailed);
+            failed = true;
+        }
+        if (failed && !client->responseBegun) {
+            client->closeAfter = true;
+            co_await client->send(makeErrorResponse(http::status::internal_server_error));
+            client->responseComplete = false;
+        }
         --activeRequests;
         client->disconnectAction = nullptr;
         if (client->watching) {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -55,6 +55,7 @@
     ConnectionFailed, ///< The connection was reset, or a write failed.
     TimedOut, ///< A timeout of this server closed the connection.
     Abandoned, ///< The handler ended before its response was complete, for example after a stream broke.
+    HandlerFailed, ///< The handler ended with an exception.
 };
 
 /// Name of a cause for logs, in snake case.
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -3,6 +3,8 @@
 
 #include <array>
 #include <gtest/gtest.h>
+#include <optional>
+#include <stdexcept>
 #include <thread>
 
 namespace lacewinglock
@@ -36,6 +38,10 @@
                          [](std::string_view reason) {
                              return std::string(reason);
                          },
+                     .unanswered =
+                         [this](const received_request & /*request*/, unanswered_cause cause) {
+                             unanswered = cause;
+                         },
                  })
         , caller(callerLoop)
     {
@@ -90,12 +96,21 @@
     http_server server;
     tcp::socket caller;
     int handled = 0;
+    bool beginsStream = false;
+    bool fails = false;
+    std::optional<unanswered_cause> unanswered;
 
 private:
     task<void> answerLater(server_reply &reply)
     {
         ++handled;
         co_await sleepFor(20ms);
+        if (beginsStream) {
+            co_await reply.beginStream(http::response_header<>{});
+        }
+        if (fails) {
+            throw std::runtime_error("test");
+        }
         co_await reply.send(http_response(http::status::ok, 11));
     }
 };
@@ -147,4 +162,31 @@
     EXPECT_EQ(server.connections(), 0U);
 }
 
+// Guards against a caller that waits for ever, and a stop that waits for it, because the handler of its request failed.
+TEST_F(http_server_test, a_handler_that_fails_ends_its_request_with_an_error)
+{
+    fails = true;
+    connect();
+    write(wholeRequest);
+    const auto answer = readAnswer();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 500")) << answer;
+    EXPECT_EQ(unanswered, unanswered_cause::HandlerFailed);
+    EXPECT_EQ(server.requests(), 0U);
+}
+
+// Guards against a stream whose handler failed and that stays open, or looks complete.
+TEST_F(http_server_test, a_handler_that_fails_amid_a_stream_closes_the_connection_without_the_end_mark)
+{
+    fails = true;
+    beginsStream = true;
+    connect();
+    write(wholeRequest);
+    const auto answer = readAnswer();
+    EXPECT_TRUE(answer.ends_with("\r\n\r\n")) << answer;
+    EXPECT_EQ(answer.find("0\r\n\r\n"), std::string::npos) << answer;
+    EXPECT_EQ(unanswered, unanswered_cause::HandlerFailed);
+    EXPECT_EQ(server.requests(), 0U);
+    EXPECT_EQ(server.connections(), 0U);
+}
+
 }
