Do not use a connection again after an answer without the request id

Callers could get the answer to an earlier request: an endpoint answered without X-Request-Id, its connection was kept, and a late second copy of that answer was taken for the answer to the next request. Answers without an id are accepted, so nothing told the copy apart.

service_forward.does_not_deliver_a_late_copy_of_an_answer_without_an_id failed before: the second caller got the body "first".

The connection is now closed after an answer that lacks the id. On a connection that is used again, every earlier answer had one, so its copy is skipped as foreign.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -283,6 +283,12 @@
     return !id.empty() && toView(id) != m_responseId;
 }
 
+// A late second copy of a response without the ID could not be told from the response to the next request.
+bool client_exchange::isCopyRecognisable() const
+{
+    return m_options.responseIdField.empty() || !m_parser->get()[fromView(m_options.responseIdField)].empty();
+}
+
 task<exchange_state> client_exchange::readHead(bool skipBody)
 {
     std::size_t foreignBytes = 0;
@@ -384,8 +390,8 @@
     }
     m_done = true;
     m_timer.cancel();
-    const bool reusable
-        = m_options.keepConnection && m_requestWritten && !m_bodyEndsAtClose && m_parser->keep_alive() && m_connection->buffer.size() == 0 && !m_cancelled;
+    const bool reusable = m_options.keepConnection && m_requestWritten && !m_bodyEndsAtClose && m_parser->keep_alive() && m_connection->buffer.size() == 0
+        && !m_cancelled && isCopyRecognisable();
     if (!reusable) {
         boost::system::error_code ignored;
         m_connection->socket.close(ignored);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -85,7 +85,8 @@
     duration minIdleTimeLeft = std::chrono::milliseconds(500); ///< Pooled connections that the server closes sooner are not used.
     /// Resets the connection when the exchange times out or is cancelled, so that bytes still in the send buffer do not arrive later.
     bool resetWhenAbandoned = false;
-    std::string_view responseIdField; ///< Header field that identifies the request. Responses with another value are skipped.
+    /// Header field that identifies the request. Responses with another value are skipped. After a response without it the connection is closed.
+    std::string_view responseIdField;
 };
 
 /// One request to a server and its response, which is read incrementally. Must be owned by a shared_ptr.
@@ -120,6 +121,7 @@
     void abandonConnection();
     void release();
     bool isForeignResponse() const;
+    bool isCopyRecognisable() const;
 
     connection_pool &m_pool;
     tcp::endpoint m_server;
--- a/tests/service_forward_test.cpp
+++ b/tests/service_forward_test.cpp
@@ -381,4 +381,18 @@
     EXPECT_TRUE(endpoint.requests.empty());
 }
 
+// Guards against a late second copy of an answer without an id that is delivered to the next caller.
+TEST_F(service_forward, does_not_deliver_a_late_copy_of_an_answer_without_an_id)
+{
+    const std::string first = "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nKeep-Alive: timeout=30\r\nContent-Length: 5\r\n\r\nfirst";
+    scripted_server endpoint(loop, [&](const http_request &request, int number) {
+        const bool sameConnection = number == 2 && endpoint.connections == 1;
+        return scripted_answer{.bytes = number == 1 ? first : (sameConnection ? first : "") + wholeAnswer(request, 200, "second")};
+    });
+    configure({nonRepeatableRoute()});
+    addEndpoint("e1", "desk", endpoint.address());
+    EXPECT_EQ(call(post("/book/1", "x")).body, "first");
+    EXPECT_EQ(call(post("/book/2", "x")).body, "second");
+}
+
 }
