Send a request without an id on a connection of its own

A caller whose request has no X-Request-Id could get the answer to an earlier request: the ids of the answers were not compared, so that a late second copy on a connection in use again was taken for the answer.

service_forward.does_not_deliver_a_late_copy_to_a_request_without_an_id failed before: the second caller got the body "first".

Such a request now always gets a new connection, on which no earlier answer can arrive.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -244,6 +244,11 @@
 {
     const auto self = shared_from_this();
     armTimer(m_options.deadline - bootNow());
+    if (!m_options.responseIdField.empty()) {
+        m_responseId = toView(request[fromView(m_options.responseIdField)]);
+        // Without an ID, a late copy of an earlier response would pass for the response to this request.
+        m_options.reuseConnection = m_options.reuseConnection && !m_responseId.empty();
+    }
     if (const auto state = co_await connect(); state != exchange_state::InProgress) {
         co_return state;
     }
@@ -254,9 +259,6 @@
         abandonConnection();
         co_return exchange_state::NotSent;
     }
-    if (!m_options.responseIdField.empty()) {
-        m_responseId = toView(request[fromView(m_options.responseIdField)]);
-    }
     if (request.body().size() <= inlineWriteBytes) {
         boost::system::error_code error;
         http::request_serializer<http::string_body> serializer(request);
--- a/tests/service_forward_test.cpp
+++ b/tests/service_forward_test.cpp
@@ -395,4 +395,21 @@
     EXPECT_EQ(call(post("/book/2", "x")).body, "second");
 }
 
+// Guards against a late second copy of an answer that is delivered to a caller whose request has no id.
+TEST_F(service_forward, does_not_deliver_a_late_copy_to_a_request_without_an_id)
+{
+    std::string first;
+    scripted_server endpoint(loop, [&](const http_request &request, int number) {
+        if (number == 1) {
+            first = wholeAnswer(request, 200, "first", "Keep-Alive: timeout=30\r\n");
+            return scripted_answer{.bytes = first};
+        }
+        return scripted_answer{.bytes = (endpoint.connections == 1 ? first : "") + wholeAnswer(request, 200, "second")};
+    });
+    configure({nonRepeatableRoute()});
+    addEndpoint("e1", "desk", endpoint.address());
+    EXPECT_EQ(call(post("/book/1", "x")).body, "first");
+    EXPECT_EQ(call("POST /book/2 HTTP/1.1\r\nHost: host.example\r\nContent-Length: 1\r\n\r\nx").body, "second");
+}
+
 }
