Take an answer without a length for broken when the request's write was reset

Callers could get half an answer as a complete success: the endpoint began an answer that ends with its connection and reset the connection while the request's body was still being sent. The kernel reports a reset once; the write got the report, and the read then saw an orderly end.

A write fails only after a reset, so an answer whose end is the end of the connection counts as lost once the write has failed. Answers with a length or chunks show their end themselves and are not concerned.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -238,6 +238,7 @@
     http::request_serializer<http::string_body> serializer(*request);
     m_pool.counters().sentBytes += co_await http::async_write(connection->socket, serializer, errorTo(error));
     m_requestWritten = !error;
+    m_writeFailed = !!error;
 }
 
 task<exchange_state> client_exchange::begin(const http_request &request)
@@ -264,6 +265,7 @@
         http::request_serializer<http::string_body> serializer(request);
         m_pool.counters().sentBytes += co_await http::async_write(m_connection->socket, serializer, errorTo(error));
         m_requestWritten = !error;
+        m_writeFailed = !!error;
         if (error && (m_timedOut || m_cancelled)) {
             m_done = true;
             co_return failure(error);
@@ -365,6 +367,11 @@
     if (!m_parser->is_done()) {
         co_return exchange_state::InProgress;
     }
+    // The kernel reports a reset once. If the write got that report, the read sees an orderly end.
+    if (m_bodyEndsAtClose && m_writeFailed) {
+        m_done = true;
+        co_return exchange_state::Lost;
+    }
     if (!isForeignResponse()) {
         release();
     }
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -134,6 +134,7 @@
     bool m_lateReads = false; ///< Reads are allowed after the deadline for a short time.
     bool m_cancelled = false;
     bool m_requestWritten = false;
+    bool m_writeFailed = false;
     bool m_bodyEndsAtClose = false;
     bool m_done = false;
 };
--- a/tests/edge_fixture.h
+++ b/tests/edge_fixture.h
@@ -40,6 +40,19 @@
                         std::string(body));
 }
 
+/// A response without length or chunks, which ends with its connection.
+inline std::string unframedAnswer(const http_request &request, int status, std::string_view body, std::string_view fields = "")
+{
+    return absl::StrCat("HTTP/1.1 ",
+                        status,
+                        " X\r\nX-Request-Id: ",
+                        std::string(toView(request["X-Request-Id"])),
+                        "\r\nX-Response-Seal: seal\r\nKeep-Alive: timeout=30\r\n",
+                        std::string(fields),
+                        "\r\n",
+                        std::string(body));
+}
+
 /// The header of a chunked event stream.
 inline std::string streamHead(const http_request &request, std::string_view seal = "seal")
 {
--- a/tests/service_forward_test.cpp
+++ b/tests/service_forward_test.cpp
@@ -381,6 +381,21 @@
     EXPECT_TRUE(endpoint.requests.empty());
 }
 
+// Guards against a reset that only the write of a long body sees, while the read sees an orderly end.
+TEST_F(service_forward, does_not_deliver_an_unframed_answer_that_was_reset_during_the_request)
+{
+    tcp::acceptor endpoint(loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    tcp::socket accepted(loop);
+    endpoint.async_accept(accepted, [&](const boost::system::error_code &) {
+        asio::write(accepted, asio::buffer(unframedAnswer({}, 200, "half of")));
+        // The unread part of the body turns the close into a reset.
+        accepted.close();
+    });
+    configure({nonRepeatableRoute()});
+    addEndpoint("e1", "desk", absl::StrCat("127.0.0.1:", endpoint.local_endpoint().port()));
+    EXPECT_EQ(call(post("/book/1", std::string(900'000, 'x'))).status, 502);
+}
+
 // Guards against a late second copy of an answer without an id that is delivered to the next caller.
 TEST_F(service_forward, does_not_deliver_a_late_copy_of_an_answer_without_an_id)
 {
