Do not end a resumed stream as complete when its new engine sent no event

Callers could get a stream that was cut as a complete one: its engine broke off, and the engine that should go on ended its connection in order, without a length or chunks and before its first event. The end of the connection was taken for the end of the stream.

stream_forward.takes_an_unframed_stream_without_events_for_broken failed before: the caller of a stream that broke off inside its second event got the end mark after the first.

The end of a connection proves the end of the stream only after a new event. Without one the stream is resumed again where attempts are left, and is left incomplete otherwise. An engine that has nothing to add says so with a last chunk; one that can't is given up, which its caller sees and may resume.

--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -447,7 +447,9 @@
         }
     }
     const instant now = bootNow();
-    if (state == exchange_state::Complete && events.partialBytes() == 0 && m_streaming) {
+    // After a resume, the end of a connection that brought no new event may also be that of the engine.
+    const bool endIsProved = !first || !exchange.endsWithConnection();
+    if (state == exchange_state::Complete && events.partialBytes() == 0 && m_streaming && endIsProved) {
         m_context.endpoints.noteResult(*engine, attempt_result::Succeeded, now);
         m_context.suspects.recordSuccess(m_request.fingerprint, now);
         m_outcome.reason = "answered";
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -415,6 +415,11 @@
     return m_parser->get();
 }
 
+bool client_exchange::endsWithConnection() const
+{
+    return m_bodyEndsAtClose;
+}
+
 task<absl::StatusOr<http_response>> callServer(connection_pool &pool, tcp::endpoint server, http_request request, exchange_options options)
 {
     const auto exchange = std::make_shared<client_exchange>(pool, server, options);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -111,6 +111,8 @@
 
     /// Response header; valid after a successful begin().
     const http::response_header<> &head() const;
+    /// True when the response has neither a length nor chunks and ends with its connection; valid after a successful begin().
+    bool endsWithConnection() const;
 
 private:
     task<exchange_state> connect();
--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -280,4 +280,27 @@
     EXPECT_EQ(first.requests.size() + second.requests.size(), 1U);
 }
 
+// Guards against a server that crashes before its first event and ends the answer of the caller as complete.
+TEST_F(stream_forward, takes_an_unframed_stream_without_events_for_broken)
+{
+    int calls = 0;
+    std::string firstEvents;
+    const auto script = [&](const http_request &request, int) {
+        return scripted_answer{.bytes = unframedAnswer(request, 200, ++calls == 1 ? firstEvents : ""), .close = true};
+    };
+    scripted_server first(loop, script);
+    scripted_server second(loop, script);
+    addEndpoint("e1", "engines", first.address(), endpoint_role::Decode);
+    addEndpoint("e2", "engines", second.address(), endpoint_role::Decode);
+    configure({streamRoute(true)});
+    EXPECT_EQ(call(generation()).status, 502);
+    EXPECT_EQ(calls, 2);
+    calls = 0;
+    firstEvents = event(1) + "id: 2";
+    const auto resumed = call(generation());
+    EXPECT_TRUE(resumed.answered);
+    EXPECT_FALSE(resumed.whole);
+    EXPECT_EQ(calls, 2);
+}
+
 }
