Check for a crash when a prefill answer without a length is cut

A part of a prompt that crashes engines could go on doing so: an engine crashed while it wrote the answer to a prefill, and its connection ended in order. Without a length or chunks that answer looked complete; only its KV handle was missing, which counted as a failure of the engine and not as a lost connection, so no crash was recorded against the prompt.

stream_forward.counts_a_crash_that_cuts_a_prefill_answer_in_order failed before (0 crashes instead of 1).

A 200 that ends with its connection and holds no handle now counts as a lost connection. The probe for a crash still decides whether the engine is gone.

--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -296,7 +296,9 @@
     if (answered) {
         if (exchange->head().result() == http::status::ok) {
             handle = m_context.platform.wire.engine.parseKvHandle(body);
-            result = handle ? attempt_result::Succeeded : attempt_result::Failed;
+            // Without a length, only the missing handle shows that the answer broke off.
+            const bool cut = !handle && exchange->endsWithConnection();
+            result = handle ? attempt_result::Succeeded : cut ? attempt_result::ConnectionLost : attempt_result::Failed;
         } else if (isMarkedNotExecuted(m_context, exchange->head())) {
             result = attempt_result::Rejected;
         }
@@ -305,10 +307,12 @@
         --m_prefillAttempts;
     } else if (state == exchange_state::Lost) {
         result = attempt_result::ConnectionLost;
-        checkForCrash(m_context, *prefillEngine, m_request);
     } else if (state == exchange_state::TimedOut) {
         result = attempt_result::NoAnswer;
     }
+    if (result == attempt_result::ConnectionLost) {
+        checkForCrash(m_context, *prefillEngine, m_request);
+    }
     m_context.endpoints.noteResult(*prefillEngine, result, bootNow());
     auto line = m_context.line("read_prompt");
     line.add("id", m_request.id).add("endpoint", prefillEngine->entry.id).add("tokens", tokens).add("predicted_ms", predictedMs).add("ms", elapsedMs);
--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -303,4 +303,24 @@
     EXPECT_EQ(calls, 2);
 }
 
+// Guards against a crash that is not counted because the connection ended in order inside the KV handle of a prefill.
+TEST_F(stream_forward, counts_a_crash_that_cuts_a_prefill_answer_in_order)
+{
+    scripted_server crashing(loop, [&](const http_request &request, int) {
+        crashing.stop();
+        return scripted_answer{.bytes = unframedAnswer(request, 200, R"({"kv-handle":"h1","tok)"), .close = true};
+    });
+    scripted_server decodeEngine(loop, [](const http_request &request, int) {
+        return scripted_answer{.bytes = streamHead(request) + chunk(event(1)) + "0\r\n\r\n"};
+    });
+    configure({streamRoute(false)});
+    addEndpoint("e1", "engines", crashing.address(), endpoint_role::Prefill);
+    addEndpoint("e2", "engines", decodeEngine.address(), endpoint_role::Decode);
+    EXPECT_TRUE(call(generationWith("a1:16900,b2:100", 17000)).whole);
+    pause(std::chrono::milliseconds(100));
+    ASSERT_EQ(decodeEngine.requests.size(), 1U);
+    EXPECT_EQ(decodeEngine.requests[0]["X-Kv-Source"], "");
+    EXPECT_EQ(context->suspects.crashes(suspect_requests::partKey(0xa1), bootNow()), 1);
+}
+
 }
