--- a/tests/service_forward_test.cpp
+++ b/tests/service_forward_test.cpp
@@ -381,6 +381,45 @@
     EXPECT_TRUE(endpoint.requests.empty());
 }
 
+// Guards against an answer that ends with its connection being refused, or its connection being used again.
+TEST_F(service_forward, passes_on_an_answer_that_ends_with_its_connection)
+{
+    scripted_server endpoint(loop, [](const http_request &request, int number) {
+        return scripted_answer{.bytes = unframedAnswer(request, number == 1 ? 200 : 500, "all of it"), .close = true};
+    });
+    configure({nonRepeatableRoute()});
+    addEndpoint("e1", "desk", endpoint.address());
+    for (const int status : {200, 500}) {
+        const auto result = call(post("/book/1", "x"));
+        EXPECT_EQ(result.status, status);
+        EXPECT_TRUE(result.whole);
+        EXPECT_EQ(result.body, "all of it");
+    }
+    EXPECT_EQ(endpoint.connections, 2);
+}
+
+// Guards against a refusal that ends with its connection being taken for a run.
+TEST_F(service_forward, refuses_truthfully_after_a_refusal_that_ends_with_its_connection)
+{
+    scripted_server endpoint(loop, [](const http_request &request, int) {
+        return scripted_answer{.bytes = unframedAnswer(request, 503, "full", "X-Not-Executed: 1\r\n"), .close = true};
+    });
+    configure({nonRepeatableRoute()});
+    addEndpoint("e1", "desk", endpoint.address());
+    EXPECT_EQ(call(post("/book/1", "x")).status, 503);
+}
+
+// Guards against an answer without a length that looks complete although its connection was reset.
+TEST_F(service_forward, does_not_deliver_an_unframed_answer_that_was_reset)
+{
+    scripted_server endpoint(loop, [](const http_request &request, int) {
+        return scripted_answer{.bytes = unframedAnswer(request, 200, "half of"), .reset = true};
+    });
+    configure({nonRepeatableRoute()});
+    addEndpoint("e1", "desk", endpoint.address());
+    EXPECT_EQ(call(post("/book/1", "x")).status, 502);
+}
+
 // Guards against a reset that only the write of a long body sees, while the read sees an orderly end.
 TEST_F(service_forward, does_not_deliver_an_unframed_answer_that_was_reset_during_the_request)
 {
@@ -396,6 +435,19 @@
     EXPECT_EQ(call(post("/book/1", std::string(900'000, 'x'))).status, 502);
 }
 
+// Guards against a body longer than its Content-Length reaching the caller.
+TEST_F(service_forward, cuts_an_answer_at_its_length)
+{
+    scripted_server endpoint(loop, [](const http_request &request, int) {
+        return scripted_answer{.bytes = wholeAnswer(request, 200, "one", "Keep-Alive: timeout=30\r\n") + "more", .close = true};
+    });
+    configure({nonRepeatableRoute()});
+    addEndpoint("e1", "desk", endpoint.address());
+    EXPECT_EQ(call(post("/book/1", "x")).body, "one");
+    EXPECT_EQ(call(post("/book/2", "x")).body, "one");
+    EXPECT_EQ(endpoint.connections, 2);
+}
+
 // Guards against a late second copy of an answer without an id that is delivered to the next caller.
 TEST_F(service_forward, does_not_deliver_a_late_copy_of_an_answer_without_an_id)
 {
@@ -427,4 +479,25 @@
     EXPECT_EQ(call("POST /book/2 HTTP/1.1\r\nHost: host.example\r\nContent-Length: 1\r\n\r\nx").body, "second");
 }
 
+// Guards against a late second copy of an answer, without a length, that is delivered to the next caller.
+TEST_F(service_forward, does_not_deliver_a_late_copy_that_ends_with_its_connection)
+{
+    int connections = 0;
+    scripted_server endpoint(loop, [&](const http_request &request, int number) {
+        connections = endpoint.connections;
+        if (number == 1) {
+            return scripted_answer{.bytes = wholeAnswer(request, 200, "first", "Keep-Alive: timeout=30\r\n")};
+        }
+        http_request earlier;
+        earlier.set("X-Request-Id", "r0");
+        return scripted_answer{.bytes = unframedAnswer(earlier, 200, "first"), .close = true};
+    });
+    configure({nonRepeatableRoute()});
+    addEndpoint("e1", "desk", endpoint.address());
+    EXPECT_EQ(call(post("/book/1", "x")).body, "first");
+    EXPECT_EQ(call(post("/book/2", "x")).status, 502);
+    EXPECT_EQ(endpoint.requests.size(), 2U);
+    EXPECT_EQ(connections, 1);
+}
+
 }
--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -280,6 +280,65 @@
     EXPECT_EQ(first.requests.size() + second.requests.size(), 1U);
 }
 
+// Guards against a stream that ends with its connection being taken for a broken one, or its connection being used again.
+TEST_F(stream_forward, passes_on_a_stream_that_ends_with_its_connection)
+{
+    const std::string events = event(1) + "id: 2\r\ndata: piece2\r\n\r\n";
+    scripted_server engine(loop, [&](const http_request &request, int) {
+        return scripted_answer{.bytes = unframedAnswer(request, 200, events), .close = true};
+    });
+    configure({streamRoute(false)});
+    addEndpoint("e1", "engines", engine.address(), endpoint_role::Decode);
+    for (int i = 0; i < 2; ++i) {
+        const auto result = call(generation());
+        EXPECT_TRUE(result.whole);
+        EXPECT_EQ(result.body, events);
+    }
+    EXPECT_EQ(engine.connections, 2);
+}
+
+// Guards against a stream that ends with its connection inside an event and looks complete to the caller.
+TEST_F(stream_forward, takes_a_stream_that_ends_inside_an_event_for_broken)
+{
+    for (const std::string tail :
+         {"i", "id: 2\ndata: piece2", "id: 2\ndata: piece2\n", "id: 2\r\ndata: piece2\r\n", "id: 2\r\ndata: piece2\r\n\r", ": comment\n", "\r"}) {
+        SCOPED_TRACE(testing::PrintToString(tail));
+        int calls = 0;
+        const auto script = [&](const http_request &request, int) {
+            return scripted_answer{.bytes = unframedAnswer(request, 200, ++calls == 1 ? event(1) + tail : event(2)), .close = true};
+        };
+        scripted_server first(loop, script);
+        scripted_server second(loop, script);
+        addEndpoint("e1", "engines", first.address(), endpoint_role::Decode);
+        context->endpoints.remove("e2");
+        configure({streamRoute(false)});
+        const auto broken = call(generation());
+        EXPECT_TRUE(broken.answered);
+        EXPECT_FALSE(broken.whole);
+        EXPECT_EQ(calls, 1);
+        calls = 0;
+        addEndpoint("e2", "engines", second.address(), endpoint_role::Decode);
+        configure({streamRoute(true)});
+        const auto resumed = call(generation());
+        EXPECT_TRUE(resumed.whole);
+        EXPECT_EQ(resumed.body, event(1) + event(2));
+        EXPECT_EQ(calls, 2);
+    }
+}
+
+// Guards against a stream without chunks that looks complete although its connection was reset after a whole event.
+TEST_F(stream_forward, takes_an_unframed_stream_that_was_reset_for_broken)
+{
+    scripted_server engine(loop, [](const http_request &request, int) {
+        return scripted_answer{.bytes = unframedAnswer(request, 200, event(1)), .reset = true};
+    });
+    configure({streamRoute(false)});
+    addEndpoint("e1", "engines", engine.address(), endpoint_role::Decode);
+    const auto result = call(generation());
+    EXPECT_TRUE(result.answered);
+    EXPECT_FALSE(result.whole);
+}
+
 // Guards against a server that crashes before its first event and ends the answer of the caller as complete.
 TEST_F(stream_forward, takes_an_unframed_stream_without_events_for_broken)
 {
@@ -303,6 +362,20 @@
     EXPECT_EQ(calls, 2);
 }
 
+// Guards against a crash that is not counted because the connection ended in order before the first event was complete.
+TEST_F(stream_forward, counts_a_crash_that_ends_a_stream_in_order)
+{
+    scripted_server engine(loop, [&](const http_request &request, int) {
+        engine.stop();
+        return scripted_answer{.bytes = unframedAnswer(request, 200, "id: 1\nda"), .close = true};
+    });
+    configure({streamRoute(false)});
+    addEndpoint("e1", "engines", engine.address(), endpoint_role::Decode);
+    call(generation());
+    pause(std::chrono::milliseconds(100));
+    EXPECT_EQ(context->suspects.crashes(suspect_requests::partKey(0xa1), bootNow()), 1);
+}
+
 // Guards against a crash that is not counted because the connection ended in order inside the KV handle of a prefill.
 TEST_F(stream_forward, counts_a_crash_that_cuts_a_prefill_answer_in_order)
 {
@@ -323,4 +396,23 @@
     EXPECT_EQ(context->suspects.crashes(suspect_requests::partKey(0xa1), bootNow()), 1);
 }
 
+// Guards against a prefill answer or an engine's error that ends with its connection being refused.
+TEST_F(stream_forward, takes_plain_answers_that_end_with_their_connection)
+{
+    scripted_server prefillEngine(loop, [](const http_request &request, int) {
+        return scripted_answer{.bytes = unframedAnswer(request, 200, R"({"kv-handle":"h1"})"), .close = true};
+    });
+    scripted_server decodeEngine(loop, [](const http_request &request, int) {
+        return scripted_answer{.bytes = unframedAnswer(request, 400, "bad prompt"), .close = true};
+    });
+    configure({streamRoute(false)});
+    addEndpoint("e1", "engines", prefillEngine.address(), endpoint_role::Prefill);
+    addEndpoint("e2", "engines", decodeEngine.address(), endpoint_role::Decode);
+    const auto result = call(generation(17000));
+    EXPECT_EQ(result.status, 400);
+    EXPECT_EQ(result.body, "bad prompt");
+    ASSERT_EQ(decodeEngine.requests.size(), 1U);
+    EXPECT_EQ(decodeEngine.requests[0]["X-Kv-Source"], prefillEngine.address() + "/h1");
+}
+
 }
