--- a/src/serving/suspect_requests.cpp
+++ b/src/serving/suspect_requests.cpp
@@ -168,6 +168,7 @@
         return false;
     }
     std::vector<instant> times;
+    times.reserve(known.crashes.size());
     for (const auto &[process, at] : known.crashes) {
         times.push_back(at);
     }
--- a/tests/suspect_requests_test.cpp
+++ b/tests/suspect_requests_test.cpp
@@ -250,7 +250,7 @@
     for (auto now = start; now < start + 9min; now += 1s) {
         if (suspects.startTrial(key, now)) {
             ++trials;
-            crash(suspects, {9}, static_cast<std::uint64_t>(100 + trials), now);
+            crash(suspects, {9}, 100U + static_cast<std::uint64_t>(trials), now);
         }
     }
     EXPECT_EQ(trials, 4);
