Believe the head of a refusal whose body was cut

Callers got 502, "may have run", for a call that had certainly not run: the head of the endpoint's refusal said so, but its connection was reset inside the body, and the whole answer counted as lost. The call was neither sent elsewhere nor could its caller repeat it.

service_forward.believes_the_head_of_a_refusal_whose_body_was_cut failed before (502 instead of 503).

--- a/src/serving/service_forward.cpp
+++ b/src/serving/service_forward.cpp
@@ -72,6 +72,10 @@
     out.state = co_await out.exchange->begin(makeForwardedRequest(context, request, endpoint->entry, now));
     if (out.state == exchange_state::InProgress) {
         out.state = co_await out.exchange->readAll(out.body, maxAnswerBytes);
+        // The head alone proves that the call was not run.
+        if (out.state != exchange_state::Complete && out.state != exchange_state::Cancelled && isMarkedNotExecuted(context, out.exchange->head())) {
+            out.state = exchange_state::Complete;
+        }
     }
     request.reply->onDisconnect(nullptr);
     co_return out;
--- a/tests/service_forward_test.cpp
+++ b/tests/service_forward_test.cpp
@@ -500,4 +500,15 @@
     EXPECT_EQ(connections, 1);
 }
 
+// Guards against a call that is failed as possibly run although the head of a refusal, whose body was cut, proves that it was not run.
+TEST_F(service_forward, believes_the_head_of_a_refusal_whose_body_was_cut)
+{
+    scripted_server endpoint(loop, [](const http_request &request, int) {
+        return scripted_answer{.bytes = unframedAnswer(request, 503, "fu", "X-Not-Executed: 1\r\n"), .reset = true};
+    });
+    configure({nonRepeatableRoute()});
+    addEndpoint("e1", "desk", endpoint.address());
+    EXPECT_EQ(call(post("/book/1", "x")).status, 503);
+}
+
 }
