Clear the parts of a prompt when its stream is complete

Since parts are counted, the success of a stream cleared its fingerprint only: a part that many prompts share kept the crashes of engines for ten minutes, and could be refused once it had been running at three separate crashes that no other part explains.

Evidence: stream_forward.a_complete_stream_clears_the_parts_of_its_prompt failed before (one crash left).

--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -449,7 +449,7 @@
     const instant now = bootNow();
     if (state == exchange_state::Complete && events.partialBytes() == 0 && m_streaming) {
         m_context.endpoints.noteResult(*engine, attempt_result::Succeeded, now);
-        m_context.suspects.recordSuccess(m_request.fingerprint, now);
+        recordSuccess(m_context, m_request);
         m_outcome.reason = "answered";
         co_await m_request.reply->endStream();
         co_return step::Done;
--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -222,6 +222,17 @@
     EXPECT_TRUE(call(generationWith("a1:100,c3:100,d4:100")).whole);
 }
 
+// Guards against a common part that is never cleared of crashes because the success of streams is not counted for it.
+TEST_F(stream_forward, a_complete_stream_clears_the_parts_of_its_prompt)
+{
+    configure({streamRoute(false)});
+    startCrashingEngines(1);
+    const auto part = suspect_requests::partKey(0xa1);
+    context->suspects.recordCrash(part, 1, bootNow());
+    ASSERT_TRUE(call(generationWith("a1:100,c3:100,d4:100")).whole);
+    EXPECT_EQ(context->suspects.crashes(part, bootNow()), 0);
+}
+
 // Guards against sending a prompt to a decode engine although a part of it was found to crash engines while the prompt was prefilled.
 TEST_F(stream_forward, frees_the_prompt_when_a_part_is_refused_during_the_prefill)
 {
