End a stream whose deadline passed during a pause

Reading late answers extended a deadline that had passed each time it was set again: a stream whose events come less than 20 ms apart never timed out once the process had not run at its deadline. Its caller had no final answer at the timeout of the route, and the engine kept a slot. Found in review.

A deadline in the past is extended once.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -180,7 +180,7 @@
 void client_exchange::setDeadline(instant deadline)
 {
     m_options.deadline = deadline;
-    m_lateReads = false;
+    m_lateReads = m_lateReads && deadline <= bootNow(); // A deadline that has passed is not extended again.
     armTimer(m_options.deadline - bootNow());
 }
 
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -45,6 +45,21 @@
         }
         state = result;
     }
+
+protected:
+    task<void> readEvents(tcp::endpoint server, instant deadline, std::optional<exchange_state> &state)
+    {
+        const exchange_options options{.deadline = deadline, .keepConnection = false};
+        const auto current = std::make_shared<client_exchange>(context->pool, server, options);
+        http_request request(http::verb::get, "/events", 11);
+        auto result = co_await current->begin(request);
+        std::string body;
+        while (result == exchange_state::InProgress) {
+            result = co_await current->readSome(body);
+            current->setDeadline(deadline);
+        }
+        state = result;
+    }
 };
 
 }
@@ -103,4 +118,35 @@
     server.join();
 }
 
+// Guards against a stream that never reaches its deadline, because each event after a pause of this process allows late reads again.
+TEST_F(http_client_test, a_deadline_that_passed_during_a_pause_ends_a_stream_whose_deadline_is_set_at_each_event)
+{
+    asio::io_context serverLoop;
+    tcp::acceptor acceptor(serverLoop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    std::thread server([&acceptor] {
+        auto socket = acceptor.accept();
+        boost::system::error_code error;
+        asio::write(socket, asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")), error);
+        const auto end = std::chrono::steady_clock::now() + 1500ms;
+        while (!error && std::chrono::steady_clock::now() < end) {
+            asio::write(socket, asio::buffer(std::string_view("1\r\nx\r\n")), error);
+            std::this_thread::sleep_for(2ms);
+        }
+        asio::write(socket, asio::buffer(std::string_view("0\r\n\r\n")), error);
+    });
+    const instant deadline = bootNow() + 100ms;
+    std::optional<exchange_state> state;
+    asio::co_spawn(loop, readEvents(acceptor.local_endpoint(), deadline, state), asio::detached);
+    loop.run_for(50ms);
+    std::this_thread::sleep_for(100ms);
+    runUntil(
+        [&] {
+            return state.has_value();
+        },
+        3s);
+    EXPECT_EQ(state, exchange_state::TimedOut);
+    EXPECT_LT(bootNow() - deadline, 500ms);
+    server.join();
+}
+
 }
