--- a/tests/edge_daemon_test.cpp
+++ b/tests/edge_daemon_test.cpp
@@ -133,6 +133,25 @@
     EXPECT_FALSE(result.head["Retry-After"].empty());
 }
 
+// Guards against a stream that is accepted during a stop and cut by the end of the process, because only the time to its first event was looked at.
+TEST_F(edge_daemon_test, refuses_streams_that_can_outlast_the_process)
+{
+    auto route = makeRoute("/read/", "engines");
+    route.stream = true;
+    route.timeout = std::chrono::seconds(8);
+    route.target = std::chrono::milliseconds(600);
+    configure({route});
+    scripted_server engine(loop, [](const http_request &request, int) {
+        return scripted_answer{.bytes = wholeAnswer(request, 200, "data: x\n\n")};
+    });
+    addEndpoint("e1", "engines", engine.address());
+    context->stopping = true;
+    context->stoppingSince = bootNow() - std::chrono::milliseconds(3500);
+    const auto result = call(post("/read/1", "x"));
+    EXPECT_EQ(result.status, 503);
+    EXPECT_EQ(engine.requests.size(), 0U);
+}
+
 // Guards against oversized headers and bodies that reach an endpoint.
 TEST_F(edge_daemon_test, rejects_oversized_headers_and_bodies)
 {
