End the daemon when one of its duties ends by an exception

The duties of the daemon (following the configuration and the endpoints, membership, exchange, usage, scaling, role changes, lease, housekeeping, signals, stop, accepting connections) ran detached: an exception ended the duty and nothing else. The daemon went on for ever with the endpoints it held, or with the old routes while it refused every API key as unverified, or it ignored SIGTERM, and logged nothing. None is known to have happened; it was found while looking for other coroutines that fail like the request handlers.

spawnDuty() logs the name and the error and lets the event loop throw, upon which runEdgeDaemon() returns 1, so that the process is started again. Work that belongs to one request (writing its body, the crash probe, freeing a KV handle) or one connection is only logged, with spawnBackground().

--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "state/rendezvous.h"
 #include "transport/boot_clock.h"
+#include "transport/spawn.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
@@ -353,8 +354,8 @@
 
 void checkForCrash(edge_context &context, const endpoint_state &endpoint, const caller_request &request)
 {
-    asio::co_spawn(
-        context.loop, confirmCrash(context, endpoint.entry.address, endpoint.hash, request.id, request.fingerprint, request.sharedParts), asio::detached);
+    spawnBackground(
+        context.loop, confirmCrash(context, endpoint.entry.address, endpoint.hash, request.id, request.fingerprint, request.sharedParts), "confirm_crash");
 }
 
 void recordSuccess(edge_context &context, const caller_request &request)
--- a/src/serving/edge_daemon.cpp
+++ b/src/serving/edge_daemon.cpp
@@ -10,11 +10,13 @@
 #include "serving/usage_duty.h"
 #include "serving/usage_relay.h"
 #include "transport/boot_clock.h"
+#include "transport/spawn.h"
 #include "transport/url_query.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <csignal>
+#include <glog/logging.h>
 #include <unistd.h>
 
 namespace lacewinglock
@@ -163,25 +165,25 @@
     listen(m_metrics, settings.metricsAddress);
     listen(m_feeds, settings.peerAddress);
     auto &loop = m_context.loop;
-    asio::co_spawn(loop, watchSignals(), asio::detached);
-    asio::co_spawn(loop, followConfiguration(m_context), asio::detached);
-    asio::co_spawn(loop, followEndpoints(m_context), asio::detached);
-    asio::co_spawn(loop, maintainMembership(m_context), asio::detached);
+    spawnDuty(loop, watchSignals(), "watch_signals");
+    spawnDuty(loop, followConfiguration(m_context), "follow_configuration");
+    spawnDuty(loop, followEndpoints(m_context), "follow_endpoints");
+    spawnDuty(loop, maintainMembership(m_context), "maintain_membership");
     if (m_peers.is_open()) {
-        asio::co_spawn(loop, sendExchange(m_context, m_peers), asio::detached);
-        asio::co_spawn(loop, receiveExchange(m_context, m_peers), asio::detached);
+        spawnDuty(loop, sendExchange(m_context, m_peers), "send_exchange");
+        spawnDuty(loop, receiveExchange(m_context, m_peers), "receive_exchange");
     }
     if (settings.reportsUsage) {
-        asio::co_spawn(loop, storeUsage(m_context), asio::detached);
-        asio::co_spawn(loop, reportUsage(m_context, m_lease), asio::detached);
+        spawnDuty(loop, storeUsage(m_context), "store_usage");
+        spawnDuty(loop, reportUsage(m_context, m_lease), "report_usage");
     }
     if (settings.ordersEndpoints) {
-        asio::co_spawn(loop, planEngines(m_context, m_lease), asio::detached);
+        spawnDuty(loop, planEngines(m_context, m_lease), "plan_engines");
     }
     if (settings.reportsUsage || settings.ordersEndpoints) {
-        asio::co_spawn(loop, m_lease.run(), asio::detached);
+        spawnDuty(loop, m_lease.run(), "run_lease");
     }
-    asio::co_spawn(loop, runHousekeeping(), asio::detached);
+    spawnDuty(loop, runHousekeeping(), "housekeeping");
 }
 
 task<void> edge_daemon::serveReady(received_request &request, server_reply &reply)
@@ -259,7 +261,7 @@
         } else if (!m_context.stopping) {
             m_context.stopping = true;
             m_context.stoppingSince = bootNow();
-            asio::co_spawn(m_context.loop, stop(), asio::detached);
+            spawnDuty(m_context.loop, stop(), "stop");
         }
     }
 }
@@ -301,7 +303,7 @@
     auto begin = m_context.line("stopping");
     begin.add("requests", static_cast<std::uint64_t>(m_callers.requests())).add("connections", static_cast<std::uint64_t>(m_callers.connections()));
     m_context.log.write(begin);
-    asio::co_spawn(m_context.loop, leaveMembership(m_context), asio::detached);
+    spawnBackground(m_context.loop, leaveMembership(m_context), "leave_membership");
     const instant exitBy = m_context.stoppingSince + m_context.settings.shutdownGrace - exitMargin;
     bool closed = false;
     while (bootNow() < exitBy) {
@@ -330,7 +332,12 @@
     line_log log(STDOUT_FILENO);
     edge_daemon daemon(loop, settings, makePlatform, log, reloadSettings);
     daemon.start();
-    loop.run();
+    try {
+        loop.run();
+    } catch (const std::exception &error) {
+        LOG(ERROR) << "the daemon ends: " << error.what();
+        return 1;
+    }
     return 0;
 }
 
--- a/src/serving/fleet_duty.cpp
+++ b/src/serving/fleet_duty.cpp
@@ -2,6 +2,7 @@
 
 #include "serving/fleet_plan.h"
 #include "transport/boot_clock.h"
+#include "transport/spawn.h"
 
 #include <algorithm>
 #include <deque>
@@ -246,7 +247,7 @@
     }
     plan.changingRole = true;
     plan.roleChangedAt = now;
-    asio::co_spawn(m_context.loop, changeRole(shared_from_this(), std::move(service), *change), asio::detached);
+    spawnDuty(m_context.loop, changeRole(shared_from_this(), std::move(service), *change), "change_role");
 }
 
 // Step 1: announce to all daemons that the engine gets no new requests. Step 2: send the order, unless the engine has accepted another one since.
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -4,6 +4,7 @@
 #include "serving/peer_exchange.h"
 #include "serving/placement_log.h"
 #include "transport/boot_clock.h"
+#include "transport/spawn.h"
 
 #include <algorithm>
 #include <cmath>
@@ -523,7 +524,7 @@
 void stream_session::freeKvHandle(const endpoint_ptr &prefillEngine, const std::string &handle) const
 {
     if (const auto address = parseAddress(prefillEngine->entry.address); address.ok()) {
-        asio::co_spawn(m_context.loop, sendFreeKvHandle(m_context, *address, m_context.platform.wire.engine.freeKvHandle(handle)), asio::detached);
+        spawnBackground(m_context.loop, sendFreeKvHandle(m_context, *address, m_context.platform.wire.engine.freeKvHandle(handle)), "free_kv_handle");
     }
 }
 
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,6 +1,7 @@
 #include "transport/http_client.h"
 
 #include "transport/boot_clock.h"
+#include "transport/spawn.h"
 
 #include <algorithm>
 #include <array>
@@ -268,7 +269,7 @@
         }
         // After a failed write, a response may still have arrived, for example an early error. The read below shows it.
     } else {
-        asio::co_spawn(m_pool.loop(), writeRequest(std::make_shared<http_request>(request)), asio::detached);
+        spawnBackground(m_pool.loop(), writeRequest(std::make_shared<http_request>(request)), "write_request");
     }
     co_return co_await readHead(request.method() == http::verb::head);
 }
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,6 +1,7 @@
 #include "transport/http_server.h"
 
 #include "transport/boot_clock.h"
+#include "transport/spawn.h"
 #include "transport/timeout.h"
 
 #include <algorithm>
@@ -250,7 +251,7 @@
         socket.set_option(tcp::no_delay(true), error);
         auto client = std::make_shared<connection>(std::move(socket), loop);
         open.insert(client);
-        asio::co_spawn(loop, serve(std::move(client)), asio::detached);
+        spawnBackground(loop, serve(std::move(client)), "serve_connection");
     }
 }
 
@@ -408,7 +409,7 @@
     m_state->acceptor.set_option(tcp::acceptor::reuse_address(true));
     m_state->acceptor.bind(address);
     m_state->acceptor.listen(512);
-    asio::co_spawn(m_state->loop, m_state->accept(), asio::detached);
+    spawnDuty(m_state->loop, m_state->accept(), "accept");
 }
 
 void http_server::stopAccepting()
