Test that a restarted relay brings back no endpoint that left

No fault was found: a follower drops what a relay says about a version older than its own, and a relay that is behind sends no rows. With both guards taken out the test fails (the endpoint is in use again); with the relay's taken out alone, or the follower's alone, it passes.

--- a/tests/edge_feed_test.cpp
+++ b/tests/edge_feed_test.cpp
@@ -24,6 +24,15 @@
     return out;
 }
 
+table_changes endpointsAt(std::uint64_t version, const std::vector<std::string> &ids)
+{
+    auto out = changesTo(version, ids, bootNow());
+    for (auto &changed : out.rows) {
+        changed.value = R"({"service":"models","address":"127.0.0.1:1","zone":"domain-a","slots":4,"state":"ready"})";
+    }
+    return out;
+}
+
 std::vector<std::string> keysOf(const table_changes &changes)
 {
     std::vector<std::string> keys;
@@ -316,6 +325,44 @@
     EXPECT_LT(bootNow() - old, bound / 2) << "the relay's data is old";
 }
 
+// Guards against an endpoint that has left and is in use again, because a restarted relay serves rows older than those held by its follower.
+TEST_F(feed_relay, a_restarted_relay_brings_back_no_endpoint_that_left)
+{
+    storeScript = [&](const http_request &request, int) {
+        const bool feed = toView(request.target()).find("rows-feed") != std::string_view::npos;
+        return scripted_answer{.bytes = wholeAnswer(request, 200, R"({"ver":7,"rows":[]})"), .delay = feed ? 50ms : 0ms};
+    };
+    for (int i = 0; i < 30; ++i) {
+        const std::string id = "peer-" + std::to_string(i);
+        context->members[id] = context->members["relay"];
+        context->peers[id] = {.serving = true};
+    }
+    asio::co_spawn(loop, followEndpoints(*context), asio::detached);
+    const auto isAsked = [&] {
+        const int before = relayRequests;
+        return runUntil(
+            [&] {
+                return relayRequests >= before + 3;
+            },
+            5s);
+    };
+    ASSERT_TRUE(isAsked()); // The relay has no rows yet.
+    publishChanges(relay, platform_table::Endpoints, changesTo(5, {}, bootNow()), true);
+    ASSERT_TRUE(isAsked());
+    publishChanges(relay, platform_table::Endpoints, endpointsAt(6, {"left"}), false);
+    ASSERT_TRUE(isAsked());
+    EXPECT_FALSE(context->endpoints.find("left"));
+    auto newest = endpointsAt(8, {"left", "new"});
+    newest.rows.front().removed = true;
+    publishChanges(relay, platform_table::Endpoints, newest, false);
+    EXPECT_TRUE(runUntil(
+        [&] {
+            return context->endpoints.find("new") != nullptr;
+        },
+        2s));
+    EXPECT_FALSE(context->endpoints.find("left"));
+}
+
 // Guards against followers that query the store although their relay works, because its data seems too old between two answers of the store: calls
 // then grow with the daemons. Found on ribbonwire-lace-large, 18,000 calls instead of 8,000. The data must still be dropped in time for the bound.
 TEST(feed_bounds, fit_a_working_relay_and_the_bound)
