Drop a table older than the rows held after the store discarded its history

When the store has discarded the history that a daemon asks for, the daemon reads the whole table again. It forgot the version that it held before, so the check for stale answers did not apply: a table older than the rows held brought back endpoints that had left, and counted as proof of a current configuration. The store does not answer so by its own rules, and no such answer was seen; the invariant that a stale answer is dropped did not hold.

The follower now keeps its version while it reads the table again, so the same check covers both kinds of answers.

--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -133,10 +133,10 @@
 task<void> follow(edge_context &context, platform_table table, table_handler handler)
 {
     bool failing = false;
-    std::optional<std::uint64_t> version;
+    std::optional<std::uint64_t> version; // Kept while a snapshot is read again, so that an older one is dropped.
+    bool snapshot = true;
     feed_source source;
     while (true) {
-        const bool snapshot = !version;
         const auto role = feedRole(context);
         if (!snapshot && !role.relays.empty() && !std::exchange(source.queryStore, false)) {
             if (const auto relayed = co_await readFromRelay(context, table, handler, *version, role, source)) {
@@ -156,7 +156,7 @@
         context.counters.count(metric_counter::StoreReads);
         if (!answer.ok()) {
             if (answer.status().code() == absl::StatusCode::kOutOfRange) {
-                version.reset();
+                snapshot = true;
             } else {
                 noteStoreFailure(context, handler.name, answer.status(), failing);
             }
@@ -177,6 +177,7 @@
         source.verifiedAt = answer->requestedAt;
         handler.apply(*answer, snapshot);
         publishChanges(context, table, *answer, snapshot);
+        snapshot = false;
         if (!answer->rows.empty()) {
             co_await sleepFor(std::min<duration>(changeDelayPerDaemon * static_cast<int>(context.daemons()), maxChangeDelay));
         }
--- a/tests/edge_feed_test.cpp
+++ b/tests/edge_feed_test.cpp
@@ -4,6 +4,8 @@
 #include "serving/peer_exchange.h"
 #include "serving/table_follower.h"
 
+#include <absl/strings/escaping.h>
+#include <nlohmann/json.hpp>
 #include <set>
 
 namespace lacewinglock
@@ -363,6 +365,29 @@
     EXPECT_FALSE(context->endpoints.find("left"));
 }
 
+// Guards against an endpoint that has left and is in use again, because the store answers with an old table after it has discarded its history.
+TEST_F(feed_relay, a_table_older_than_the_rows_held_is_dropped)
+{
+    int tables = 0;
+    storeScript = [&](const http_request &request, int) {
+        if (toView(request.target()).find("rows-feed") != std::string_view::npos) {
+            return scripted_answer{.bytes = wholeAnswer(request, 410, "{}")};
+        }
+        const auto &changes = ++tables == 2 ? endpointsAt(5, {"left"}) : endpointsAt(7, {"present"});
+        const nlohmann::json row{{"key", changes.rows[0].key}, {"value", absl::Base64Escape(changes.rows[0].value)}, {"ver", changes.version}};
+        const nlohmann::json body{{"ver", changes.version}, {"rows", {row}}};
+        return scripted_answer{.bytes = wholeAnswer(request, 200, body.dump())};
+    };
+    asio::co_spawn(loop, followEndpoints(*context), asio::detached);
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return context->endpoints.find("left") != nullptr || tables >= 4;
+        },
+        5s));
+    EXPECT_FALSE(context->endpoints.find("left"));
+    EXPECT_TRUE(context->endpoints.find("present"));
+}
+
 // Guards against followers that query the store although their relay works, because its data seems too old between two answers of the store: calls
 // then grow with the daemons. Found on ribbonwire-lace-large, 18,000 calls instead of 8,000. The data must still be dropped in time for the bound.
 TEST(feed_bounds, fit_a_working_relay_and_the_bound)
