Keep the state of a server that ends before its event loop runs

accept() took hold of the state of its server only in its first step, which runs with the event loop. A server that listened and ended before that, as when a later server of the process cannot listen, left a coroutine that read freed memory once the loop ran. The daemon ends without running its loop in that case, so nothing was seen; serve() had the same form.

Evidence: http_server.a_server_that_ends_before_its_event_loop_runs_is_not_accessed failed before under the address sanitizer (heap-use-after-free in accept).

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -65,7 +65,7 @@
     return names.at(static_cast<std::size_t>(cause));
 }
 
-struct http_server::state : std::enable_shared_from_this<http_server::state>
+struct http_server::state
 {
     struct connection;
 
@@ -76,8 +76,9 @@
     {
     }
 
-    task<void> accept();
-    task<void> serve(std::shared_ptr<connection> client);
+    // `self` keeps the state from the call on; the coroutine itself may start later.
+    task<void> accept(std::shared_ptr<state> self);
+    task<void> serve(std::shared_ptr<state> self, std::shared_ptr<connection> client);
     http_response makeErrorResponse(http::status status) const;
 
     asio::io_context &loop;
@@ -228,9 +229,8 @@
     bool watching = false;
 };
 
-task<void> http_server::state::accept()
+task<void> http_server::state::accept(std::shared_ptr<state> self)
 {
-    const auto self = shared_from_this();
     while (acceptor.is_open()) {
         boost::system::error_code error;
         tcp::socket socket(loop);
@@ -251,7 +251,7 @@
         socket.set_option(tcp::no_delay(true), error);
         auto client = std::make_shared<connection>(std::move(socket), loop);
         open.insert(client);
-        spawnBackground(loop, serve(std::move(client)), "serve_connection");
+        spawnBackground(loop, serve(self, std::move(client)), "serve_connection");
     }
 }
 
@@ -333,9 +333,8 @@
     return response;
 }
 
-task<void> http_server::state::serve(std::shared_ptr<connection> client)
+task<void> http_server::state::serve(std::shared_ptr<state> /*self*/, std::shared_ptr<connection> client)
 {
-    const auto self = shared_from_this();
     bool keepAlive = true;
     while (keepAlive && client->socket.is_open()) {
         received_request request;
@@ -409,7 +408,7 @@
     m_state->acceptor.set_option(tcp::acceptor::reuse_address(true));
     m_state->acceptor.bind(address);
     m_state->acceptor.listen(512);
-    spawnDuty(m_state->loop, m_state->accept(), "accept");
+    spawnDuty(m_state->loop, m_state->accept(m_state), "accept");
 }
 
 void http_server::stopAccepting()
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -189,4 +189,15 @@
     EXPECT_EQ(server.connections(), 0U);
 }
 
+// Guards against an access to freed memory, shown by `make sanitize`, when a server ends before its event loop runs.
+TEST(http_server, a_server_that_ends_before_its_event_loop_runs_is_not_accessed)
+{
+    asio::io_context loop(1);
+    {
+        http_server server(loop, {});
+        server.listen(tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    }
+    EXPECT_NO_THROW(loop.run());
+}
+
 }
