--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,6 +1,7 @@
 #include "transport/http_server.h"
 
 #include "transport/boot_clock.h"
+#include "transport/spawn.h"
 #include "transport/timeout.h"
 
 #include <algorithm>
@@ -64,7 +65,7 @@
     return names.at(static_cast<std::size_t>(cause));
 }
 
-struct http_server::state : std::enable_shared_from_this<http_server::state>
+struct http_server::state
 {
     struct connection;
 
@@ -75,8 +76,9 @@
     {
     }
 
-    task<void> accept();
-    task<void> serve(std::shared_ptr<connection> client);
+    // `self` keeps the state from the call on; the coroutine itself may start later.
+    task<void> accept(std::shared_ptr<state> self);
+    task<void> serve(std::shared_ptr<state> self, std::shared_ptr<connection> client);
     http_response makeErrorResponse(http::status status) const;
 
     asio::io_context &loop;
@@ -227,9 +229,8 @@
     bool watching = false;
 };
 
-task<void> http_server::state::accept()
+task<void> http_server::state::accept(std::shared_ptr<state> self)
 {
-    const auto self = shared_from_this();
     while (acceptor.is_open()) {
         boost::system::error_code error;
         tcp::socket socket(loop);
@@ -250,7 +251,7 @@
         socket.set_option(tcp::no_delay(true), error);
         auto client = std::make_shared<connection>(std::move(socket), loop);
         open.insert(client);
-        asio::co_spawn(loop, serve(std::move(client)), asio::detached);
+        spawnBackground(loop, serve(self, std::move(client)), "serve_connection");
     }
 }
 
@@ -332,9 +333,8 @@
     return response;
 }
 
-task<void> http_server::state::serve(std::shared_ptr<connection> client)
+task<void> http_server::state::serve(std::shared_ptr<state> /*self*/, std::shared_ptr<connection> client)
 {
-    const auto self = shared_from_this();
     bool keepAlive = true;
     while (keepAlive && client->socket.is_open()) {
         received_request request;
@@ -408,7 +408,7 @@
     m_state->acceptor.set_option(tcp::acceptor::reuse_address(true));
     m_state->acceptor.bind(address);
     m_state->acceptor.listen(512);
-    asio::co_spawn(m_state->loop, m_state->accept(), asio::detached);
+    spawnDuty(m_state->loop, m_state->accept(m_state), "accept");
 }
 
 void http_server::stopAccepting()
