Do not close a connection as idle when its next request has arrived

A daemon that stops closed connections as idle although the caller's next request was already in the socket's buffer. The request was not passed on, so the caller may repeat it, but it ended without an answer and cost another attempt.

Cause: idle meant that no byte was read. closeIdle() runs between the arrival of a request and the turn of its coroutine.

closeIdle() now looks at the socket's input.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -119,6 +119,13 @@
         socket.close(ignored);
     }
 
+    // True when the first bytes of the next request have arrived but were not read.
+    bool hasInput()
+    {
+        char byte = 0;
+        return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    }
+
     // Waits for input while a request is handled. The end of input means that the client has disconnected.
     void watchForDisconnect()
     {
@@ -420,7 +427,7 @@
 void http_server::closeIdle()
 {
     for (const auto &client : m_state->open) {
-        if (client->idle) {
+        if (client->idle && !client->hasInput()) {
             client->close();
         }
     }
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -86,7 +86,7 @@
     void listen(const tcp::endpoint &address);
     /// Stops accepting connections; open ones stay open.
     void stopAccepting();
-    /// Closes connections on which no request is being received or handled.
+    /// Closes connections on which no byte of a request has arrived and no request is being handled.
     void closeIdle();
 
     /// Number of open connections.
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -152,6 +152,16 @@
     EXPECT_EQ(answered, handled == 1);
 }
 
+// Guards against a planned stop that closes a connection whose next request has arrived but was not yet read.
+TEST_F(http_server_test, closing_idle_connections_does_not_cut_a_request_that_has_arrived)
+{
+    connect();
+    write(wholeRequest);
+    server.closeIdle();
+    EXPECT_TRUE(readAnswer().starts_with("HTTP/1.1 200"));
+    EXPECT_EQ(handled, 1);
+}
+
 // Guards against a timeout that never ends a connection.
 TEST_F(http_server_test, closes_a_connection_that_stays_idle)
 {
