Announce the close of a connection in every answer sent during a stop

A caller whose request was running when its daemon was told to stop got an answer without "Connection: close" and reused the connection, which the daemon closes 3.5 s after the signal or at its exit. A request that crosses this close ends without an answer.

Cause: whether an answer announces the close was decided when its request began.

It is now decided when the head of the answer is sent.

Evidence: http_server_test.an_answer_during_a_stop_says_close_although_its_request_ began_before failed before (no such field) and passes three plays of three with the other seven tests of the file.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -88,9 +88,10 @@
 
 struct http_server::state::connection : server_reply, std::enable_shared_from_this<connection>
 {
-    connection(tcp::socket accepted, asio::io_context &loop)
+    connection(tcp::socket accepted, asio::io_context &loop, const server_hooks &given)
         : socket(std::move(accepted))
         , timer(loop)
+        , hooks(given)
     {
     }
 
@@ -170,6 +171,7 @@
     {
         responseBegun = true;
         responseComplete = true;
+        closeAfter = closeAfter || hooks.closing();
         if (closeAfter) {
             response.set(http::field::connection, "close");
         }
@@ -186,6 +188,7 @@
     task<bool> beginStream(http::response_header<> head) override
     {
         responseBegun = true;
+        closeAfter = closeAfter || hooks.closing();
         if (closeAfter) {
             head.set(http::field::connection, "close");
         }
@@ -222,6 +225,7 @@
 
     tcp::socket socket;
     timeout timer;
+    const server_hooks &hooks;
     beast::flat_buffer buffer;
     std::function<void()> disconnectAction;
     std::optional<unanswered_cause> endCause;
@@ -255,7 +259,7 @@
             continue;
         }
         socket.set_option(tcp::no_delay(true), error);
-        auto client = std::make_shared<connection>(std::move(socket), loop);
+        auto client = std::make_shared<connection>(std::move(socket), loop, hooks);
         open.insert(client);
         asio::co_spawn(loop, serve(std::move(client)), asio::detached);
     }
@@ -357,7 +361,7 @@
         client->responseBegun = false;
         client->responseComplete = false;
         client->skipBody = request.message.method() == http::verb::head;
-        client->closeAfter = !request.message.keep_alive() || hooks.closing();
+        client->closeAfter = !request.message.keep_alive();
         ++activeRequests;
         if (!client->watching) {
             client->watchForDisconnect();
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -31,8 +31,8 @@
                              return limits;
                          },
                      .closing =
-                         [] {
-                             return false;
+                         [this] {
+                             return closing;
                          },
                      .errorBody =
                          [](std::string_view reason) {
@@ -98,6 +98,7 @@
     int handled = 0;
     bool beginsStream = false;
     bool fails = false;
+    bool closing = false;
     std::optional<unanswered_cause> unanswered;
 
 private:
@@ -162,6 +163,17 @@
     EXPECT_EQ(handled, 1);
 }
 
+// Guards against callers that reuse a connection of a stopping server because the request had begun before the stop.
+TEST_F(http_server_test, an_answer_during_a_stop_says_close_although_its_request_began_before)
+{
+    connect();
+    write(wholeRequest);
+    loop.run_for(5ms);
+    ASSERT_EQ(handled, 1);
+    closing = true;
+    EXPECT_NE(readAnswer().find("Connection: close"), std::string::npos);
+}
+
 // Guards against a timeout that never ends a connection.
 TEST_F(http_server_test, closes_a_connection_that_stays_idle)
 {
