--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -90,9 +90,10 @@
 
 struct http_server::state::connection : server_reply, std::enable_shared_from_this<connection>
 {
-    connection(tcp::socket accepted, asio::io_context &loop)
+    connection(tcp::socket accepted, asio::io_context &loop, const server_hooks &given)
         : socket(std::move(accepted))
         , timer(loop)
+        , hooks(given)
     {
     }
 
@@ -121,6 +122,13 @@
         socket.close(ignored);
     }
 
+    // True when the first bytes of the next request have arrived but were not read.
+    bool hasInput()
+    {
+        char byte = 0;
+        return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    }
+
     // Waits for input while a request is handled. The end of input means that the client has disconnected.
     void watchForDisconnect()
     {
@@ -165,6 +173,7 @@
     {
         responseBegun = true;
         responseComplete = true;
+        closeAfter = closeAfter || hooks.closing();
         if (closeAfter) {
             response.set(http::field::connection, "close");
         }
@@ -181,6 +190,7 @@
     task<bool> beginStream(http::response_header<> head) override
     {
         responseBegun = true;
+        closeAfter = closeAfter || hooks.closing();
         if (closeAfter) {
             head.set(http::field::connection, "close");
         }
@@ -217,6 +227,7 @@
 
     tcp::socket socket;
     timeout timer;
+    const server_hooks &hooks;
     beast::flat_buffer buffer;
     std::function<void()> disconnectAction;
     std::optional<unanswered_cause> endCause;
@@ -249,7 +260,7 @@
             continue;
         }
         socket.set_option(tcp::no_delay(true), error);
-        auto client = std::make_shared<connection>(std::move(socket), loop);
+        auto client = std::make_shared<connection>(std::move(socket), loop, hooks);
         open.insert(client);
         spawnBackground(loop, serve(self, std::move(client)), "serve_connection");
     }
@@ -350,7 +361,7 @@
         client->responseBegun = false;
         client->responseComplete = false;
         client->skipBody = request.message.method() == http::verb::head;
-        client->closeAfter = !request.message.keep_alive() || hooks.closing();
+        client->closeAfter = !request.message.keep_alive();
         ++activeRequests;
         if (!client->watching) {
             client->watchForDisconnect();
@@ -420,7 +431,7 @@
 void http_server::closeIdle()
 {
     for (const auto &client : m_state->open) {
-        if (client->idle) {
+        if (client->idle && !client->hasInput()) {
             client->close();
         }
     }
