Crash the soak's engines with a part of prompts

Its prompts now share a first part and one of four middle parts. A fifth of them, at any daemon and no two alike, carries a part that ends each engine that begins to write an answer on it; the engine refuses connections and is back after 2 to 4 s under a new id. The part overlaps with the other faults and outlasts them by 8 s.

The oracle counts what reaches the stand-ins: later than contact-ms after the fifth crash, at most three requests with the part from daemons in touch; and from twice contact-ms after it (after the last crash if there are fewer), prompts without the part are served at least half as often as before the first fault.

Pauses of daemons and faults of the store now count as over when the faults end, as they are, so the checks apply earlier.

--- a/soak/faultsoak.cpp
+++ b/soak/faultsoak.cpp
@@ -35,7 +35,10 @@
 constexpr std::int64_t recoveryMs = 12000; // Time without faults at the end, in which leases and endpoint lists settle.
 constexpr std::int64_t finalLoadMs = 6000; // Time for the requests by which recovery is checked.
 constexpr int plainServiceCount = 4;
-constexpr int engineCount = 3;
+constexpr int engineCount = 6;
+constexpr std::int64_t calmMs = 2000; // Load before the first fault.
+constexpr std::int64_t partAfterFaultsMs = 8000; // Long enough to see how prompts are served beside the part when nothing else is disturbed.
+constexpr double crashingFraction = 0.2; // Of the prompts, while a part crashes engines.
 constexpr int requestsPerConnection = 15;
 constexpr std::int64_t resolveTimeoutMs = 1000; // Name resolution takes a few milliseconds.
 constexpr std::int64_t responseTimeoutMs = 6000; // Above the timeout of every route.
@@ -78,21 +81,27 @@
     void writeConfiguration();
     void injectFault();
     void stopNextDaemon();
-    task<void> disturbProxy(proxy &networkProxy, proxy_mode mode, std::int64_t durationMs, bool isStoreProxy);
+    task<void> disturbProxy(proxy &networkProxy, proxy_mode mode, std::int64_t durationMs, std::string daemon);
     task<void> disturbStore(store_mode mode, std::int64_t durationMs);
     task<void> pauseDaemon(std::size_t index, std::int64_t durationMs);
     task<void> stopDaemon(std::size_t index, int signalNumber, std::int64_t downTimeMs);
     task<void> replaceEndpoint(std::size_t index, std::int64_t drainMs, std::int64_t downMs);
     task<void> dropResponses(std::size_t index, std::int64_t durationMs);
+    task<void> poisonParts();
+    void replaceCrashed(const std::string &id);
+    std::string promptHeaders(const std::string &crashingPart);
     task<void> superviseDaemons();
     task<void> runCaller(int callerNumber);
-    task<void> sendRequest(tcp::socket &socket, int callerNumber, bool &keepAlive);
+    task<void> sendRequest(tcp::socket &socket, const std::string &daemon, int callerNumber, bool &keepAlive);
+    std::string daemonAt(std::string_view callerAddress) const;
     task<std::string> resolveAddress();
     void endFaults();
 
     asio::io_context &m_loop;
     std::mt19937_64 m_random; ///< For the faults only, so that their sequence does not depend on the speed of the requests.
     std::mt19937_64 m_callerRandom;
+    std::mt19937_64 m_partRandom; ///< For the crashing parts and the replaced engines, whose times depend on the requests.
+    std::string m_crashingPart; ///< Crashes engines now; empty if none does.
     oracle m_oracle;
     store_stand_in m_store;
     std::vector<std::unique_ptr<proxy>> m_storeProxies; ///< Proxies between each daemon and the store, in the order of the daemons.
@@ -116,6 +125,7 @@
     : m_loop(loop)
     , m_random(FLAGS_seed)
     , m_callerRandom(~FLAGS_seed)
+    , m_partRandom(FLAGS_seed + (1ULL << 32))
     , m_store(loop, m_oracle)
 {
     for (std::size_t i = 0; i < m_keys.size(); ++i) {
@@ -156,7 +166,10 @@
 {
     managed_endpoint endpoint;
     endpoint.streaming = streaming;
-    endpoint.standIn = std::make_unique<endpoint_stand_in>(m_loop, m_oracle, "e" + std::to_string(++m_nextEndpoint), streaming, m_random());
+    endpoint.standIn = std::make_unique<endpoint_stand_in>(
+        m_loop, m_oracle, "e" + std::to_string(++m_nextEndpoint), streaming, m_partRandom(), [this](const std::string &id) {
+            replaceCrashed(id);
+        });
     endpoint.networkProxy = std::make_unique<proxy>(m_loop, endpoint.standIn->endpoint());
     writeEndpointRow(endpoint, "ready");
     m_endpoints.push_back(std::move(endpoint));
@@ -173,6 +186,7 @@
                     {"timeout-ms", timeoutMs},
                     {"target-latency-ms", 300},
                     {"priority", 1},
+                    {"session-affinity", kind == "streaming"},
                     {"service", service},
                     {"max-attempts", maxAttempts},
                     {"auth-exempt", false}};
@@ -196,38 +210,48 @@
     m_store.put("op", "config", document.dump());
 }
 
-task<void> soak_run::disturbProxy(proxy &networkProxy, proxy_mode mode, std::int64_t durationMs, bool isStoreProxy)
+// `daemon` is the one behind a proxy of the store, and empty for a proxy of an endpoint.
+task<void> soak_run::disturbProxy(proxy &networkProxy, proxy_mode mode, std::int64_t durationMs, std::string daemon)
 {
+    const bool isStoreProxy = !daemon.empty();
     networkProxy.setMode(mode);
     for (std::int64_t remainingMs = durationMs; remainingMs > 0 && m_injectingFaults; remainingMs -= 100) {
         if (isStoreProxy) {
             m_oracle.recordStoreFault(nowMs());
+            m_oracle.recordDisruption(daemon, nowMs());
         }
         co_await sleepMs(std::min<std::int64_t>(remainingMs, 100));
     }
     networkProxy.setMode(proxy_mode::Forward);
     if (isStoreProxy) {
         m_oracle.recordStoreFault(nowMs());
+        m_oracle.recordDisruption(daemon, nowMs());
     }
 }
 
 task<void> soak_run::disturbStore(store_mode mode, std::int64_t durationMs)
 {
     m_store.setMode(mode);
-    co_await sleepMs(durationMs);
+    for (std::int64_t remainingMs = durationMs; remainingMs > 0 && m_injectingFaults; remainingMs -= 100) {
+        m_oracle.recordDisruption("", nowMs());
+        co_await sleepMs(std::min<std::int64_t>(remainingMs, 100));
+    }
     m_store.setMode(store_mode::Normal);
     m_oracle.recordStoreFault(nowMs());
+    m_oracle.recordDisruption("", nowMs());
 }
 
 task<void> soak_run::pauseDaemon(std::size_t index, std::int64_t durationMs)
 {
     m_daemons[index]->sendSignal(SIGSTOP);
-    for (std::int64_t remainingMs = durationMs; remainingMs > 0; remainingMs -= 100) {
+    for (std::int64_t remainingMs = durationMs; remainingMs > 0 && m_injectingFaults; remainingMs -= 100) {
         m_oracle.recordStoreFault(nowMs()); // The limits of the oracle do not apply while a daemon is paused.
+        m_oracle.recordDisruption(m_daemons[index]->id(), nowMs());
         co_await sleepMs(100);
     }
     m_daemons[index]->sendSignal(SIGCONT);
     m_oracle.recordStoreFault(nowMs());
+    m_oracle.recordDisruption(m_daemons[index]->id(), nowMs());
 }
 
 task<void> soak_run::stopDaemon(std::size_t index, int signalNumber, std::int64_t downTimeMs)
@@ -238,6 +262,7 @@
     m_shouldRun[index] = false;
     m_daemons[index]->sendSignal(SIGCONT);
     m_daemons[index]->sendSignal(signalNumber);
+    m_oracle.recordDisruption(m_daemons[index]->id(), nowMs());
     co_await sleepMs(downTimeMs);
     m_shouldRun[index] = true;
 }
@@ -277,6 +302,45 @@
     }
 }
 
+void soak_run::replaceCrashed(const std::string &id)
+{
+    for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+        if (m_endpoints[i].standIn && m_endpoints[i].standIn->id() == id) {
+            m_endpoints[i].networkProxy->stop();
+            asio::co_spawn(m_loop, replaceEndpoint(i, 0, randomBetween(m_partRandom, 2000, 4000)), asio::detached);
+        }
+    }
+}
+
+// One part after the other crashes engines; the last one goes on after the other faults.
+task<void> soak_run::poisonParts()
+{
+    for (int number = 1; m_injectingFaults; ++number) {
+        co_await sleepMs(randomBetween(m_partRandom, 1000, 3000));
+        m_crashingPart = std::string(crashingPartPrefix) + std::to_string(number);
+        ++m_faultCount;
+        for (std::int64_t remainingMs = randomBetween(m_partRandom, 15000, 25000); remainingMs > 0 && m_injectingFaults; remainingMs -= 100) {
+            co_await sleepMs(100);
+        }
+        if (!m_injectingFaults) {
+            co_await sleepMs(partAfterFaultsMs);
+        }
+        m_crashingPart.clear();
+    }
+}
+
+// The first part is common to all prompts and the last one to none.
+std::string soak_run::promptHeaders(const std::string &crashingPart)
+{
+    static constexpr std::array<std::string_view, 4> middleParts{"b1", "b2", "b3", "b4"};
+    std::string parts = "a1:100," + std::string(pickRandom(m_callerRandom, middleParts)) + ":60,";
+    if (!crashingPart.empty()) {
+        parts += crashingPart + ":40,";
+    }
+    parts += "c" + std::to_string(m_nextRequest) + ":20";
+    return "X-Model-Name: m\r\nX-Token-Counts: 220,5\r\nX-Prefix-Hash: " + parts + "\r\n";
+}
+
 void soak_run::injectFault()
 {
     ++m_faultCount;
@@ -298,12 +362,12 @@
     case 3:
         return start(pauseDaemon(daemon, durationMs));
     case 4:
-        return start(disturbProxy(*m_storeProxies[daemon], mode, durationMs, true));
+        return start(disturbProxy(*m_storeProxies[daemon], mode, durationMs, m_daemons[daemon]->id()));
     case 5:
         return start(disturbStore(static_cast<store_mode>(randomBetween(m_random, 1, 3)), durationMs));
     case 6:
         if (m_endpoints[endpoint].networkProxy) {
-            start(disturbProxy(*m_endpoints[endpoint].networkProxy, mode, durationMs, false));
+            start(disturbProxy(*m_endpoints[endpoint].networkProxy, mode, durationMs, ""));
         }
         return;
     case 7:
@@ -352,6 +416,7 @@
         for (std::size_t i = 0; i < m_daemons.size(); ++i) {
             if (m_daemons[i]->reapIfEnded() && m_shouldRun[i]) {
                 m_daemons[i]->start();
+                m_oracle.recordDisruption(m_daemons[i]->id(), nowMs());
             }
         }
         co_await sleepMs(50);
@@ -381,7 +446,7 @@
 }
 
 // Sends one request and records its result. The connection can be reused only after a complete response.
-task<void> soak_run::sendRequest(tcp::socket &socket, int callerNumber, bool &keepAlive)
+task<void> soak_run::sendRequest(tcp::socket &socket, const std::string &daemon, int callerNumber, bool &keepAlive)
 {
     static constexpr std::array<std::string_view, 3> pathPrefixes{"read", "book", "gen"};
     caller_result result;
@@ -389,10 +454,15 @@
     result.id = "r" + std::to_string(FLAGS_seed) + "-" + std::to_string(callerNumber) + "-" + std::to_string(++m_nextRequest);
     result.key = pickRandom(m_callerRandom, m_keys);
     result.sentAtMs = nowMs();
-    m_oracle.recordSent(result.id, result.key, result.sentAtMs);
+    const bool crashes = result.kind == call_kind::Streaming && std::bernoulli_distribution(crashingFraction)(m_callerRandom);
+    const std::string crashingPart = crashes ? m_crashingPart : std::string();
+    m_oracle.recordSent(result.id, result.key, result.sentAtMs, daemon, crashingPart);
     const bool isGet = result.kind == call_kind::Idempotent;
     std::string text = (isGet ? "GET /" : "POST /") + std::string(pathPrefixes[static_cast<std::size_t>(result.kind)])
         + "/x HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: " + result.id + "\r\nX-Api-Key: " + result.key + "\r\nX-Deadline-Ms: 4000\r\n";
+    if (result.kind == call_kind::Streaming) {
+        text += promptHeaders(crashingPart);
+    }
     text += isGet ? "\r\n" : "Content-Length: " + std::to_string(result.id.size()) + "\r\n\r\n" + result.id;
     close_timer timeout(socket, responseTimeoutMs);
     boost::system::error_code error;
@@ -416,6 +486,14 @@
     m_oracle.recordCallerResult(result);
 }
 
+std::string soak_run::daemonAt(std::string_view callerAddress) const
+{
+    const auto found = std::ranges::find(m_daemons, callerAddress, [](const auto &daemon) -> std::string_view {
+        return daemon->callerAddress();
+    });
+    return found == m_daemons.end() ? std::string() : (*found)->id();
+}
+
 task<void> soak_run::runCaller(int callerNumber)
 {
     while (!m_finished) {
@@ -430,7 +508,7 @@
         co_await socket.async_connect({asio::ip::make_address("127.0.0.1"), port}, errorTo(error));
         bool keepAlive = !error;
         for (int i = 0; i < requestsPerConnection && keepAlive && !m_finished; ++i) {
-            co_await sendRequest(socket, callerNumber, keepAlive);
+            co_await sendRequest(socket, daemonAt(address), callerNumber, keepAlive);
             co_await sleepMs(randomBetween(m_callerRandom, 5, 60));
         }
     }
@@ -469,6 +547,11 @@
         m_oracle.forbidCutResponses();
     }
     const std::int64_t end = nowMs() + static_cast<std::int64_t>(FLAGS_minutes * 60'000) - recoveryMs - finalLoadMs;
+    if (!stopsOnly) {
+        co_await sleepMs(calmMs);
+        m_oracle.recordFaultsBegan(nowMs());
+        asio::co_spawn(m_loop, poisonParts(), asio::detached);
+    }
     while (nowMs() < end) {
         if (stopsOnly) {
             co_await sleepMs(randomBetween(m_random, 100, 500));
--- a/soak/oracle.cpp
+++ b/soak/oracle.cpp
@@ -1,5 +1,7 @@
 #include "soak/oracle.h"
 
+#include <algorithm>
+
 namespace faultsoak
 {
 
@@ -9,6 +11,9 @@
 constexpr std::int64_t keyRevocationLimitMs = 5000; // The revoke-ms of the deployments.
 constexpr std::int64_t drainLimitMs = 2000; // The drain-ms of the deployments.
 constexpr std::int64_t storeContactMs = 3000; // The contact-ms of the deployments: the drain limit applies only if the store had no fault for this long.
+constexpr std::size_t crashLimit = 5; // Crashes of engines after which the part that caused them is to be known.
+constexpr int maxLateArrivals = 3;
+constexpr int minPrompts = 20; // Fewer give no rate.
 constexpr std::int64_t lossSlackMs = 200; // The loss-slack-ms of the deployments.
 constexpr double minRecoveredFraction = 0.9; // Of the requests after the faults; the stand-in endpoints inject no error responses.
 
@@ -46,9 +51,48 @@
     m_violations.push_back(description);
 }
 
-void oracle::recordSent(const std::string &id, const std::string &key, std::int64_t timeMs)
+void oracle::recordSent(const std::string &id, const std::string &key, std::int64_t timeMs, const std::string &daemon, const std::string &crashingPart)
+{
+    m_sent[id] = {key, timeMs, daemon, crashingPart};
+    if (!crashingPart.empty()) {
+        m_crashingParts[crashingPart].lastSentMs = timeMs;
+    }
+}
+
+void oracle::recordArrival(const std::string &id, std::int64_t timeMs)
+{
+    const auto sent = m_sent.find(id);
+    if (sent == m_sent.end() || sent->second.crashingPart.empty()) {
+        return;
+    }
+    auto &part = m_crashingParts[sent->second.crashingPart];
+    const bool known = part.crashesMs.size() >= crashLimit && timeMs > part.crashesMs[crashLimit - 1] + storeContactMs;
+    part.lateArrivals += known && inTouch(sent->second.daemon, timeMs) ? 1 : 0;
+}
+
+void oracle::recordCrash(const std::string &crashingPart, std::int64_t timeMs)
+{
+    m_crashingParts[crashingPart].crashesMs.push_back(timeMs);
+}
+
+void oracle::recordDisruption(const std::string &daemon, std::int64_t timeMs)
+{
+    m_disruptedMs[daemon] = timeMs;
+}
+
+void oracle::recordFaultsBegan(std::int64_t timeMs)
+{
+    m_faultsBeganAtMs = timeMs;
+}
+
+// Whether the daemon had no disruption from the contact time before `timeMs` until now.
+bool oracle::inTouch(const std::string &daemon, std::int64_t timeMs) const
 {
-    m_sent[id] = {key, timeMs};
+    const auto calm = [&](const std::string &name) {
+        const auto found = m_disruptedMs.find(name);
+        return found == m_disruptedMs.end() || timeMs > found->second + storeContactMs;
+    };
+    return calm(daemon) && calm("");
 }
 
 void oracle::recordExecution(const endpoint_execution &execution)
@@ -59,7 +103,8 @@
         addViolation("request " + execution.id + " ran at " + execution.endpoint + " and no caller sent it");
         return;
     }
-    const auto &[key, sentAtMs] = sent->second;
+    const auto &key = sent->second.key;
+    const auto sentAtMs = sent->second.timeMs;
     if (execution.receivedKey) {
         addViolation("the key of request " + execution.id + " reached endpoint " + execution.endpoint);
     }
@@ -81,6 +126,9 @@
 void oracle::recordCallerResult(const caller_result &result)
 {
     m_callerResults[result.id] = result;
+    if (const auto sent = m_sent.find(result.id); sent != m_sent.end() && inTouch(sent->second.daemon, result.sentAtMs)) {
+        m_calmRequests.insert(result.id);
+    }
     const bool success = result.status >= 200 && result.status < 300;
     if (success && result.complete && !result.hasSeal) {
         addViolation("request " + result.id + " got a success without a seal");
@@ -150,8 +198,50 @@
                  + (executed ? ", it ran" : ", it did not run"));
 }
 
+// Prompts without a crashing part, of keys that are always valid, sent to daemons in touch.
+oracle::served_count oracle::countPrompts(std::int64_t fromMs, std::int64_t toMs) const
+{
+    served_count out;
+    for (const auto &[id, result] : m_callerResults) {
+        const auto sent = m_sent.find(id);
+        const bool sound = sent != m_sent.end() && sent->second.crashingPart.empty() && !m_withdrawnAtMs.contains(result.key);
+        if (result.kind == call_kind::Streaming && sound && m_calmRequests.contains(id) && result.sentAtMs >= fromMs && result.sentAtMs <= toMs) {
+            ++out.sent;
+            out.served += result.status == 200 && result.complete ? 1 : 0;
+        }
+    }
+    return out;
+}
+
+oracle::served_count oracle::countPromptsBeside(const crashing_part &part) const
+{
+    const auto knownMs = part.crashesMs[std::min(part.crashesMs.size(), crashLimit) - 1];
+    return countPrompts(knownMs + 2 * storeContactMs, part.lastSentMs);
+}
+
+void oracle::checkCrashingParts()
+{
+    const auto before = countPrompts(0, m_faultsBeganAtMs);
+    for (const auto &[name, part] : m_crashingParts) {
+        if (part.lateArrivals > maxLateArrivals) {
+            addViolation("requests with part " + name + " reached engines " + std::to_string(part.lateArrivals) + " times after " + std::to_string(crashLimit)
+                         + " crashes; " + std::to_string(part.crashesMs.size()) + " in all");
+        }
+        if (part.crashesMs.empty()) {
+            continue;
+        }
+        const auto beside = countPromptsBeside(part);
+        // served / sent of both, compared without division.
+        if (before.sent >= minPrompts && beside.sent >= minPrompts && 2LL * beside.served * before.sent < 1LL * before.served * beside.sent) {
+            addViolation("while part " + name + " crashed engines, " + std::to_string(beside.served) + " of " + std::to_string(beside.sent)
+                         + " prompts without it were served, before the faults " + std::to_string(before.served) + " of " + std::to_string(before.sent));
+        }
+    }
+}
+
 void oracle::checkFinalState()
 {
+    checkCrashingParts();
     int requested = 0;
     int served = 0;
     for (const auto &[id, result] : m_callerResults) {
@@ -198,6 +288,11 @@
                                  : std::to_string(status))
             + " x" + std::to_string(count);
     }
+    for (const auto &[name, part] : m_crashingParts) {
+        const auto beside = part.crashesMs.empty() ? served_count() : countPromptsBeside(part);
+        out += "; part " + name + ": " + std::to_string(part.crashesMs.size()) + " crashes, " + std::to_string(part.lateArrivals) + " late arrivals, "
+            + std::to_string(beside.served) + " of " + std::to_string(beside.sent) + " prompts beside it served";
+    }
     return out + "; " + std::to_string(m_usageReports.size()) + " usage reports";
 }
 
--- a/soak/oracle.h
+++ b/soak/oracle.h
@@ -52,8 +52,16 @@
 class oracle
 {
 public:
-    /// Records that a caller is about to send a request.
-    void recordSent(const std::string &id, const std::string &key, std::int64_t timeMs);
+    /// Records that a caller is about to send a request to a daemon. `crashingPart` is the part of its prompt that crashes engines, if it has one.
+    void recordSent(const std::string &id, const std::string &key, std::int64_t timeMs, const std::string &daemon = "", const std::string &crashingPart = "");
+    /// Records that a request reached an endpoint, whether or not it is executed.
+    void recordArrival(const std::string &id, std::int64_t timeMs);
+    /// Records that an engine crashed on a part of a prompt.
+    void recordCrash(const std::string &crashingPart, std::int64_t timeMs);
+    /// Records a kill, stop, start or pause of a daemon, or a fault on its path to the store. Empty stands for all daemons.
+    void recordDisruption(const std::string &daemon, std::int64_t timeMs);
+    /// Records the first fault; before it, prompts are served at the rate that later ones are compared with.
+    void recordFaultsBegan(std::int64_t timeMs);
     /// Records an execution and checks its key, organisation and endpoint.
     void recordExecution(const endpoint_execution &execution);
     /// Records a caller's result and checks its seal and body.
@@ -85,12 +93,39 @@
     std::string summary() const;
 
 private:
+    struct sent_request
+    {
+        std::string key;
+        std::int64_t timeMs = 0;
+        std::string daemon;
+        std::string crashingPart;
+    };
+    struct crashing_part
+    {
+        std::vector<std::int64_t> crashesMs;
+        std::int64_t lastSentMs = 0;
+        int lateArrivals = 0; ///< At engines, after enough crashes, from daemons in touch.
+    };
+    struct served_count
+    {
+        int sent = 0;
+        int served = 0;
+    };
+
+    bool inTouch(const std::string &daemon, std::int64_t timeMs) const;
+    served_count countPrompts(std::int64_t fromMs, std::int64_t toMs) const;
+    served_count countPromptsBeside(const crashing_part &part) const;
+    void checkCrashingParts();
     void addViolation(const std::string &description);
     void checkCut(const caller_result &result, bool executed);
 
     std::map<std::string, std::vector<endpoint_execution>> m_executions;
     std::map<std::string, caller_result> m_callerResults;
-    std::map<std::string, std::pair<std::string, std::int64_t>> m_sent; ///< Key and send time by request id.
+    std::map<std::string, sent_request> m_sent; ///< By request id.
+    std::map<std::string, crashing_part> m_crashingParts;
+    std::map<std::string, std::int64_t> m_disruptedMs; ///< Last disruption by daemon.
+    std::set<std::string> m_calmRequests; ///< Answered by a daemon that was in touch until then.
+    std::int64_t m_faultsBeganAtMs = -1;
     std::map<std::string, std::string> m_keyOwners;
     std::map<std::string, std::int64_t> m_withdrawnAtMs;
     std::map<std::string, std::int64_t> m_drainingSinceMs;
--- a/soak/processes.cpp
+++ b/soak/processes.cpp
@@ -41,11 +41,12 @@
     , m_id(std::move(id))
     , m_settingsFile(m_directory + "/" + m_id + ".json")
     , m_resolverAddress(unusedAddress())
+    , m_callerAddress(unusedAddress())
 {
     const nlohmann::json settings = {
         {"id", m_id},
         {"failure_domain", std::move(failureDomain)},
-        {"caller_address", unusedAddress()},
+        {"caller_address", m_callerAddress},
         {"ready_address", unusedAddress()},
         {"addresses_address", m_resolverAddress},
         {"peer_address", unusedAddress()},
@@ -129,6 +130,11 @@
     return m_resolverAddress;
 }
 
+const std::string &daemon_process::callerAddress() const
+{
+    return m_callerAddress;
+}
+
 const std::string &daemon_process::id() const
 {
     return m_id;
--- a/soak/processes.h
+++ b/soak/processes.h
@@ -30,6 +30,8 @@
     bool crashed() const;
     /// Address at which the daemon answers name resolution, as HOST:PORT.
     const std::string &resolverAddress() const;
+    /// Address at which the daemon takes requests, as HOST:PORT.
+    const std::string &callerAddress() const;
     const std::string &id() const;
 
 private:
@@ -38,6 +40,7 @@
     std::string m_id;
     std::string m_settingsFile;
     std::string m_resolverAddress;
+    std::string m_callerAddress;
     pid_t m_pid = -1;
     int m_terminationSignal = 0; ///< The last SIGKILL or SIGTERM sent since the start; 0 without one.
     bool m_crashed = false;
--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -74,6 +74,13 @@
     m_connections.clear();
 }
 
+void proxy::stop()
+{
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+    resetConnections();
+}
+
 task<void> proxy::accept()
 {
     while (true) {
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -29,6 +29,8 @@
     void setTarget(tcp::endpoint target);
     /// Resets the open connections; new ones are handled as the mode says.
     void resetConnections();
+    /// Stops listening and resets the open connections, as when the host of the target ends.
+    void stop();
 
 private:
     struct proxied_connection;
--- a/soak/stand_ins.cpp
+++ b/soak/stand_ins.cpp
@@ -50,6 +50,12 @@
     return out;
 }
 
+std::string crashingPart(std::string_view parts)
+{
+    const auto start = parts.find(crashingPartPrefix);
+    return start == std::string_view::npos ? std::string() : std::string(parts.substr(start, parts.find(':', start) - start));
+}
+
 }
 
 struct http_stand_in::server_state
@@ -294,10 +300,11 @@
     return {200, "{}"};
 }
 
-endpoint_stand_in::endpoint_stand_in(asio::io_context &loop, oracle &testOracle, std::string id, bool streaming, std::uint64_t seed)
+endpoint_stand_in::endpoint_stand_in(asio::io_context &loop, oracle &testOracle, std::string id, bool streaming, std::uint64_t seed, crash_handler onCrash)
     : m_oracle(testOracle)
     , m_id(std::move(id))
     , m_streaming(streaming)
+    , m_onCrash(std::move(onCrash))
     , m_random(seed)
     , m_server(loop, [this](const request &message, tcp::socket &socket) {
         return respond(message, socket);
@@ -329,6 +336,7 @@
 task<bool> endpoint_stand_in::respond(const request &message, tcp::socket &socket)
 {
     const std::string id(view(message["X-Request-Id"]));
+    m_oracle.recordArrival(id, nowMs());
     const std::string requestIdHeader = "X-Request-Id: " + id + "\r\n";
     if (view(message["X-Expect-Instance"]) != m_id) {
         co_return co_await sendResponse(socket, 421, "", requestIdHeader + "X-Not-Executed: 1\r\n");
@@ -354,7 +362,15 @@
     } else {
         boost::system::error_code error;
         std::string text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + responseHeaders + "\r\n";
+        const auto part = crashingPart(view(message["X-Prefix-Hash"]));
+        const int crashAt = part.empty() ? 0 : static_cast<int>(1 + m_random() % 2);
         for (int number = 1; number <= streamEventCount && *alive && !error; ++number) {
+            if (number == crashAt) {
+                m_oracle.recordCrash(part, nowMs());
+                crash();
+                m_onCrash(m_id);
+                break;
+            }
             const std::string event = streamEvent(id, number);
             char size[16];
             std::snprintf(size, sizeof size, "%zx\r\n", event.size());
--- a/soak/stand_ins.h
+++ b/soak/stand_ins.h
@@ -91,11 +91,17 @@
     http_stand_in m_server;
 };
 
+/// Parts of prompts with ids that start like this crash the engine that begins to write an answer on them.
+constexpr std::string_view crashingPartPrefix = "dead";
+
 /// One endpoint: a plain service or a streaming engine.
 class endpoint_stand_in
 {
 public:
-    endpoint_stand_in(asio::io_context &loop, oracle &testOracle, std::string id, bool streaming, std::uint64_t seed);
+    using crash_handler = std::function<void(const std::string &id)>;
+
+    /// `onCrash` is called when a prompt has crashed the endpoint.
+    endpoint_stand_in(asio::io_context &loop, oracle &testOracle, std::string id, bool streaming, std::uint64_t seed, crash_handler onCrash);
 
     tcp::endpoint endpoint() const;
     const std::string &id() const;
@@ -110,6 +116,7 @@
     oracle &m_oracle;
     std::string m_id;
     bool m_streaming;
+    crash_handler m_onCrash;
     bool m_dropResponses = false;
     int m_runningRequests = 0;
     std::mt19937_64 m_random;
--- a/tests/soak_oracle_test.cpp
+++ b/tests/soak_oracle_test.cpp
@@ -178,4 +178,77 @@
     EXPECT_EQ(violations(), 1U);
 }
 
+namespace
+{
+
+// Five crashes of a part from 20 to 24 s, among prompts that were all served before the first fault at 10 s.
+class soak_oracle_parts : public soak_oracle
+{
+protected:
+    soak_oracle_parts()
+    {
+        sendPrompts(20, 1000, 200);
+        checker.recordFaultsBegan(10'000);
+        for (std::int64_t timeMs = 20'000; timeMs <= 24'000; timeMs += 1000) {
+            checker.recordCrash("dead1", timeMs);
+        }
+    }
+
+    void sendPrompts(int count, std::int64_t timeMs, int status)
+    {
+        for (int i = 0; i < count; ++i) {
+            auto answer = result(call_kind::Streaming, status);
+            answer.id = "p" + std::to_string(++m_sent);
+            answer.sentAtMs = timeMs;
+            answer.body = expectedBody(call_kind::Streaming, answer.id);
+            checker.recordSent(answer.id, "key", timeMs, "d");
+            checker.recordCallerResult(answer);
+        }
+    }
+
+    void sendCrashing(int count, std::int64_t timeMs)
+    {
+        for (int i = 0; i < count; ++i) {
+            const auto id = "x" + std::to_string(++m_sent);
+            checker.recordSent(id, "key", timeMs, "d", "dead1");
+            checker.recordArrival(id, timeMs);
+        }
+    }
+
+private:
+    int m_sent = 0;
+};
+
+}
+
+TEST_F(soak_oracle_parts, reports_a_fourth_arrival_of_a_crashing_part)
+{
+    sendCrashing(20, 27'000);
+    sendCrashing(3, 27'001);
+    checker.recordDisruption("other", 27'001);
+    EXPECT_EQ(violations(), 0U);
+    sendCrashing(1, 30'000);
+    EXPECT_EQ(violations(), 1U);
+}
+
+TEST_F(soak_oracle_parts, counts_no_arrivals_from_a_daemon_out_of_touch)
+{
+    checker.recordDisruption("d", 26'000);
+    sendCrashing(20, 29'000);
+    EXPECT_EQ(violations(), 0U);
+    sendCrashing(4, 29'001);
+    EXPECT_EQ(violations(), 1U);
+}
+
+TEST_F(soak_oracle_parts, reports_prompts_refused_beside_a_crashing_part)
+{
+    sendPrompts(100, 29'999, 503);
+    sendPrompts(10, 30'000, 200);
+    sendPrompts(10, 30'000, 503);
+    sendCrashing(1, 40'000);
+    EXPECT_EQ(violations(), 0U);
+    sendPrompts(1, 40'000, 503);
+    EXPECT_EQ(violations(), 1U);
+}
+
 }
