Close the soak's sockets in the daemons that it starts

Cause: a daemon started after an endpoint inherited its listening socket, so the kernel went on accepting connections for an endpoint that had closed it. A crashed process leaves no such socket. The daemon is now started with the standard streams only.

--- a/soak/processes.cpp
+++ b/soak/processes.cpp
@@ -78,6 +78,7 @@
         const int logFile = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(logFile, STDOUT_FILENO);
         dup2(logFile, STDERR_FILENO);
+        closefrom(STDERR_FILENO + 1); // A listening socket that the daemon inherits would accept connections after it was closed here.
         execl(m_program.c_str(), m_program.c_str(), flag.c_str(), nullptr);
         _exit(127);
     }
