--- a/soak/processes.cpp
+++ b/soak/processes.cpp
@@ -41,11 +41,12 @@
     , m_id(std::move(id))
     , m_settingsFile(m_directory + "/" + m_id + ".json")
     , m_resolverAddress(unusedAddress())
+    , m_callerAddress(unusedAddress())
 {
     const nlohmann::json settings = {
         {"id", m_id},
         {"failure_domain", std::move(failureDomain)},
-        {"caller_address", unusedAddress()},
+        {"caller_address", m_callerAddress},
         {"ready_address", unusedAddress()},
         {"addresses_address", m_resolverAddress},
         {"peer_address", unusedAddress()},
@@ -77,6 +78,7 @@
         const int logFile = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(logFile, STDOUT_FILENO);
         dup2(logFile, STDERR_FILENO);
+        closefrom(STDERR_FILENO + 1); // A listening socket that the daemon inherits would accept connections after it was closed here.
         execl(m_program.c_str(), m_program.c_str(), flag.c_str(), nullptr);
         _exit(127);
     }
@@ -129,6 +131,11 @@
     return m_resolverAddress;
 }
 
+const std::string &daemon_process::callerAddress() const
+{
+    return m_callerAddress;
+}
+
 const std::string &daemon_process::id() const
 {
     return m_id;
