Count a crash after the first event of an answer

An engine that crashed after it had sent an event was taken for a broken connection: its part of the prompt was never found, and engines went on ending.

Each stream that is lost, at whatever event, is now a reason to look whether its engine crashed. Evidence: stream_forward.refuses_prompts_with_a_part_that_crashed_engines_after_their_first_event failed before (the fifth prompt reached an engine).

--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -466,7 +466,7 @@
         co_return step::Done;
     }
     m_context.endpoints.noteResult(*engine, state == exchange_state::TimedOut ? attempt_result::NoAnswer : attempt_result::ConnectionLost, now);
-    if (first) {
+    if (state != exchange_state::TimedOut) {
         checkForCrash(m_context, *engine, m_request);
     }
     m_failed.insert(engine->entry.id);
--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -34,15 +34,15 @@
                     absl::StrCat("X-Model-Name: m\r\nX-Token-Counts: ", promptTokens, ",20\r\nX-Prefix-Hash: ", std::string(parts), "\r\n"));
     }
 
-    /// Starts engines that crash when they begin to write an answer to a prompt with the part "bad".
-    void startCrashingEngines(std::size_t count)
+    /// Starts engines that crash when they begin to write an answer to a prompt with the part "bad", after `events` have been sent.
+    void startCrashingEngines(std::size_t count, const std::string &events = "")
     {
         for (std::size_t i = 0; i < count; ++i) {
-            engines.push_back(std::make_unique<scripted_server>(loop, [this, i](const http_request &request, int) {
+            engines.push_back(std::make_unique<scripted_server>(loop, [this, i, events](const http_request &request, int) {
                 if (toView(request["X-Prefix-Hash"]).find("bad:") != std::string_view::npos) {
                     engines[i]->stop();
                     ++crashedEngines;
-                    return scripted_answer{.bytes = streamHead(request), .reset = true};
+                    return scripted_answer{.bytes = streamHead(request) + events, .reset = true};
                 }
                 return scripted_answer{.bytes = streamHead(request) + chunk(event(1)) + "0\r\n\r\n"};
             }));
@@ -222,6 +222,20 @@
     EXPECT_TRUE(call(generationWith("a1:100,c3:100,d4:100")).whole);
 }
 
+// Guards against engines that crash on a part after the first event of their answer, which was taken for a mere broken connection.
+TEST_F(stream_forward, refuses_prompts_with_a_part_that_crashed_engines_after_their_first_event)
+{
+    configure({streamRoute(false)});
+    startCrashingEngines(12, chunk(event(1)));
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_FALSE(call(generationWith(absl::StrCat("a1:100,bad:100,f", i, ":100"))).whole);
+        pause(std::chrono::milliseconds(150));
+    }
+    pause(std::chrono::milliseconds(500));
+    EXPECT_EQ(call(generationWith("a1:100,bad:100,e1:100")).status, 503);
+    EXPECT_EQ(crashedEngines, 4);
+}
+
 // Guards against a common part that is never cleared of crashes because the success of streams is not counted for it.
 TEST_F(stream_forward, a_complete_stream_clears_the_parts_of_its_prompt)
 {
