Close connections that become idle later in a stop, too

A connection whose stream began before SIGTERM, and so did not announce its close, stayed open when the stream ended: the process waited for it until shortly before SIGKILL, and a later request on it was refused or cut. Found in review. It now runs until the process ends; the connections on which a request has arrived are left alone.

--- a/src/serving/edge_daemon.cpp
+++ b/src/serving/edge_daemon.cpp
@@ -305,14 +305,12 @@
     m_context.log.write(begin);
     spawnBackground(m_context.loop, leaveMembership(m_context), "leave_membership");
     const instant exitBy = m_context.stoppingSince + m_context.settings.shutdownGrace - exitMargin;
-    bool closed = false;
     while (bootNow() < exitBy) {
-        if (!closed && bootNow() - m_context.stoppingSince > callerDisconnectTime) {
-            closed = true;
+        if (bootNow() - m_context.stoppingSince > callerDisconnectTime) {
             m_callers.closeIdle();
-        }
-        if (closed && m_callers.connections() == 0) {
-            break;
+            if (m_callers.connections() == 0) {
+                break;
+            }
         }
         co_await sleepFor(std::chrono::milliseconds(50));
     }
