--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -25,9 +25,9 @@
 constexpr double noConfigurationRetryAfterMs = 300; // The first configuration arrives within a few store calls.
 constexpr double staleKeyRetryAfterMs = 500;
 constexpr double stoppingRetryAfterMs = 50; // Another daemon can take the request at once.
-// After SIGTERM, for which a request is taken to end within four times its target. Callers have left by then, and a stream's target is that of its
-// first event.
-constexpr auto usualDurationTime = std::chrono::seconds(3);
+// For this long after SIGTERM a request is expected to end within four times its target. Callers are elsewhere by then, and the target of a stream
+// covers its first event only.
+constexpr auto callersLeaveTime = std::chrono::seconds(3);
 constexpr auto shutdownMargin = std::chrono::milliseconds(1500); // Time between the last answer and the forced end of the process.
 
 bool sameHeaderName(std::string_view left, std::string_view right)
@@ -200,7 +200,7 @@
         const instant now = bootNow();
         const instant killedAt = context.stoppingSince + context.settings.shutdownGrace;
         const duration remaining = request.deadline - now;
-        const bool early = now - context.stoppingSince < usualDurationTime;
+        const bool early = now - context.stoppingSince < callersLeaveTime;
         if (now + (early ? std::min<duration>(remaining, 4 * request.route->target) : remaining) + shutdownMargin > killedAt) {
             return request_refusal{http::status::service_unavailable, "stopping", "the daemon is shutting down", stoppingRetryAfterMs};
         }
