Do not close an idle connection whose next request has arrived after a pause

The event loop takes at most 128 ready sockets before the expired timers. After a pause past the idle timeout, the connections behind them were closed with unread requests, and callers saw resets. None of these requests was passed on. Found in review.

The idle timeout now leaves a connection alone whose socket has input; the wait for its request is about to end.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -101,7 +101,8 @@
     void startTimeout(duration time)
     {
         timer.start(time, [weak = weak_from_this()] {
-            if (const auto self = weak.lock()) {
+            // A request that has arrived is about to be read.
+            if (const auto self = weak.lock(); self && !(self->idle && self->hasInput())) {
                 self->noteEnd(unanswered_cause::TimedOut);
                 self->close();
             }
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <stdexcept>
 #include <thread>
+#include <vector>
 
 namespace lacewinglock
 {
@@ -222,4 +223,34 @@
     EXPECT_NO_THROW(loop.run());
 }
 
+// Guards against idle connections that are reset after a pause of the process although their next requests have arrived. The event loop takes only some
+// of the ready sockets before the expired timers.
+TEST_F(http_server_test, a_pause_does_not_reset_idle_connections_whose_requests_have_arrived)
+{
+    limits.idleTimeout = 300ms;
+    connect();
+    std::vector<tcp::socket> callers;
+    for (int i = 0; i < 300; ++i) {
+        callers.emplace_back(callerLoop);
+        callers.back().connect(caller.remote_endpoint());
+    }
+    loop.restart();
+    loop.run_for(50ms);
+    ASSERT_EQ(server.connections(), 301U);
+    std::this_thread::sleep_for(400ms);
+    for (auto &other : callers) {
+        asio::write(other, asio::buffer(wholeRequest.data(), wholeRequest.size()));
+    }
+    loop.restart();
+    loop.run_for(500ms);
+    std::size_t answered = 0;
+    for (auto &other : callers) {
+        std::array<char, 100> answer{};
+        boost::system::error_code error;
+        other.non_blocking(true);
+        answered += other.read_some(asio::buffer(answer), error) > 0 ? 1U : 0U;
+    }
+    EXPECT_EQ(answered, callers.size());
+}
+
 }
