Do not pass on a request whose caller left before it was handled

When the process gets to a request late, its data and the end of its connection are both there, and the request is passed on.

gone() now looks at the socket; both forwarders ask it before each attempt.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -216,9 +216,11 @@
         co_return co_await writeText("0\r\n\r\n");
     }
 
+    // Looks at the socket, because the end of the connection may have arrived together with the request.
     bool gone() const override
     {
-        return disconnected;
+        char byte = 0;
+        return disconnected || ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
     }
 
     void onDisconnect(std::function<void()> action) override
@@ -226,7 +228,7 @@
         disconnectAction = std::move(action);
     }
 
-    tcp::socket socket;
+    mutable tcp::socket socket; ///< Its native_handle() is not const.
     timeout timer;
     const server_hooks &hooks;
     beast::flat_buffer buffer;
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -97,6 +97,7 @@
     http_server server;
     tcp::socket caller;
     int handled = 0;
+    bool goneAtStart = false;
     bool beginsStream = false;
     bool fails = false;
     bool closing = false;
@@ -106,6 +107,7 @@
     task<void> answerLater(server_reply &reply)
     {
         ++handled;
+        goneAtStart = reply.gone();
         co_await sleepFor(20ms);
         if (beginsStream) {
             co_await reply.beginStream(http::response_header<>{});
@@ -253,4 +255,16 @@
     EXPECT_EQ(answered, callers.size());
 }
 
+// Guards against a request that is passed on although its caller left while the process did not run.
+TEST_F(http_server_test, a_caller_that_left_during_a_pause_is_gone_when_its_request_is_handled)
+{
+    connect();
+    writeDuringPause(wholeRequest);
+    caller.close();
+    std::this_thread::sleep_for(20ms);
+    loop.run_for(5ms);
+    ASSERT_EQ(handled, 1);
+    EXPECT_TRUE(goneAtStart);
+}
+
 }
