Log what endpoints say of themselves in their answers

Each change of the limit, the leaving or the requested pause of an endpoint is now a line endpoint_notice and counts in lacewinglock_endpoint_notices_total. What is said is not acted upon yet.

--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -313,6 +313,25 @@
     return head.find(fromView(context.platform.wire.fields.answerSeal)) != head.end();
 }
 
+void noteAnswer(edge_context &context, endpoint_state &endpoint, const http::response_header<> &head, instant /*sentAt*/)
+{
+    const auto notice = context.platform.wire.parseNotice(head);
+    if (notice == endpoint.notice) {
+        return;
+    }
+    endpoint.notice = notice;
+    context.counters.count(metric_counter::EndpointNotices);
+    auto line = context.line("endpoint_notice");
+    line.add("endpoint", endpoint.entry.id).add("status", static_cast<int>(head.result_int())).add("leaving", notice.leaving);
+    if (notice.limit) {
+        line.add("limit_per_s", *notice.limit);
+    }
+    if (notice.pause) {
+        line.add("pause_ms", toMs(*notice.pause));
+    }
+    context.log.write(line);
+}
+
 namespace
 {
 
--- a/src/serving/caller_exchange.h
+++ b/src/serving/caller_exchange.h
@@ -61,6 +61,9 @@
 /// True when the head has the endpoint's seal, which proves that the endpoint itself made the response.
 bool isSealed(const edge_context &context, const http::response_header<> &head);
 
+/// Records what the endpoint said of itself in the head of an answer to a request that was sent at `sentAt`, and logs it when it has changed.
+void noteAnswer(edge_context &context, endpoint_state &endpoint, const http::response_header<> &head, instant sentAt);
+
 /// Call after a connection ended while it carried the request. Probes the endpoint in the background; if it has crashed, counts a crash against the
 /// request's fingerprint and the shared parts of its prompt.
 void checkForCrash(edge_context &context, const endpoint_state &endpoint, const caller_request &request);
--- a/src/serving/endpoint_registry.h
+++ b/src/serving/endpoint_registry.h
@@ -2,6 +2,7 @@
 
 #include "protocol/configuration.h"
 #include "protocol/exchange_messages.h"
+#include "serving/endpoint_notice.h"
 #include "transport/core_time.h"
 
 #include <cstdint>
@@ -55,6 +56,7 @@
     double slowdown = 1; ///< Ratio of measured to predicted prefill time, moving average.
     std::multiset<instant> answerDeadlines; ///< When the first response of each outstanding request of this daemon is due.
     instant reservedUntil; ///< A role change is in progress; no new requests are sent before this time.
+    endpoint_notice notice; ///< Of its last answer.
     bool missing = false; ///< Its entry expired while the store was failing.
     instant missingSince;
 
--- a/src/serving/platform_port.h
+++ b/src/serving/platform_port.h
@@ -2,6 +2,7 @@
 
 #include "protocol/control.h"
 #include "protocol/relayed_feed.h"
+#include "serving/endpoint_notice.h"
 #include "serving/endpoint_registry.h"
 #include "serving/prefix_index.h"
 #include "serving/serving_config.h"
@@ -65,6 +66,8 @@
     header_names fields;
     /// Returns nullopt when the request is not a generation request.
     std::function<std::optional<prompt_info>(const http::request_header<> &)> parsePrompt;
+    /// Reads what an endpoint says of itself. A malformed value counts as not said.
+    std::function<endpoint_notice(const http::response_header<> &)> parseNotice;
     /// Builds the body of an error response.
     std::function<std::string(std::string_view code, std::string_view message)> errorBody;
     engine_protocol engine;
--- a/src/serving/service_forward.cpp
+++ b/src/serving/service_forward.cpp
@@ -70,6 +70,9 @@
         exchange->cancel();
     });
     out.state = co_await out.exchange->begin(makeForwardedRequest(context, request, endpoint->entry, now));
+    if (hasHead(out.state)) {
+        noteAnswer(context, *endpoint, out.exchange->head(), now);
+    }
     if (out.state == exchange_state::InProgress) {
         out.state = co_await out.exchange->readAll(out.body, maxAnswerBytes);
         // The head alone proves that the call was not run.
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -243,9 +243,10 @@
         const answer_deadline answerDeadline(engine, now + std::chrono::milliseconds(std::lround(3 * placement.firstEventMs + 100)));
         state = co_await exchange->begin(message);
     }
-    const bool notExecuted = state == exchange_state::NotSent
-        || (state != exchange_state::Lost && state != exchange_state::TimedOut && state != exchange_state::Cancelled && state != exchange_state::Malformed
-            && isMarkedNotExecuted(m_context, exchange->head()));
+    if (hasHead(state)) {
+        noteAnswer(m_context, *engine, exchange->head(), now);
+    }
+    const bool notExecuted = state == exchange_state::NotSent || (hasHead(state) && isMarkedNotExecuted(m_context, exchange->head()));
     if (notExecuted && !handle.empty()) {
         freeKvHandle(prefillEngine, handle);
     }
@@ -282,6 +283,9 @@
     const answer_deadline answerDeadline(prefillEngine, now + std::chrono::milliseconds(std::lround(2 * predictedMs + 100)));
     std::string body;
     auto state = co_await exchange->begin(message);
+    if (hasHead(state)) {
+        noteAnswer(m_context, *prefillEngine, exchange->head(), now);
+    }
     if (state == exchange_state::InProgress) {
         state = co_await exchange->readAll(body, maxErrorBytes);
     }
@@ -345,8 +349,8 @@
         co_return step::Retry;
     }
     ++m_outcome.attempts;
-    const bool hasHead = state == exchange_state::InProgress || state == exchange_state::Complete;
-    if (hasHead) {
+    const bool answered = hasHead(state);
+    if (answered) {
         if (isMarkedNotExecuted(m_context, exchange->head())) {
             m_context.endpoints.noteResult(*engine, attempt_result::Rejected, now);
             m_failed.insert(engine->entry.id);
@@ -358,7 +362,7 @@
         }
     }
     m_mayHaveRun = true;
-    if (!hasHead) {
+    if (!answered) {
         const bool silent = state == exchange_state::TimedOut;
         m_context.endpoints.noteResult(*engine, silent ? attempt_result::NoAnswer : attempt_result::ConnectionLost, now);
         if (!silent) {
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -22,6 +22,7 @@
     RefusalsUnknown,
     RefusalsPartial,
     RequestsUnanswered,
+    EndpointNotices,
     ControlBytesSent,
     ControlBytesReceived,
     StoreReads,
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -25,6 +25,12 @@
     Cancelled, ///< cancel() was called.
 };
 
+/// True when the head of the response has arrived, if this is the result of client_exchange::begin().
+constexpr bool hasHead(exchange_state state)
+{
+    return state == exchange_state::InProgress || state == exchange_state::Complete;
+}
+
 /// Name of a state for logs, in snake case.
 std::string_view toText(exchange_state state);
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -123,6 +123,28 @@
     EXPECT_TRUE(parsed->draining);
 }
 
+// Guards against a notice that is read from a malformed header field.
+TEST(endpoint_notices, only_well_formed_values_count)
+{
+    const auto parse = [](http::status status, std::string_view name, std::string_view value) {
+        http::response_header<> head;
+        head.result(status);
+        head.set(fromView(name), fromView(value));
+        return platform::makeWire().parseNotice(head);
+    };
+    EXPECT_EQ(parse(http::status::ok, "Server-Limit", "3.5").limit, 3.5);
+    EXPECT_EQ(parse(http::status::ok, "Server-Limit", "0").limit, 0);
+    for (const auto *malformed : {"", "-1", "nan", "inf", "1 2", "2/s", "1e999"}) {
+        EXPECT_FALSE(parse(http::status::ok, "Server-Limit", malformed).limit) << malformed;
+        EXPECT_FALSE(parse(http::status::service_unavailable, "Retry-After", malformed).pause) << malformed;
+    }
+    EXPECT_TRUE(parse(http::status::ok, "Server-Leaving", "1").leaving);
+    EXPECT_FALSE(parse(http::status::ok, "Server-Leaving", "0").leaving);
+    EXPECT_EQ(parse(http::status::service_unavailable, "Retry-After", "1.5").pause, std::chrono::milliseconds(1500));
+    EXPECT_EQ(parse(http::status::service_unavailable, "Retry-After", "1e9").pause, std::chrono::hours(1));
+    EXPECT_FALSE(parse(http::status::ok, "Retry-After", "1").pause);
+}
+
 // Guards against a configuration field that is stored in the wrong place or ignored.
 TEST(configuration_row, decodes_every_field)
 {
--- a/tools/check_includes.sh
+++ b/tools/check_includes.sh
@@ -15,7 +15,7 @@
     done
 done
 # Names of the users' platform may appear only in platform/.
-if hits=$(grep -rnE 'X-Response-Seal|X-Not-Executed|X-Prefix-Hash|X-Tenant-Id|X-Expect-Instance|X-Fencing-Token|X-Lease-Holder|rows-tx|rows-feed|kv-handle|"platform/' src); then
+if hits=$(grep -rnE 'X-Response-Seal|X-Not-Executed|X-Prefix-Hash|X-Tenant-Id|X-Expect-Instance|X-Fencing-Token|Server-Limit|Server-Leaving|X-Lease-Holder|rows-tx|rows-feed|kv-handle|"platform/' src); then
     echo "src must not use names of the users' platform:"
     echo "$hits"
     failed=1
