--- a/src/protocol/exchange.capnp
+++ b/src/protocol/exchange.capnp
@@ -25,6 +25,7 @@
   suspects @8 :List(Suspect);
   reserved @9 :List(UInt64);  # Hashes of engines whose role the sender is changing.
   position @10 :Position;  # Set if the sender asks for the tables.
+  notices @11 :List(Notice);
 }
 
 struct Poll {  # Asks an aggregator of another failure domain for the tables of its domain.
@@ -54,6 +55,7 @@
   prefixUses @11 :List(PrefixUse);
   suspects @12 :List(Suspect);
   reserved @13 :List(UInt64);
+  notices @14 :List(Notice);
 }
 
 struct Load {  # Running requests at an endpoint.
@@ -84,3 +86,11 @@
   crashAgesMs @3 :List(UInt32);  # Since each crash, in the order of `crashed`.
   successAgeMs @4 :UInt32 = 0xffffffff;  # Since the last success; the largest value if there was none.
 }
+
+struct Notice {  # What an endpoint said of itself in an answer to some daemon.
+  endpoint @0 :UInt64;
+  ageMs @1 :UInt32;  # Since it said so.
+  leaving @2 :Bool;
+  limited @3 :Bool;
+  perSecond @4 :Float64;  # Limit of requests for all daemons together, if `limited`.
+}
--- a/src/protocol/exchange.capnp.h
+++ b/src/protocol/exchange.capnp.h
@@ -25,6 +25,7 @@
 CAPNP_DECLARE_SCHEMA(c3c04a06b3d7430e);
 CAPNP_DECLARE_SCHEMA(f997d8a1080bbc78);
 CAPNP_DECLARE_SCHEMA(f08b804e527cb9d2);
+CAPNP_DECLARE_SCHEMA(caa51ef9107e9f4b);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -60,7 +61,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ade242389165d0a1, 4, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(ade242389165d0a1, 4, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -105,7 +106,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dec4fab87dfc8b56, 5, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(dec4fab87dfc8b56, 5, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -172,6 +173,21 @@
   };
 };
 
+struct Notice {
+  Notice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(caa51ef9107e9f4b, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class ExchangeMessage::Reader {
@@ -328,6 +344,9 @@
   inline bool hasPosition() const;
   inline  ::lacewinglock::wire::Position::Reader getPosition() const;
 
+  inline bool hasNotices() const;
+  inline  ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>::Reader getNotices() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -414,6 +433,13 @@
   inline void adoptPosition(::capnp::Orphan< ::lacewinglock::wire::Position>&& value);
   inline ::capnp::Orphan< ::lacewinglock::wire::Position> disownPosition();
 
+  inline bool hasNotices();
+  inline  ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>::Builder getNotices();
+  inline void setNotices( ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>::Builder initNotices(unsigned int size);
+  inline void adoptNotices(::capnp::Orphan< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>> disownNotices();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -676,6 +702,9 @@
   inline bool hasReserved() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getReserved() const;
 
+  inline bool hasNotices() const;
+  inline  ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>::Reader getNotices() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -775,6 +804,13 @@
   inline void adoptReserved(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownReserved();
 
+  inline bool hasNotices();
+  inline  ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>::Builder getNotices();
+  inline void setNotices( ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>::Builder initNotices(unsigned int size);
+  inline void adoptNotices(::capnp::Orphan< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>> disownNotices();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1193,6 +1229,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class Notice::Reader {
+public:
+  typedef Notice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEndpoint() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline bool getLeaving() const;
+
+  inline bool getLimited() const;
+
+  inline double getPerSecond() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Notice::Builder {
+public:
+  typedef Notice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEndpoint();
+  inline void setEndpoint( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+  inline bool getLimited();
+  inline void setLimited(bool value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Notice::Pipeline {
+public:
+  typedef Notice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::lacewinglock::wire::ExchangeMessage::Which ExchangeMessage::Reader::which() const {
@@ -1649,6 +1781,40 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool Summary::Reader::hasNotices() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Summary::Builder::hasNotices() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>::Reader Summary::Reader::getNotices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>::Builder Summary::Builder::getNotices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Summary::Builder::setNotices( ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>::Builder Summary::Builder::initNotices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void Summary::Builder::adoptNotices(
+    ::capnp::Orphan< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>> Summary::Builder::disownNotices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline bool Poll::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2123,6 +2289,40 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool Tables::Reader::hasNotices() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool Tables::Builder::hasNotices() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>::Reader Tables::Reader::getNotices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>::Builder Tables::Builder::getNotices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Tables::Builder::setNotices( ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>::Builder Tables::Builder::initNotices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void Tables::Builder::adoptNotices(
+    ::capnp::Orphan< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>> Tables::Builder::disownNotices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Load::Reader::getEndpoint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2449,6 +2649,76 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value, 4294967295u);
 }
 
+inline  ::uint64_t Notice::Reader::getEndpoint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Notice::Builder::getEndpoint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Notice::Builder::setEndpoint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Notice::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Notice::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Notice::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Notice::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool Notice::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void Notice::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Notice::Reader::getLimited() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+
+inline bool Notice::Builder::getLimited() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+inline void Notice::Builder::setLimited(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Notice::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double Notice::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Notice::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/protocol/exchange_messages.cpp
+++ b/src/protocol/exchange_messages.cpp
@@ -4,6 +4,7 @@
 #include "protocol/packed_message.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace lacewinglock
@@ -76,6 +77,15 @@
     for (unsigned i = 0; i < reserved.size(); ++i) {
         reserved.set(i, message.reserved[i]);
     }
+    auto notices = root.initNotices(static_cast<unsigned>(message.notices.size()));
+    for (unsigned i = 0; i < notices.size(); ++i) {
+        const auto &notice = message.notices[i];
+        notices[i].setEndpoint(notice.endpoint);
+        notices[i].setAgeMs(clampTo<std::uint32_t>(static_cast<double>(notice.ageMs)));
+        notices[i].setLeaving(notice.leaving);
+        notices[i].setLimited(notice.limit.has_value());
+        notices[i].setPerSecond(notice.limit.value_or(0));
+    }
 }
 
 template <typename Reader, typename Message>
@@ -103,6 +113,12 @@
     for (const auto engine : root.getReserved()) {
         out.reserved.push_back(engine);
     }
+    for (const auto notice : root.getNotices()) {
+        auto &added = out.notices.emplace_back(notice_report{.endpoint = notice.getEndpoint(), .leaving = notice.getLeaving(), .ageMs = notice.getAgeMs()});
+        if (notice.getLimited() && std::isfinite(notice.getPerSecond()) && notice.getPerSecond() >= 0) {
+            added.limit = notice.getPerSecond();
+        }
+    }
 }
 
 struct message_writer
--- a/src/protocol/exchange_messages.h
+++ b/src/protocol/exchange_messages.h
@@ -51,6 +51,15 @@
     std::optional<std::int64_t> successAgeMs; ///< Time since the last success.
 };
 
+/// What an endpoint said of itself in an answer to some daemon.
+struct notice_report
+{
+    std::uint64_t endpoint = 0; ///< Hash of the endpoint.
+    bool leaving = false;
+    std::optional<double> limit; ///< Requests per second from all daemons together; nullopt: it names no limit.
+    std::int64_t ageMs = 0; ///< Time since it said so.
+};
+
 /// State of a daemon as other daemons see it.
 struct daemon_status
 {
@@ -92,6 +101,7 @@
     std::vector<prefix_use> prefixUses; ///< Since the last summary.
     std::vector<suspect_report> suspects;
     std::vector<std::uint64_t> reserved; ///< Hashes of engines whose role the sender is changing.
+    std::vector<notice_report> notices;
     std::optional<table_position> poll; ///< Set if the sender asks for the tables of all failure domains.
 };
 
@@ -119,6 +129,7 @@
     std::vector<prefix_use> prefixUses;
     std::vector<suspect_report> suspects;
     std::vector<std::uint64_t> reserved;
+    std::vector<notice_report> notices;
 };
 
 using exchange_message = std::variant<daemon_summary, domain_poll, exchange_tables>;
--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -1,5 +1,7 @@
 #include "serving/caller_exchange.h"
 
+#include "serving/endpoint_notices.h"
+#include "serving/peer_exchange.h"
 #include "state/rendezvous.h"
 #include "transport/boot_clock.h"
 #include "transport/spawn.h"
@@ -313,22 +315,20 @@
     return head.find(fromView(context.platform.wire.fields.answerSeal)) != head.end();
 }
 
-void noteAnswer(edge_context &context, endpoint_state &endpoint, const http::response_header<> &head, instant /*sentAt*/)
+void noteAnswer(edge_context &context, endpoint_state &endpoint, const http::response_header<> &head, instant sentAt)
 {
     const auto notice = context.platform.wire.parseNotice(head);
-    if (notice == endpoint.notice) {
+    const bool changed = applyNotice(context.endpoints, endpoint, notice, sentAt, bootNow());
+    if (changed) {
+        expediteSummary(context);
+    }
+    if (!changed && !notice.pause) {
         return;
     }
-    endpoint.notice = notice;
     context.counters.count(metric_counter::EndpointNotices);
     auto line = context.line("endpoint_notice");
     line.add("endpoint", endpoint.entry.id).add("status", static_cast<int>(head.result_int())).add("leaving", notice.leaving);
-    if (notice.limit) {
-        line.add("limit_per_s", *notice.limit);
-    }
-    if (notice.pause) {
-        line.add("pause_ms", toMs(*notice.pause));
-    }
+    line.add("limit_per_s", notice.limit.value_or(-1)).add("pause_ms", toMs(notice.pause.value_or(duration::zero())));
     context.log.write(line);
 }
 
--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -107,6 +107,7 @@
     std::map<std::string, member_entry, std::less<>> members; ///< By daemon id, from the member rows in the store.
     bool unknownSender = false; ///< A daemon outside the members was heard of; the members are read again.
     bool holdsLease = false; ///< This daemon holds the lease of the platform duties.
+    std::size_t nextNotice = 0; ///< Turn of selectReports().
     std::vector<std::uint64_t> reserved; ///< Hashes of engines whose role this daemon is changing.
     std::vector<prefix_use> unsentPrefixUses; ///< To be sent with the next summary.
     std::map<std::pair<std::uint64_t, std::uint64_t>, instant> announcedPrefixes; ///< Time of the last announcement by block and engine.
--- /dev/null
+++ b/src/serving/endpoint_notices.cpp
@@ -0,0 +1,81 @@
+#include "serving/endpoint_notices.h"
+
+#include <algorithm>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+constexpr auto changeReportTime = std::chrono::seconds(1); // Some fifteen summaries, so that lost ones don't matter.
+
+bool setLimit(endpoint_state &endpoint, std::optional<double> limit, instant saidAt, instant now)
+{
+    endpoint.limitSaidAt = saidAt;
+    if (endpoint.limit == limit) {
+        return false;
+    }
+    endpoint.limit = limit;
+    endpoint.noticeChangedAt = now;
+    return true;
+}
+
+// A limit is said at the latest when the answer arrives, and no limit at the earliest when the request is sent. So a limit ends only with an answer to a
+// request that was sent after the last answer that named it.
+bool noteLimit(endpoint_state &endpoint, std::optional<double> limit, instant sentAt, instant now)
+{
+    const bool overlapsLast = sentAt <= endpoint.limitSaidAt;
+    if (limit) {
+        return setLimit(endpoint, overlapsLast && endpoint.limit ? std::min(*limit, *endpoint.limit) : limit, now, now);
+    }
+    return endpoint.limit && !overlapsLast && setLimit(endpoint, std::nullopt, sentAt, now);
+}
+
+}
+
+bool applyNotice(endpoint_registry & /*endpoints*/, endpoint_state &endpoint, const endpoint_notice &notice, instant sentAt, instant now)
+{
+    return noteLimit(endpoint, notice.limit, sentAt, now);
+}
+
+bool applyReport(endpoint_registry &endpoints, const notice_report &report, instant now)
+{
+    const auto endpoint = endpoints.findByHash(report.endpoint);
+    if (!endpoint) {
+        return false;
+    }
+    // The age of a report lacks its time on the way, so an equal limit must not look newer each time it is passed on.
+    const instant saidAt = now - std::chrono::milliseconds(report.ageMs);
+    const bool isNews = report.limit != endpoint->limit && saidAt > endpoint->limitSaidAt;
+    return isNews && setLimit(*endpoint, report.limit, saidAt, now);
+}
+
+std::vector<notice_report> selectReports(const endpoint_registry &endpoints, std::size_t count, std::size_t &next, instant now)
+{
+    std::vector<endpoint_ptr> changed;
+    std::vector<endpoint_ptr> others;
+    for (const auto &endpoint : endpoints.all()) {
+        if (now - endpoint->noticeChangedAt <= changeReportTime) {
+            changed.push_back(endpoint);
+        } else if (endpoint->limit) {
+            others.push_back(endpoint);
+        }
+    }
+    std::ranges::sort(changed, std::ranges::greater{}, &endpoint_state::noticeChangedAt);
+    if (!others.empty()) {
+        const auto turn = next % others.size();
+        std::ranges::rotate(others, others.begin() + static_cast<std::ptrdiff_t>(turn));
+        next = turn + (changed.size() < count ? std::min(others.size(), count - changed.size()) : 0);
+    }
+    changed.insert(changed.end(), others.begin(), others.end());
+    changed.resize(std::min(changed.size(), count));
+    std::vector<notice_report> out;
+    for (const auto &endpoint : changed) {
+        out.push_back(
+            {.endpoint = endpoint->hash, .limit = endpoint->limit, .ageMs = std::chrono::ceil<std::chrono::milliseconds>(now - endpoint->limitSaidAt).count()});
+    }
+    return out;
+}
+
+}
--- /dev/null
+++ b/src/serving/endpoint_notices.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "serving/endpoint_notice.h"
+#include "serving/endpoint_registry.h"
+
+#include <vector>
+
+/// What endpoints say of themselves in answers, at this daemon and at others. A statement is compared with the time of the last one, because answers can
+/// overtake each other.
+namespace lacewinglock
+{
+
+/// Records a notice from the answer to a request that was sent at `sentAt` and answered at `now`. Returns whether the limit or the leaving has changed.
+bool applyNotice(endpoint_registry &endpoints, endpoint_state &endpoint, const endpoint_notice &notice, instant sentAt, instant now);
+
+/// Takes over what another daemon has heard, unless something newer is known. Returns whether the limit or the leaving has changed.
+bool applyReport(endpoint_registry &endpoints, const notice_report &report, instant now);
+
+/// Selects what to report to other daemons: at most `count` endpoints, those that have changed lately first, the others in turn. `next` keeps the turn
+/// between calls.
+std::vector<notice_report> selectReports(const endpoint_registry &endpoints, std::size_t count, std::size_t &next, instant now);
+
+}
--- a/src/serving/endpoint_registry.h
+++ b/src/serving/endpoint_registry.h
@@ -2,7 +2,6 @@
 
 #include "protocol/configuration.h"
 #include "protocol/exchange_messages.h"
-#include "serving/endpoint_notice.h"
 #include "transport/core_time.h"
 
 #include <cstdint>
@@ -56,7 +55,10 @@
     double slowdown = 1; ///< Ratio of measured to predicted prefill time, moving average.
     std::multiset<instant> answerDeadlines; ///< When the first response of each outstanding request of this daemon is due.
     instant reservedUntil; ///< A role change is in progress; no new requests are sent before this time.
-    endpoint_notice notice; ///< Of its last answer.
+    std::optional<double> limit; ///< Requests per second that it takes from all daemons together, if it names a limit.
+    instant limitSaidAt; ///< When it last said its limit, or that it has none.
+    instant turnTakenAt; ///< Slot of the last request sent under a limit; may lie ahead.
+    instant noticeChangedAt; ///< Last change of `limit`.
     bool missing = false; ///< Its entry expired while the store was failing.
     instant missingSince;
 
--- /dev/null
+++ b/src/serving/endpoint_turn.cpp
@@ -0,0 +1,72 @@
+#include "serving/endpoint_turn.h"
+
+#include "serving/caller_exchange.h"
+#include "serving/limit_share.h"
+#include "transport/boot_clock.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+constexpr double noShareWaitMs = 1000; // For a daemon that is not among the members, and so has no slots.
+
+}
+
+turn_times::turn_times(const edge_context &context, instant now)
+    : m_context(context)
+    , m_now(now)
+{
+}
+
+const turn_times::place_in_fleet &turn_times::place() const
+{
+    if (!m_place) {
+        const auto &members = m_context.members;
+        m_place.emplace(place_in_fleet{.daemons = m_context.daemons(), .nowMs = static_cast<double>(m_context.correctedTimeMs())});
+        if (const auto self = members.find(m_context.settings.id); self != members.end() || members.empty()) {
+            m_place->rank = static_cast<std::size_t>(std::distance(members.begin(), self));
+        }
+    }
+    return *m_place;
+}
+
+double turn_times::heldMs(const endpoint_state &endpoint) const
+{
+    if (!endpoint.limit) {
+        return 0;
+    }
+    const auto &[rank, daemons, nowMs] = place();
+    if (!rank) {
+        return noShareWaitMs;
+    }
+    const limit_share share{.perSecond = *endpoint.limit, .daemons = daemons, .rank = *rank, .offset = endpoint.hash};
+    const double slotMs = nextFreeSlotMs(share, nowMs + toMs(endpoint.turnTakenAt - m_now), nowMs);
+    return std::ceil(std::max(0.0, slotMs - nowMs));
+}
+
+task<bool> awaitTurn(edge_context &context, const caller_request &request, endpoint_ptr endpoint)
+{
+    const instant now = bootNow();
+    const auto limit = endpoint->limit;
+    const auto wait = std::chrono::milliseconds(std::llround(turn_times(context, now).heldMs(*endpoint)));
+    if (wait > duration::zero() && now + wait >= request.deadline) {
+        co_return false;
+    }
+    if (limit) {
+        endpoint->turnTakenAt = now + wait;
+    }
+    if (wait <= duration::zero()) {
+        co_return true;
+    }
+    context.counters.count(metric_counter::RequestsHeld);
+    co_await sleepFor(wait);
+    const bool limitChanged = endpoint->limit && endpoint->limit != limit;
+    co_return !request.reply->gone() && !limitChanged && endpoint->usable(bootNow());
+}
+
+}
--- /dev/null
+++ b/src/serving/endpoint_turn.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "serving/edge_context.h"
+
+namespace lacewinglock
+{
+
+struct caller_request;
+
+/// When this daemon may send requests to endpoints, as of one moment.
+class turn_times
+{
+public:
+    turn_times(const edge_context &context, instant now);
+
+    /// How long to wait before the next request to the endpoint, in whole milliseconds: until the next slot of this daemon if the endpoint names a limit.
+    double heldMs(const endpoint_state &endpoint) const;
+
+private:
+    /// Of this daemon among the members, and the time that the daemons agree on.
+    struct place_in_fleet
+    {
+        std::optional<std::size_t> rank; ///< nullopt if this daemon is not a member; it has no slots then.
+        std::size_t daemons = 1;
+        double nowMs = 0;
+    };
+    const place_in_fleet &place() const;
+
+    const edge_context &m_context;
+    instant m_now;
+    mutable std::optional<place_in_fleet> m_place; ///< Found out when the first limit is met, because it takes time in a large fleet.
+};
+
+/// Takes the next turn of this daemon at the endpoint and waits for it; call it before each request to an endpoint. Returns false if the turn lies after
+/// the request's deadline, or if the request must not be sent after the wait; then place it again.
+task<bool> awaitTurn(edge_context &context, const caller_request &request, endpoint_ptr endpoint);
+
+}
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -1,5 +1,6 @@
 #include "serving/peer_exchange.h"
 
+#include "serving/endpoint_notices.h"
 #include "transport/boot_clock.h"
 
 #include <absl/strings/str_cat.h>
@@ -22,6 +23,7 @@
 constexpr std::size_t maxDatagramBytes = 32U << 10U;
 constexpr std::size_t maxPrefixUsesPerSummary = 32;
 constexpr std::size_t maxSuspectsPerSummary = 8;
+constexpr std::size_t maxNoticesPerSummary = 8;
 
 bool isEmpty(const endpoint_load &load)
 {
@@ -78,6 +80,16 @@
         context.suspects.merge(suspect, bootNow());
     }
 
+    void operator()(const notice_report &report) const
+    {
+        if (applyReport(context.endpoints, report, bootNow())) {
+            auto line = context.line("endpoint_reported");
+            line.add("endpoint", context.endpoints.findByHash(report.endpoint)->entry.id).add("leaving", report.leaving);
+            line.add("limit_per_s", report.limit.value_or(-1)).add("age_ms", report.ageMs);
+            context.log.write(line);
+        }
+    }
+
     void operator()(const engine_reserved &reserved) const
     {
         if (const auto engine = context.endpoints.findByHash(reserved.engine)) {
@@ -144,6 +156,7 @@
     out.prefixUses = std::exchange(unsent, {});
     out.suspects = context.suspects.reports(maxSuspectsPerSummary, bootNow());
     out.reserved = context.reserved;
+    out.notices = selectReports(context.endpoints, maxNoticesPerSummary, context.nextNotice, bootNow());
     return out;
 }
 
@@ -167,11 +180,16 @@
     context.exchangeTimer.cancel();
 }
 
+void expediteSummary(edge_context &context)
+{
+    context.exchange.expedite(bootNow());
+    context.exchangeTimer.cancel();
+}
+
 void expediteSummary(edge_context &context, double promptTokens)
 {
     if (promptTokens >= loadUpdateTokens) {
-        context.exchange.expedite(bootNow());
-        context.exchangeTimer.cancel();
+        expediteSummary(context);
     }
 }
 
--- a/src/serving/peer_exchange.h
+++ b/src/serving/peer_exchange.h
@@ -14,6 +14,8 @@
 void updateMembers(edge_context &context, std::map<std::string, member_entry, std::less<>> members);
 /// Brings the next summary forward if this daemon's load changed by many prompt tokens. Other daemons would else place their requests on outdated loads.
 void expediteSummary(edge_context &context, double promptTokens);
+/// Brings the next summary forward.
+void expediteSummary(edge_context &context);
 /// Records that a prompt with these shared blocks and `unsharedTokens` more was sent to an engine, and announces it if the prefix is long enough for
 /// other daemons to prefer that engine.
 void announcePrefix(edge_context &context, std::span<const prefix_block> shared, double unsharedTokens, std::uint64_t engine);
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -32,7 +32,7 @@
 
 double queueMs(const engine_model &model, const engine_candidate &engine)
 {
-    return std::max(engine.queuedTokens * msPerQueuedToken(model, engine), engine.overdueMs);
+    return std::max({engine.queuedTokens * msPerQueuedToken(model, engine), engine.overdueMs, engine.heldMs});
 }
 
 double transferMs(const generation_input &input, const engine_model &model, double tokens, bool sameDomain)
@@ -112,14 +112,15 @@
     return !engine.excluded && engine.running < engine.slots;
 }
 
-// Time from the end of the prefill to the first event: the KV transfer, and one step of the batch that the request joins, which takes longer
-// while other prompts are prefilled there.
-double decodeStartMs(const generation_input &input, const engine_model &model, const engine_candidate &engine, bool prefillIsLocal)
+// Time from the end of the prefill, which is `prefillDoneMs` away, to the first event: the KV transfer, and one step of the batch that the request joins, which
+// takes longer while other prompts are prefilled there.
+double decodeStartMs(const generation_input &input, const engine_model &model, const engine_candidate &engine, bool prefillIsLocal, double prefillDoneMs)
 {
+    const double held = std::max(0.0, engine.heldMs - prefillDoneMs);
     const double otherPrefillMs
         = engine.queuedTokens > 0 ? model.chunkTokens * model.mixedChunkFraction * model.mixedPrefillSlowdown / model.prefillTokensPerMs : 0;
     const double step = (model.stepMs + model.stepMsPerRequest * engine.running) * engine.slowdown;
-    return transferMs(input, model, input.promptTokens, prefillIsLocal == engine.local)
+    return held + transferMs(input, model, input.promptTokens, prefillIsLocal == engine.local)
         + withFailures(engine.overdueMs + step + otherPrefillMs, engine.failureRate) + (engine.local ? 0 : crossDomainRoundTripMs);
 }
 
@@ -190,7 +191,7 @@
         }
         if (disaggregated) {
             const auto &prefillEngine = input.engines[static_cast<std::size_t>(disaggregated->engine)];
-            const double startMs = decodeStartMs(input, model, engine, prefillEngine.local);
+            const double startMs = decodeStartMs(input, model, engine, prefillEngine.local, disaggregated->doneMs);
             const double first = disaggregated->doneMs + startMs;
             consider(disaggregated->costMs + startMs + (engine.local ? 0 : crossDomainPenaltyMs), *disaggregated, disaggregated->engine, index, first);
         }
@@ -221,10 +222,10 @@
     double bestMs = 0;
     for (std::size_t i = 0; i < input.engines.size(); ++i) {
         const auto &engine = input.engines[i];
-        if (!hasFreeSlot(engine) || engine.role == endpoint_role::Prefill) {
+        if (!hasFreeSlot(engine) || engine.role == endpoint_role::Prefill || engine.heldMs >= input.remainingMs) {
             continue;
         }
-        const double ms = decodeStartMs(input, model, engine, prefillIsLocal) + (engine.local ? 0 : crossDomainPenaltyMs);
+        const double ms = decodeStartMs(input, model, engine, prefillIsLocal, 0) + (engine.local ? 0 : crossDomainPenaltyMs);
         if (best < 0 || ms < bestMs) {
             best = static_cast<int>(i);
             bestMs = ms;
@@ -246,9 +247,12 @@
         }
         anyAvailable = true;
         const double queuedAhead = std::max(0, endpoint.running - endpoint.slots + 1);
-        const double queueTimeMs = std::max(queuedAhead / endpoint.slots * input.workMs, endpoint.overdueMs);
+        const double queueTimeMs = std::max({queuedAhead / endpoint.slots * input.workMs, endpoint.overdueMs, endpoint.heldMs});
         const double predicted = queueTimeMs + input.workMs + (endpoint.local ? 0 : crossDomainRoundTripMs);
         shortestWaitMs = std::min(shortestWaitMs, queueTimeMs);
+        if (endpoint.heldMs > maxLateQueueMs && predicted > input.onTimeMs) {
+            continue;
+        }
         // The second term prefers, among free endpoints, the one with the smaller fraction of slots in use.
         const double cost = withFailures(predicted, endpoint.failureRate) + input.workMs / 4 * endpoint.running / endpoint.slots;
         if (best.endpoint < 0 || cost < bestCost) {
@@ -260,6 +264,9 @@
     if (!anyAvailable) {
         best.reason = "no endpoint is up";
         best.retryAfterMs = withJitter(minRetryAfterMs, input.jitter);
+    } else if (best.endpoint < 0) {
+        best.reason = "endpoints take no more now";
+        best.retryAfterMs = withJitter(shortestWaitMs, input.jitter);
     } else if (best.predictedMs > input.remainingMs) {
         best.reason = "too late";
         best.retryAfterMs = withJitter(shortestWaitMs, input.jitter);
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -38,6 +38,7 @@
     double slowdown = 1; ///< Ratio of measured to predicted prefill time.
     double failureRate = 0; ///< Fraction of the recent attempts that failed.
     double overdueMs = 0; ///< How long its oldest outstanding response is overdue.
+    double heldMs = 0; ///< Time until this daemon may send it a request, because of its limit or a pause that it asked for. Counts as its queue.
 
     bool operator==(const engine_candidate &) const = default;
 };
@@ -110,6 +111,7 @@
     int slots = 1;
     double failureRate = 0;
     double overdueMs = 0;
+    double heldMs = 0;
 
     bool operator==(const service_candidate &) const = default;
 };
@@ -121,6 +123,7 @@
     std::uint64_t configVersion = 0;
     double workMs = 50; ///< Measured mean response time of the route.
     double remainingMs = 0;
+    double onTimeMs = 0; ///< Time until the answer is late. No endpoint is waited for beyond it.
     double peerAgeMs = 0;
     double jitter = 0;
     std::vector<service_candidate> endpoints;
--- a/src/serving/placement_log.cpp
+++ b/src/serving/placement_log.cpp
@@ -14,8 +14,21 @@
 
 constexpr const char *generationEvent = "place_generation";
 constexpr const char *serviceEvent = "place_service";
-constexpr std::size_t engineFields = 10;
-constexpr std::size_t endpointFields = 7;
+// Positions of the last fields of a candidate. The held time is left out when it is 0.
+constexpr std::size_t engineOverdue = 10;
+constexpr std::size_t engineHeld = 11;
+constexpr std::size_t endpointOverdue = 6;
+constexpr std::size_t endpointHeld = 7;
+
+std::string encodeHeld(double heldMs)
+{
+    return heldMs > 0 ? absl::StrCat(",", std::llround(heldMs)) : std::string();
+}
+
+double parseHeld(const json &entry, std::size_t position)
+{
+    return entry.size() > position ? entry.at(position).get<double>() : 0;
+}
 
 std::string encode(const engine_candidate &engine)
 {
@@ -34,7 +47,7 @@
                         std::llround(engine.cachedTokens),
                         ",",
                         std::llround(engine.slowdown * 100),
-                        absl::StrCat(",", std::llround(engine.failureRate * 100), ",", std::llround(engine.overdueMs), "]"));
+                        absl::StrCat(",", std::llround(engine.failureRate * 100), ",", std::llround(engine.overdueMs), encodeHeld(engine.heldMs), "]"));
 }
 
 std::string encode(const service_candidate &endpoint)
@@ -50,6 +63,7 @@
                         std::llround(endpoint.failureRate * 100),
                         ",",
                         std::llround(endpoint.overdueMs),
+                        encodeHeld(endpoint.heldMs),
                         "]");
 }
 
@@ -76,7 +90,8 @@
         .cachedTokens = entry.at(7),
         .slowdown = entry.at(8).get<double>() / 100,
         .failureRate = entry.at(9).get<double>() / 100,
-        .overdueMs = entry.at(engineFields),
+        .overdueMs = entry.at(engineOverdue),
+        .heldMs = parseHeld(entry, engineHeld),
     };
 }
 
@@ -89,7 +104,8 @@
         .running = entry.at(3),
         .slots = entry.at(4),
         .failureRate = entry.at(5).get<double>() / 100,
-        .overdueMs = entry.at(endpointFields - 1),
+        .overdueMs = entry.at(endpointOverdue),
+        .heldMs = parseHeld(entry, endpointHeld),
     };
 }
 
@@ -121,6 +137,7 @@
         .configVersion = line.at("config"),
         .workMs = line.at("work_ms"),
         .remainingMs = line.at("left_ms"),
+        .onTimeMs = line.value("on_time_ms", 0.0),
         .peerAgeMs = line.at("peer_age_ms"),
         .jitter = line.at("roll"),
     };
@@ -166,7 +183,7 @@
 void logPlacement(log_line &line, const service_input &input, const service_result &result)
 {
     line.add("id", input.requestId).add("config", input.configVersion).add("work_ms", input.workMs).add("left_ms", input.remainingMs);
-    line.add("peer_age_ms", input.peerAgeMs).add("roll", input.jitter).addRaw("endpoints", encodeList(input.endpoints));
+    line.add("on_time_ms", input.onTimeMs).add("peer_age_ms", input.peerAgeMs).add("roll", input.jitter).addRaw("endpoints", encodeList(input.endpoints));
     line.add("chosen", result.endpoint).add("predicted_ms", result.predictedMs).add("reason", result.reason);
 }
 
--- a/src/serving/service_forward.cpp
+++ b/src/serving/service_forward.cpp
@@ -1,5 +1,6 @@
 #include "serving/caller_exchange.h"
 
+#include "serving/endpoint_turn.h"
 #include "serving/placement_log.h"
 #include "transport/boot_clock.h"
 
@@ -22,6 +23,7 @@
 struct attempt
 {
     exchange_state state = exchange_state::NotSent;
+    bool placeAgain = false; ///< The endpoint's state changed while the request waited for its turn.
     std::shared_ptr<client_exchange> exchange;
     std::string body;
 };
@@ -38,9 +40,11 @@
         .configVersion = request.configuration->version,
         .workMs = toTenth(work == context.workMs.end() ? initialWorkMs : work->second),
         .remainingMs = toTenth(toMs(request.deadline - now)),
+        .onTimeMs = toTenth(std::max(0.0, toMs(request.arrivedAt + request.route->target - now))),
         .peerAgeMs = toTenth(context.exchange.ageMs(bootNow())),
         .jitter = toTenth(context.jitter()),
     };
+    const turn_times turns(context, now);
     for (const auto &endpoint : endpoints) {
         input.endpoints.push_back({
             .id = endpoint->entry.id,
@@ -50,6 +54,7 @@
             .slots = std::max(1, endpoint->entry.slots),
             .failureRate = request.route->repeatable ? 0 : toHundredth(endpoint->failureRate),
             .overdueMs = endpoint->overdueMs(now),
+            .heldMs = turns.heldMs(*endpoint),
         });
     }
     return input;
@@ -62,8 +67,13 @@
     if (!address.ok()) {
         co_return out;
     }
-    const instant now = bootNow();
     const load_reservation reservation(endpoint, 0);
+    if (!co_await awaitTurn(context, request, endpoint)) {
+        out.state = exchange_state::NotSent;
+        out.placeAgain = true;
+        co_return out;
+    }
+    const instant now = bootNow();
     const answer_deadline answerDeadline(endpoint, now + std::chrono::milliseconds(std::lround(3 * predictedMs)));
     out.exchange = std::make_shared<client_exchange>(context.pool, *address, forwardOptions(context, request, deadline));
     request.reply->onDisconnect([exchange = out.exchange] {
@@ -143,6 +153,11 @@
         const auto attemptTimeout = std::chrono::duration_cast<duration>(route.target * attemptTimeoutFactor);
         const instant deadline = lastTry ? request.deadline : std::min(request.deadline, now + attemptTimeout);
         last = co_await send(context, request, endpoint, deadline, placement.predictedMs);
+        if (last.placeAgain) {
+            ++unreachable;
+            code = "endpoint_limited";
+            continue;
+        }
         const bool answered = last.state == exchange_state::Complete;
         const int status = answered ? last.exchange->head().result_int() : 0;
         const bool notRun = answered && isMarkedNotExecuted(context, last.exchange->head());
--- a/src/serving/state_exchange.cpp
+++ b/src/serving/state_exchange.cpp
@@ -293,10 +293,7 @@
 std::vector<outgoing_message> state_exchange::handle(const exchange_tables &tables, instant now, std::int64_t wallMs)
 {
     const std::string domain = m_domainOf[tables.sender];
-    noteSuspects(tables.suspects);
-    for (const auto engine : tables.reserved) {
-        m_events.emplace_back(engine_reserved{engine});
-    }
+    noteReports(tables);
     if (domain == m_failureDomain) {
         const auto updates = m_reader.accept(tables, now);
         if (m_ownPosition || m_reader.source() != tables.sender) {
@@ -351,16 +348,12 @@
         }
     }
     if (summary.sender == m_id) {
-        m_suspects.clear();
-        for (const auto &suspect : summary.suspects) {
-            m_suspects.emplace_back(now, suspect);
-        }
+        m_reportedAt = now;
+        m_suspects = summary.suspects;
+        m_notices = summary.notices;
         return;
     }
-    noteSuspects(summary.suspects);
-    for (const auto engine : summary.reserved) {
-        m_events.emplace_back(engine_reserved{engine});
-    }
+    noteReports(summary);
 }
 
 void state_exchange::absorbDomain(const std::string &domain, const table_updates &updates, std::int64_t clockDifferenceMs)
@@ -376,9 +369,14 @@
     }
 }
 
-void state_exchange::noteSuspects(const std::vector<suspect_report> &suspects)
+template <typename Message>
+void state_exchange::noteReports(const Message &message)
 {
-    m_events.insert(m_events.end(), suspects.begin(), suspects.end());
+    m_events.insert(m_events.end(), message.suspects.begin(), message.suspects.end());
+    m_events.insert(m_events.end(), message.notices.begin(), message.notices.end());
+    for (const auto engine : message.reserved) {
+        m_events.emplace_back(engine_reserved{engine});
+    }
 }
 
 void state_exchange::logUse(table_set &tables, std::string_view source, const prefix_use &use)
@@ -496,9 +494,14 @@
             }
         }
     }
-    for (const auto &[at, suspect] : m_suspects) {
-        out.suspects.push_back(suspect);
-        addAge(out.suspects.back(), std::chrono::ceil<std::chrono::milliseconds>(now - at).count());
+    const auto sinceReports = std::chrono::ceil<std::chrono::milliseconds>(now - m_reportedAt).count();
+    out.suspects = m_suspects;
+    for (auto &suspect : out.suspects) {
+        addAge(suspect, sinceReports);
+    }
+    out.notices = m_notices;
+    for (auto &notice : out.notices) {
+        notice.ageMs += sinceReports;
     }
     const bool ofAllDomains = &tables == &m_allTables;
     for (const auto &[id, sender] : m_senders) {
--- a/src/serving/state_exchange.h
+++ b/src/serving/state_exchange.h
@@ -47,7 +47,7 @@
 };
 
 /// A change of what this daemon knows of the others. The load of an endpoint is the sum over the other daemons.
-using exchange_event = std::variant<view_reset, load_entry, daemon_entry, prefix_use, suspect_report, engine_reserved>;
+using exchange_event = std::variant<view_reset, load_entry, daemon_entry, prefix_use, suspect_report, engine_reserved, notice_report>;
 
 /// A message to a member.
 struct outgoing_message
@@ -159,7 +159,9 @@
     std::vector<outgoing_message> pollDomains(instant now);
     void expire(instant now);
     void readOwnTables(instant now);
-    void noteSuspects(const std::vector<suspect_report> &suspects);
+    /// Passes on what messages report beside the tables.
+    template <typename Message>
+    void noteReports(const Message &message);
     duration jittered(duration interval);
 
     std::string m_id;
@@ -197,7 +199,9 @@
     double m_largestChange = 0; ///< and of all.
     table_set m_domainTables; ///< Of the own failure domain, for aggregators of other domains.
     table_set m_allTables; ///< Of all failure domains, for the daemons of the own domain.
-    std::vector<std::pair<instant, suspect_report>> m_suspects; ///< With the time at which the age was right.
+    instant m_reportedAt; ///< When the ages of the reports below were right.
+    std::vector<suspect_report> m_suspects; ///< Of the own summary.
+    std::vector<notice_report> m_notices;
     prune_mark m_pruneMark;
 };
 
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -1,5 +1,6 @@
 #include "serving/caller_exchange.h"
 
+#include "serving/endpoint_turn.h"
 #include "serving/event_stream.h"
 #include "serving/peer_exchange.h"
 #include "serving/placement_log.h"
@@ -101,6 +102,7 @@
         input.kvTokenBytes = service->second.engine->kvTokenBytes;
         input.linkMbps = service->second.engine->linkMbps;
     }
+    const turn_times turns(m_context, now);
     for (const auto &engine : engines) {
         input.engines.push_back({
             .id = engine->entry.id,
@@ -114,6 +116,7 @@
             .slowdown = toHundredth(engine->slowdown),
             .failureRate = toHundredth(engine->failureRate),
             .overdueMs = engine->overdueMs(now),
+            .heldMs = turns.heldMs(*engine),
         });
     }
     return input;
@@ -220,6 +223,15 @@
     }
     load_reservation reservation(engine, prefillEngine ? 0 : uncachedTokens);
     expediteSummary(m_context, prefillEngine ? 0 : uncachedTokens);
+    if (!co_await awaitTurn(m_context, m_request, engine)) {
+        if (!handle.empty()) {
+            freeKvHandle(prefillEngine, handle);
+        }
+        if (m_request.reply->gone() || ++m_unreachable > maxUnreachableEngines) {
+            co_return co_await refuse("engines_limited", m_retryAfterMs);
+        }
+        co_return step::Retry;
+    }
     const instant now = bootNow();
     auto message = makeForwardedRequest(m_context, m_request, engine->entry, now);
     if (prefillEngine) {
@@ -265,16 +277,20 @@
         m_failed.insert(prefillEngine->entry.id);
         co_return std::string();
     }
+    const bool wasQueued = prefillEngine->own.promptTokens + prefillEngine->peers.promptTokens > 0;
+    load_reservation reservation(prefillEngine, tokens);
+    expediteSummary(m_context, tokens);
+    if (!co_await awaitTurn(m_context, m_request, prefillEngine)) {
+        --m_prefillAttempts;
+        co_return std::string();
+    }
     const instant now = bootNow();
     auto message = makeForwardedRequest(m_context, m_request, prefillEngine->entry, now);
     m_context.platform.wire.engine.markPrefill(message);
     if (kvSource) {
         m_context.platform.wire.engine.fetchCachedPrefix(message, kvSource->entry);
     }
-    const bool wasQueued = prefillEngine->own.promptTokens + prefillEngine->peers.promptTokens > 0;
     const auto timeout = std::chrono::milliseconds(std::lround(prefillTimeoutFactor * predictedMs)) + prefillTimeoutMargin;
-    load_reservation reservation(prefillEngine, tokens);
-    expediteSummary(m_context, tokens);
     const auto exchange = std::make_shared<client_exchange>(
         m_context.pool, *address, forwardOptions(m_context, m_request, std::min<instant>(m_request.deadline, now + timeout)));
     m_request.reply->onDisconnect([exchange] {
--- a/src/state/metrics.cpp
+++ b/src/state/metrics.cpp
@@ -34,6 +34,7 @@
     {"lacewinglock_refusals_total", "{run_state=\"partial\"}"},
     {"lacewinglock_requests_unanswered_total", ""},
     {"lacewinglock_endpoint_notices_total", ""},
+    {"lacewinglock_requests_held_total", ""},
     {"lacewinglock_control_bytes_sent_total", ""},
     {"lacewinglock_control_bytes_received_total", ""},
     {"lacewinglock_store_reads_total", ""},
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -23,6 +23,7 @@
     RefusalsPartial,
     RequestsUnanswered,
     EndpointNotices,
+    RequestsHeld,
     ControlBytesSent,
     ControlBytesReceived,
     StoreReads,
--- a/tests/endpoint_notice_test.cpp
+++ b/tests/endpoint_notice_test.cpp
@@ -1,4 +1,6 @@
 #include "edge_fixture.h"
+#include "serving/endpoint_notices.h"
+#include "serving/limit_share.h"
 
 namespace lacewinglock
 {
@@ -63,4 +65,140 @@
     EXPECT_GE(second.requests.size(), 20U);
 }
 
+TEST_F(endpoint_notice_test, a_request_beyond_all_limits_is_refused_at_once)
+{
+    notice = "Server-Limit: 3\r\n";
+    callFor(std::chrono::milliseconds(100));
+    const auto before = first.requests.size();
+    int refused = 0;
+    for (int i = 0; i < 50; ++i) {
+        const auto result = call(get("/read/1"));
+        if (result.status == 503) {
+            ++refused;
+            EXPECT_LT(result.ms, 100);
+            EXPECT_FALSE(result.head["Retry-After"].empty());
+        }
+    }
+    EXPECT_GE(refused, 40);
+    EXPECT_EQ(first.requests.size() - before + static_cast<std::size_t>(refused), 50U);
+}
+
+TEST_F(endpoint_notice_test, an_endpoint_that_names_no_limit_any_more_is_used_again)
+{
+    notice = "Server-Limit: 9\r\n";
+    callFor(std::chrono::milliseconds(200));
+    notice.clear();
+    callFor(std::chrono::milliseconds(700));
+    EXPECT_GE(requestsToFirstDuring(std::chrono::milliseconds(300)), 10U);
+}
+
+namespace
+{
+
+/// An endpoint and its registry, for statements at chosen times.
+class notice_order : public testing::Test
+{
+protected:
+    notice_order()
+    {
+        endpoints.update({.id = "e1", .service = "s", .startedMs = 5});
+    }
+
+    endpoint_state &endpoint()
+    {
+        return *endpoints.find("e1");
+    }
+
+    static instant at(int ms)
+    {
+        return instant(std::chrono::seconds(100) + std::chrono::milliseconds(ms));
+    }
+
+    endpoint_registry endpoints;
+};
+
+}
+
+// Guards against an answer that was overtaken and says what no longer holds.
+TEST_F(notice_order, an_older_answer_does_not_end_a_limit)
+{
+    EXPECT_TRUE(applyNotice(endpoints, endpoint(), {.limit = 2}, at(0), at(10)));
+    EXPECT_FALSE(applyNotice(endpoints, endpoint(), {}, at(5), at(20)));
+    EXPECT_EQ(endpoint().limit, 2);
+    EXPECT_FALSE(applyNotice(endpoints, endpoint(), {.limit = 4}, at(5), at(20)));
+    EXPECT_EQ(endpoint().limit, 2);
+    EXPECT_TRUE(applyNotice(endpoints, endpoint(), {.limit = 4}, at(21), at(30)));
+    EXPECT_EQ(endpoint().limit, 4);
+    EXPECT_TRUE(applyNotice(endpoints, endpoint(), {}, at(31), at(40)));
+    EXPECT_FALSE(endpoint().limit);
+}
+
+TEST_F(notice_order, an_older_report_does_not_bring_a_limit_back)
+{
+    const auto hash = endpoint().hash;
+    EXPECT_TRUE(applyReport(endpoints, {.endpoint = hash, .limit = 2, .ageMs = 10}, at(0)));
+    EXPECT_TRUE(applyNotice(endpoints, endpoint(), {}, at(1), at(2)));
+    EXPECT_FALSE(applyReport(endpoints, {.endpoint = hash, .limit = 2, .ageMs = 10}, at(5)));
+    EXPECT_FALSE(endpoint().limit);
+    EXPECT_FALSE(applyReport(endpoints, {.endpoint = hash + 1, .limit = 2}, at(6)));
+}
+
+TEST_F(notice_order, a_new_process_starts_without_what_the_old_one_said)
+{
+    applyNotice(endpoints, endpoint(), {.limit = 2}, at(0), at(1));
+    endpoints.update({.id = "e1", .service = "s", .startedMs = 6});
+    EXPECT_FALSE(endpoint().limit);
+}
+
+// Guards against changes that are not reported because many endpoints have a limit, and against limits that are never reported again.
+TEST_F(notice_order, reports_changes_first_and_all_others_in_turn)
+{
+    constexpr int limited = 20;
+    for (int i = 0; i < limited; ++i) {
+        endpoints.update({.id = absl::StrCat("l", i), .service = "s"});
+        applyNotice(endpoints, *endpoints.find(absl::StrCat("l", i)), {.limit = 1}, at(0), at(1));
+    }
+    applyNotice(endpoints, endpoint(), {.limit = 1}, at(5000), at(5001));
+    std::set<std::uint64_t> seen;
+    std::size_t next = 0;
+    for (int i = 0; i < 3; ++i) {
+        const auto reports = selectReports(endpoints, 8, next, at(5002));
+        ASSERT_EQ(reports.size(), 8U);
+        EXPECT_EQ(reports[0].endpoint, endpoint().hash);
+        for (const auto &report : reports) {
+            seen.insert(report.endpoint);
+        }
+    }
+    EXPECT_EQ(seen.size(), limited + 1U);
+}
+
+// Guards against requests beyond the limit when every daemon has many for the endpoint, at sizes from small to large.
+TEST(limit_share, all_daemons_together_keep_to_the_limit)
+{
+    for (const std::size_t daemons : {1U, 9U, 195U}) {
+        for (const double perSecond : {0.5, 3.7, 20.0}) {
+            std::vector<double> used(daemons, 0);
+            std::vector<double> sent;
+            for (double nowMs = 1.8e12; nowMs < 1.8e12 + 30'000; nowMs += 10) {
+                for (std::size_t rank = 0; rank < daemons; ++rank) {
+                    const limit_share share{.perSecond = perSecond, .daemons = daemons, .rank = rank, .offset = 7};
+                    if (const double slot = nextFreeSlotMs(share, used[rank], nowMs); slot <= nowMs) {
+                        used[rank] = slot;
+                        sent.push_back(nowMs);
+                    }
+                }
+            }
+            std::size_t worst = 0;
+            for (std::size_t begin = 0, end = 0; end < sent.size(); ++end) {
+                while (sent[end] - sent[begin] >= 4000) {
+                    ++begin;
+                }
+                worst = std::max(worst, end - begin + 1);
+            }
+            EXPECT_LE(static_cast<double>(worst), 4 * perSecond + perSecond + 2) << daemons << " daemons, " << perSecond << "/s";
+            EXPECT_GE(static_cast<double>(sent.size()), 30 * perSecond - 2) << daemons << " daemons, " << perSecond << "/s";
+        }
+    }
+}
+
 }
--- a/tests/state_exchange_test.cpp
+++ b/tests/state_exchange_test.cpp
@@ -175,6 +175,7 @@
     summary.prefixUses = {{21, 11, 512, 7}};
     summary.suspects = {{"f", {7, 9}, 30, {50, 30}, 70}};
     summary.reserved = {5};
+    summary.notices = {{.endpoint = 13, .leaving = true, .limit = 3.5, .ageMs = 60}, {.endpoint = 14, .ageMs = 70}};
     summary.poll = table_position{1, 2, 3, 4};
     const auto bytes = encodeExchange(summary);
     const auto parsed = parseExchange(bytes);
@@ -195,6 +196,13 @@
     EXPECT_EQ(got.suspects[0].crashAgesMs, (std::vector<std::int64_t>{50, 30}));
     EXPECT_EQ(got.suspects[0].successAgeMs, 70);
     EXPECT_EQ(got.reserved, summary.reserved);
+    ASSERT_EQ(got.notices.size(), 2U);
+    EXPECT_EQ(got.notices[0].endpoint, 13U);
+    EXPECT_TRUE(got.notices[0].leaving);
+    EXPECT_EQ(got.notices[0].limit, 3.5);
+    EXPECT_EQ(got.notices[0].ageMs, 60);
+    EXPECT_FALSE(got.notices[1].leaving);
+    EXPECT_FALSE(got.notices[1].limit);
     EXPECT_EQ(got.poll, summary.poll);
     exchange_tables tables{.sender = "a", .sequence = 6, .wallMs = 7, .ageMs = 8, .complete = true, .warm = true, .position = {9, 10, 11, 12}};
     tables.daemons = {{"x", std::nullopt}, {"y", daemon_status{true, true, -44}}};
@@ -468,6 +476,37 @@
     }
 }
 
+// Guards against a daemon that sends to an endpoint as if it had no limit although another daemon was told, and against a limit that stays after its end.
+TEST(state_exchange, limits_reach_every_daemon)
+{
+    virtual_exchange fleet(24, 4);
+    for (auto &daemon : fleet.daemons) {
+        daemon.endpoints.update({.id = "e1", .service = "s", .slots = 4});
+    }
+    fleet.run(std::chrono::seconds(1));
+    const auto say = [&fleet](std::size_t daemon, const endpoint_notice &notice) {
+        auto &endpoints = fleet.daemons[daemon].endpoints;
+        applyNotice(endpoints, *endpoints.find("e1"), notice, fleet.now, fleet.now);
+        fleet.run(std::chrono::milliseconds(400));
+    };
+    say(3, {.limit = 2});
+    for (auto &daemon : fleet.daemons) {
+        EXPECT_EQ(daemon.endpoints.find("e1")->limit, 2) << daemon.id;
+    }
+    // A daemon that starts later learns it from the others.
+    fleet.kill(8);
+    fleet.daemons[8].endpoints = {};
+    fleet.daemons[8].endpoints.update({.id = "e1", .service = "s", .slots = 4});
+    fleet.run(std::chrono::seconds(2));
+    fleet.start(8);
+    fleet.run(std::chrono::seconds(1));
+    EXPECT_EQ(fleet.daemons[8].endpoints.find("e1")->limit, 2);
+    say(17, {});
+    for (auto &daemon : fleet.daemons) {
+        EXPECT_FALSE(daemon.endpoints.find("e1")->limit) << daemon.id;
+    }
+}
+
 // Guards against prefixes that are counted several times because large changes of load are pushed between the polls.
 TEST(state_exchange, pushes_repeat_no_prefix_use)
 {
--- a/tests/virtual_exchange.h
+++ b/tests/virtual_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "serving/endpoint_notices.h"
 #include "serving/state_exchange.h"
 
 #include <algorithm>
@@ -31,6 +32,8 @@
         std::map<std::string, daemon_status> peers;
         std::vector<prefix_use> uses;
         std::vector<prefix_use> unsentUses;
+        endpoint_registry endpoints; ///< With what they say of themselves.
+        std::size_t nextNotice = 0;
         // Faults.
         bool alive = true;
         bool frozen = false;
@@ -211,6 +214,7 @@
                         out.loads.push_back({endpoint, load});
                     }
                     out.prefixUses = std::exchange(daemon.unsentUses, {});
+                    out.notices = selectReports(daemon.endpoints, 8, daemon.nextNotice, now);
                     return out;
                 };
                 send(index, daemon.exchange->tick(summary, now, wallMs(daemon)));
@@ -260,11 +264,12 @@
         }
     }
 
-    static void applyEvents(daemon &daemon)
+    void applyEvents(daemon &daemon)
     {
         struct applier
         {
             virtual_exchange::daemon &daemon;
+            instant now;
             void operator()(const view_reset & /*event*/) const
             {
                 daemon.others.clear();
@@ -287,9 +292,13 @@
             }
             void operator()(const suspect_report & /*suspect*/) const { }
             void operator()(const engine_reserved & /*reserved*/) const { }
+            void operator()(const notice_report &report) const
+            {
+                applyReport(daemon.endpoints, report, now);
+            }
         };
         for (const auto &event : daemon.exchange->takeEvents()) {
-            std::visit(applier{daemon}, event);
+            std::visit(applier{daemon, now}, event);
         }
     }
 
