Do not believe an answer without an id on a kept connection

Report of another operator: a server wrote an earlier refusal once more, and callers were told 'not run' for requests that ran. Here a copy with the id of the earlier request is skipped, but one without an id was taken for the answer: the call was sent to a second endpoint although the first ran it.

Change: on a connection that has carried an exchange before, an answer without an id proves nothing; the connection is closed and the call counts as possibly run.

Test: service_forward.a_refusal_that_is_repeated_on_a_kept_connection_refuses_no_other_request failed before (200 of the second endpoint instead of 502).

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -213,6 +213,7 @@
         m_connection = m_pool.take(m_server, m_options.minIdleTimeLeft);
     }
     if (m_connection) {
+        m_reused = true;
         co_return exchange_state::InProgress;
     }
     m_connection = std::make_shared<client_connection>(m_pool.loop());
@@ -312,6 +313,10 @@
             ++skipped;
             continue;
         }
+        if (m_reused && !m_responseId.empty() && !isCopyRecognisable()) {
+            // It may be a copy of the response to an earlier request on this connection.
+            break;
+        }
         if (!isForeignResponse()) {
             m_bodyEndsAtClose = m_parser->need_eof();
             if (m_parser->is_done()) {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -91,7 +91,8 @@
     duration minIdleTimeLeft = std::chrono::milliseconds(500); ///< Pooled connections that the server closes sooner are not used.
     /// Resets the connection when the exchange times out or is cancelled, so that bytes still in the send buffer do not arrive later.
     bool resetWhenAbandoned = false;
-    /// Header field that identifies the request. Responses with another value are skipped. After a response without it the connection is closed.
+    /// Header field that identifies the request. Responses with another value are skipped. A response without it is accepted
+    /// only as the first one of a connection, which is closed afterwards.
     std::string_view responseIdField;
 };
 
@@ -138,6 +139,7 @@
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     timeout m_timer;
     std::string m_responseId;
+    bool m_reused = false; ///< The connection has carried an exchange before.
     bool m_timedOut = false;
     bool m_lateReads = false; ///< Reads are allowed after the deadline for a short time.
     bool m_cancelled = false;
--- a/tests/service_forward_test.cpp
+++ b/tests/service_forward_test.cpp
@@ -511,4 +511,61 @@
     EXPECT_EQ(call(post("/book/1", "x")).status, 503);
 }
 
+TEST_F(service_forward, a_refusal_that_is_repeated_on_a_kept_connection_refuses_no_other_request)
+{
+    for (const bool withId : {true, false}) {
+        std::string refusal;
+        scripted_server endpoint(loop, [&](const http_request &request, int number) {
+            if (number == 1) {
+                return scripted_answer{.bytes = wholeAnswer(request, 200, "first", "Keep-Alive: timeout=30\r\n")};
+            }
+            if (withId) {
+                http_request earlier;
+                earlier.set("X-Request-Id", "r0");
+                refusal = wholeAnswer(earlier, 503, "full", "X-Not-Executed: 1\r\n");
+            } else {
+                refusal = "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull";
+            }
+            return scripted_answer{.bytes = refusal + wholeAnswer(request, 200, "second")};
+        });
+        scripted_server other(loop, [](const http_request &request, int) {
+            return scripted_answer{.bytes = wholeAnswer(request, 200, "other")};
+        });
+        configure({nonRepeatableRoute(2)});
+        addEndpoint("e1", "desk", endpoint.address());
+        EXPECT_EQ(call(post("/book/1", "x")).body, "first");
+        addEndpoint("e2", "desk", other.address());
+        context->endpoints.find("e2")->peers.running = 3;
+        const auto result = call(post("/book/2", "x"));
+        EXPECT_EQ(endpoint.requests.size(), 2U);
+        EXPECT_TRUE(other.requests.empty());
+        EXPECT_EQ(result.status, withId ? 200 : 502);
+        context->endpoints.remove("e1");
+        context->endpoints.remove("e2");
+    }
+}
+
+TEST_F(service_forward, an_answer_that_is_cut_in_its_head_is_no_answer)
+{
+    std::size_t cut = 0;
+    bool framed = true;
+    const auto head = [&framed](const http_request &request) {
+        const auto whole = framed ? wholeAnswer(request, 200, "body") : unframedAnswer(request, 200, "body");
+        return whole.substr(0, whole.size() - 4);
+    };
+    scripted_server endpoint(loop, [&](const http_request &request, int) {
+        return scripted_answer{.bytes = head(request).substr(0, cut), .close = true};
+    });
+    configure({nonRepeatableRoute()});
+    addEndpoint("e1", "desk", endpoint.address());
+    http_request sample;
+    sample.set("X-Request-Id", "r1");
+    for (const bool withLength : {true, false}) {
+        framed = withLength;
+        for (cut = 0; cut < head(sample).size(); ++cut) {
+            EXPECT_EQ(call(post("/book/1", "x")).status, 502) << cut;
+        }
+    }
+}
+
 }
