Keep errors of the next engine out of a stream that has begun

Report of another operator: a stream broke off, the next server answered with an error, and its text stood in the middle of the callers' streams. Here an answer with a status other than 200 never did, but a 200 that is no event stream, and text without an event id, were passed on, and the stream ended as complete.

Change: a stream is continued only by an answer that names no other type than text/event-stream, and only by an event with an id; anything else counts as a failed attempt.

--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -30,6 +30,12 @@
 constexpr double slowdownSmoothing = 0.2; // Weight of a new sample: a slow engine shows after five prefills.
 constexpr auto freeHandleTimeout = std::chrono::milliseconds(500);
 
+bool maybeEventStream(const http::response_header<> &head)
+{
+    const auto type = toView(head[http::field::content_type]);
+    return type.empty() || type.starts_with("text/event-stream");
+}
+
 /// Serves one streaming request: places it, runs the prefill on a separate engine if placed so, forwards the events, and retries or resumes.
 class stream_session
 {
@@ -390,7 +396,8 @@
         }
         co_return co_await fail(silent ? http::status::gateway_timeout : http::status::bad_gateway, toText(state));
     }
-    if (exchange->head().result() == http::status::ok && isSealed(m_context, exchange->head())) {
+    const bool mayContinue = !m_streaming || maybeEventStream(exchange->head());
+    if (exchange->head().result() == http::status::ok && isSealed(m_context, exchange->head()) && mayContinue) {
         co_return co_await forwardEvents(*exchange, state, engine, reservation);
     }
     // The engine answered with an error.
@@ -422,6 +429,7 @@
     event_splitter events;
     std::string received;
     bool first = true;
+    bool continues = !m_lastEventId; // A resumed stream goes on with an event after the last one.
     while (true) {
         if (state == exchange_state::InProgress) {
             received.clear();
@@ -434,6 +442,12 @@
             if (event->id && m_lastEventId && *event->id <= *m_lastEventId) {
                 continue;
             }
+            if (!continues && !event->id) {
+                exchange.cancel();
+                state = exchange_state::Malformed;
+                break;
+            }
+            continues = true;
             ready += event->bytes;
             if (event->id) {
                 m_lastEventId = event->id;
--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -460,4 +460,63 @@
     EXPECT_EQ(context->suspects.crashes(suspect_requests::partKey(0xa1), bootNow()), 0);
 }
 
+TEST_F(stream_forward, an_error_of_the_next_engine_does_not_enter_a_stream_that_has_begun)
+{
+    const auto chunked = [](std::string_view text) {
+        return [text = std::string(text)](const http_request &request) {
+            return streamHead(request) + chunk(text) + "0\r\n\r\n";
+        };
+    };
+    const std::vector<std::function<std::string(const http_request &)>> answers = {
+        [](const http_request &request) {
+            return wholeAnswer(request, 500, "id: 9\ndata: error\n\n");
+        },
+        [](const http_request &request) {
+            return wholeAnswer(request, 200, "{\"error\": \"overloaded\"}\n\n", "Content-Type: application/json\r\n");
+        },
+        [](const http_request &request) {
+            return unframedAnswer(request, 200, "id: 9\ndata: error\n\n", "Content-Type: text/plain\r\n");
+        },
+        chunked("error: overloaded\n\n"),
+        chunked("HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\n\r\nfull"),
+        chunked("error: overloaded\n\n" + event(2)),
+    };
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        int calls = 0;
+        const auto script = [&](const http_request &request, int) {
+            if (++calls == 1) {
+                return scripted_answer{.bytes = streamHead(request) + chunk(event(1)), .close = true};
+            }
+            return scripted_answer{.bytes = answers[i](request), .close = true};
+        };
+        scripted_server first(loop, script);
+        scripted_server second(loop, script);
+        configure({streamRoute(true)});
+        addEndpoint("e1", "engines", first.address(), endpoint_role::Decode);
+        addEndpoint("e2", "engines", second.address(), endpoint_role::Decode);
+        const auto result = call(generation());
+        EXPECT_EQ(result.body, event(1)) << i;
+        EXPECT_FALSE(result.whole) << i;
+        EXPECT_EQ(first.requests.size(), 1U) << i;
+        EXPECT_EQ(second.requests.size(), 1U) << i;
+        context->endpoints.remove("e1");
+        context->endpoints.remove("e2");
+    }
+}
+
+TEST_F(stream_forward, a_stream_that_is_cut_in_its_head_is_no_answer)
+{
+    std::size_t cut = 0;
+    scripted_server engine(loop, [&](const http_request &request, int) {
+        return scripted_answer{.bytes = streamHead(request).substr(0, cut), .close = true};
+    });
+    configure({streamRoute(false)});
+    addEndpoint("e1", "engines", engine.address(), endpoint_role::Decode);
+    http_request sample;
+    sample.set("X-Request-Id", "r1");
+    for (cut = 0; cut <= streamHead(sample).size(); ++cut) {
+        EXPECT_EQ(call(generation()).status, 502) << cut;
+    }
+}
+
 }
