Send no new requests to an endpoint that says it leaves

Callers would see requests sent to a server that is about to end, as the store may list it as ready for seconds after its answers say that it leaves.

Cause: leaving was learnt from the store alone. Change: an answer that says so makes the process draining for good, also when its entry is listed as ready, or vanishes and comes back; other daemons hear of it with the summaries.

--- a/src/serving/endpoint_notices.cpp
+++ b/src/serving/endpoint_notices.cpp
@@ -10,6 +10,18 @@
 
 constexpr auto changeReportTime = std::chrono::seconds(1); // Some fifteen summaries, so that lost ones don't matter.
 
+bool noteLeaving(endpoint_registry &endpoints, endpoint_state &endpoint, instant now)
+{
+    if (endpoint.saysLeaving) {
+        return false;
+    }
+    endpoint.saysLeaving = true;
+    endpoint.entry.draining = true;
+    endpoint.noticeChangedAt = now;
+    endpoints.noteLeaving(endpoint.hash, now);
+    return true;
+}
+
 bool setLimit(endpoint_state &endpoint, std::optional<double> limit, instant saidAt, instant now)
 {
     endpoint.limitSaidAt = saidAt;
@@ -34,21 +46,26 @@
 
 }
 
-bool applyNotice(endpoint_registry & /*endpoints*/, endpoint_state &endpoint, const endpoint_notice &notice, instant sentAt, instant now)
+bool applyNotice(endpoint_registry &endpoints, endpoint_state &endpoint, const endpoint_notice &notice, instant sentAt, instant now)
 {
-    return noteLimit(endpoint, notice.limit, sentAt, now);
+    const bool left = notice.leaving && noteLeaving(endpoints, endpoint, now);
+    return noteLimit(endpoint, notice.limit, sentAt, now) || left;
 }
 
 bool applyReport(endpoint_registry &endpoints, const notice_report &report, instant now)
 {
     const auto endpoint = endpoints.findByHash(report.endpoint);
     if (!endpoint) {
+        if (report.leaving) {
+            endpoints.noteLeaving(report.endpoint, now);
+        }
         return false;
     }
+    const bool left = report.leaving && noteLeaving(endpoints, *endpoint, now);
     // The age of a report lacks its time on the way, so an equal limit must not look newer each time it is passed on.
     const instant saidAt = now - std::chrono::milliseconds(report.ageMs);
     const bool isNews = report.limit != endpoint->limit && saidAt > endpoint->limitSaidAt;
-    return isNews && setLimit(*endpoint, report.limit, saidAt, now);
+    return (isNews && setLimit(*endpoint, report.limit, saidAt, now)) || left;
 }
 
 std::vector<notice_report> selectReports(const endpoint_registry &endpoints, std::size_t count, std::size_t &next, instant now)
@@ -58,7 +75,7 @@
     for (const auto &endpoint : endpoints.all()) {
         if (now - endpoint->noticeChangedAt <= changeReportTime) {
             changed.push_back(endpoint);
-        } else if (endpoint->limit) {
+        } else if (endpoint->limit || endpoint->saysLeaving) {
             others.push_back(endpoint);
         }
     }
@@ -72,8 +89,10 @@
     changed.resize(std::min(changed.size(), count));
     std::vector<notice_report> out;
     for (const auto &endpoint : changed) {
-        out.push_back(
-            {.endpoint = endpoint->hash, .limit = endpoint->limit, .ageMs = std::chrono::ceil<std::chrono::milliseconds>(now - endpoint->limitSaidAt).count()});
+        out.push_back({.endpoint = endpoint->hash,
+                       .leaving = endpoint->saysLeaving,
+                       .limit = endpoint->limit,
+                       .ageMs = std::chrono::ceil<std::chrono::milliseconds>(now - endpoint->limitSaidAt).count()});
     }
     return out;
 }
--- a/src/serving/endpoint_registry.cpp
+++ b/src/serving/endpoint_registry.cpp
@@ -13,6 +13,7 @@
 
 constexpr auto initialBackoff = std::chrono::milliseconds(200); // A restarted endpoint takes at least a few hundred milliseconds to listen again.
 constexpr auto maxBackoff = std::chrono::seconds(2); // Bounds how long a recovered endpoint stays unused.
+constexpr auto leavingMemory = std::chrono::minutes(10); // A leaving process ends within its drain time, which is a matter of seconds.
 constexpr double failureWeight = 0.1; // Weight of one attempt: about ten attempts distinguish a failing endpoint from a single failure.
 
 std::uint64_t hashOf(const endpoint_entry &entry)
@@ -53,7 +54,8 @@
         }
     }
     // A draining process never becomes ready again, so a delayed "ready" entry with the same start time is ignored.
-    entry.draining = entry.draining || state->entry.draining;
+    state->saysLeaving = state->saysLeaving || m_leaving.contains(hash);
+    entry.draining = entry.draining || state->entry.draining || state->saysLeaving;
     state->entry = std::move(entry);
     state->missing = false;
 }
@@ -73,6 +75,11 @@
     }
 }
 
+void endpoint_registry::noteLeaving(std::uint64_t hash, instant now)
+{
+    m_leaving.try_emplace(hash, now);
+}
+
 void endpoint_registry::noteMissing(std::string_view id, instant now)
 {
     if (const auto found = m_byId.find(id); found != m_byId.end() && !found->second->missing) {
@@ -83,6 +90,9 @@
 
 void endpoint_registry::expireMissing(instant now, duration grace)
 {
+    std::erase_if(m_leaving, [now](const auto &process) {
+        return now - process.second > leavingMemory;
+    });
     for (auto it = m_byId.begin(); it != m_byId.end();) {
         const auto current = it++;
         if (current->second->missing && now - current->second->missingSince >= grace) {
--- a/src/serving/endpoint_registry.h
+++ b/src/serving/endpoint_registry.h
@@ -58,7 +58,8 @@
     std::optional<double> limit; ///< Requests per second that it takes from all daemons together, if it names a limit.
     instant limitSaidAt; ///< When it last said its limit, or that it has none.
     instant turnTakenAt; ///< Slot of the last request sent under a limit; may lie ahead.
-    instant noticeChangedAt; ///< Last change of `limit`.
+    bool saysLeaving = false; ///< It has said in an answer that it leaves.
+    instant noticeChangedAt; ///< Last change of `limit` or `saysLeaving`.
     bool missing = false; ///< Its entry expired while the store was failing.
     instant missingSince;
 
@@ -78,9 +79,11 @@
     void update(endpoint_entry entry);
     /// Removes an endpoint that has left; it gets no new requests. Requests in progress keep its state alive.
     void remove(std::string_view id);
+    /// Records that the process with this hash has said that it leaves. It counts as draining from then on, whatever the store lists.
+    void noteLeaving(std::uint64_t hash, instant now);
     /// Records that an entry expired while the store was failing. The endpoint stays in use until expireMissing() removes it, unless it is listed again.
     void noteMissing(std::string_view id, instant now);
-    /// Removes the endpoints that have been missing for `grace` or longer.
+    /// Removes the endpoints that have been missing for `grace` or longer, and forgets processes that have left long ago.
     void expireMissing(instant now, duration grace);
     /// Removes all endpoints that are not in `listed`, or marks them as missing if the store was failing.
     void reconcile(const std::vector<std::string> &listed, bool storeWasFailing, instant now);
@@ -103,6 +106,7 @@
 
     std::map<std::string, endpoint_ptr, std::less<>> m_byId;
     std::unordered_map<std::uint64_t, endpoint_ptr> m_byHash;
+    std::unordered_map<std::uint64_t, instant> m_leaving; ///< Hashes of the processes that have said that they leave, and when.
     std::unordered_map<std::uint64_t, endpoint_load> m_peerLoads; ///< Sums over the other daemons, also for endpoints that are not listed.
 };
 
--- a/tests/endpoint_notice_test.cpp
+++ b/tests/endpoint_notice_test.cpp
@@ -92,6 +92,21 @@
     EXPECT_GE(requestsToFirstDuring(std::chrono::milliseconds(300)), 10U);
 }
 
+TEST_F(endpoint_notice_test, an_endpoint_that_says_it_leaves_gets_no_new_requests)
+{
+    addEndpoint("e2", "desk", second.address());
+    context->endpoints.find("e2")->peers.running = 3;
+    notice = "Server-Leaving: 1\r\n";
+    EXPECT_EQ(call(get("/read/1")).body, "first");
+    // The store lists it as ready for a while, or loses its entry and gets it back.
+    addEndpoint("e1", "desk", first.address());
+    EXPECT_EQ(call(get("/read/1")).body, "second");
+    context->endpoints.remove("e1");
+    addEndpoint("e1", "desk", first.address());
+    EXPECT_EQ(call(get("/read/1")).body, "second");
+    EXPECT_EQ(first.requests.size(), 1U);
+}
+
 namespace
 {
 
@@ -145,8 +160,10 @@
 
 TEST_F(notice_order, a_new_process_starts_without_what_the_old_one_said)
 {
-    applyNotice(endpoints, endpoint(), {.limit = 2}, at(0), at(1));
+    applyNotice(endpoints, endpoint(), {.leaving = true, .limit = 2}, at(0), at(1));
+    EXPECT_FALSE(endpoint().usable(at(2)));
     endpoints.update({.id = "e1", .service = "s", .startedMs = 6});
+    EXPECT_TRUE(endpoint().usable(at(3)));
     EXPECT_FALSE(endpoint().limit);
 }
 
--- a/tests/state_exchange_test.cpp
+++ b/tests/state_exchange_test.cpp
@@ -477,7 +477,7 @@
 }
 
 // Guards against a daemon that sends to an endpoint as if it had no limit although another daemon was told, and against a limit that stays after its end.
-TEST(state_exchange, limits_reach_every_daemon)
+TEST(state_exchange, limits_and_leavings_reach_every_daemon)
 {
     virtual_exchange fleet(24, 4);
     for (auto &daemon : fleet.daemons) {
@@ -505,6 +505,10 @@
     for (auto &daemon : fleet.daemons) {
         EXPECT_FALSE(daemon.endpoints.find("e1")->limit) << daemon.id;
     }
+    say(5, {.leaving = true});
+    for (auto &daemon : fleet.daemons) {
+        EXPECT_FALSE(daemon.endpoints.find("e1")->usable(fleet.now)) << daemon.id;
+    }
 }
 
 // Guards against prefixes that are counted several times because large changes of load are pushed between the polls.
