Send nothing to an endpoint during a pause that it asked for

A server that turns a request away with 503 may say for how long it wants nothing from the daemon. Such an endpoint stayed in the choice for the next request at once, so callers lost an attempt and the server its rest.

Change: the pause holds the endpoint back like the wait for a slot of its limit; a request waits for its end only if its answer would still be on time, and is refused at once otherwise. Role changes leave such an engine alone.

--- a/src/serving/endpoint_notices.cpp
+++ b/src/serving/endpoint_notices.cpp
@@ -49,6 +49,9 @@
 bool applyNotice(endpoint_registry &endpoints, endpoint_state &endpoint, const endpoint_notice &notice, instant sentAt, instant now)
 {
     const bool left = notice.leaving && noteLeaving(endpoints, endpoint, now);
+    if (notice.pause) {
+        endpoint.pausedUntil = std::max(endpoint.pausedUntil, now + *notice.pause);
+    }
     return noteLimit(endpoint, notice.limit, sentAt, now) || left;
 }
 
--- a/src/serving/endpoint_registry.h
+++ b/src/serving/endpoint_registry.h
@@ -58,6 +58,7 @@
     std::optional<double> limit; ///< Requests per second that it takes from all daemons together, if it names a limit.
     instant limitSaidAt; ///< When it last said its limit, or that it has none.
     instant turnTakenAt; ///< Slot of the last request sent under a limit; may lie ahead.
+    instant pausedUntil; ///< It has refused a request and asked for none before this time.
     bool saysLeaving = false; ///< It has said in an answer that it leaves.
     instant noticeChangedAt; ///< Last change of `limit` or `saysLeaving`.
     bool missing = false; ///< Its entry expired while the store was failing.
--- a/src/serving/endpoint_turn.cpp
+++ b/src/serving/endpoint_turn.cpp
@@ -37,16 +37,17 @@
 
 double turn_times::heldMs(const endpoint_state &endpoint) const
 {
+    const double pauseMs = std::max(0.0, toMs(endpoint.pausedUntil - m_now));
     if (!endpoint.limit) {
-        return 0;
+        return std::ceil(pauseMs);
     }
     const auto &[rank, daemons, nowMs] = place();
     if (!rank) {
-        return noShareWaitMs;
+        return std::ceil(std::max(pauseMs, noShareWaitMs));
     }
     const limit_share share{.perSecond = *endpoint.limit, .daemons = daemons, .rank = *rank, .offset = endpoint.hash};
-    const double slotMs = nextFreeSlotMs(share, nowMs + toMs(endpoint.turnTakenAt - m_now), nowMs);
-    return std::ceil(std::max(0.0, slotMs - nowMs));
+    const double slotMs = nextFreeSlotMs(share, nowMs + toMs(endpoint.turnTakenAt - m_now), nowMs + pauseMs);
+    return std::ceil(std::max(pauseMs, slotMs - nowMs));
 }
 
 task<bool> awaitTurn(edge_context &context, const caller_request &request, endpoint_ptr endpoint)
@@ -66,7 +67,7 @@
     context.counters.count(metric_counter::RequestsHeld);
     co_await sleepFor(wait);
     const bool limitChanged = endpoint->limit && endpoint->limit != limit;
-    co_return !request.reply->gone() && !limitChanged && endpoint->usable(bootNow());
+    co_return !request.reply->gone() && !limitChanged && endpoint->usable(bootNow()) && bootNow() >= endpoint->pausedUntil;
 }
 
 }
--- a/src/serving/endpoint_turn.h
+++ b/src/serving/endpoint_turn.h
@@ -13,7 +13,8 @@
 public:
     turn_times(const edge_context &context, instant now);
 
-    /// How long to wait before the next request to the endpoint, in whole milliseconds: until the next slot of this daemon if the endpoint names a limit.
+    /// How long to wait before the next request to the endpoint, in whole milliseconds: until the next slot of this daemon if the endpoint names a limit,
+    /// and until the end of the pause that the endpoint asked for.
     double heldMs(const endpoint_state &endpoint) const;
 
 private:
--- a/src/serving/fleet_duty.cpp
+++ b/src/serving/fleet_duty.cpp
@@ -238,7 +238,7 @@
             .domain = engine->entry.failureDomain,
             .role = *engine->entry.role,
             .running = engine->own.running + engine->peers.running,
-            .available = engine->usable(now),
+            .available = engine->usable(now) && now >= engine->pausedUntil,
         });
     }
     const auto change = planRole(input);
--- a/tests/endpoint_notice_test.cpp
+++ b/tests/endpoint_notice_test.cpp
@@ -107,6 +107,35 @@
     EXPECT_EQ(first.requests.size(), 1U);
 }
 
+TEST_F(endpoint_notice_test, an_endpoint_that_asked_for_a_pause_gets_no_requests_until_its_end)
+{
+    addEndpoint("e2", "desk", second.address());
+    context->endpoints.find("e2")->peers.running = 3;
+    status = 503;
+    notice = "X-Not-Executed: 1\r\nRetry-After: 0.8\r\n";
+    EXPECT_EQ(call(get("/read/1")).body, "second");
+    status = 200;
+    notice.clear();
+    EXPECT_EQ(requestsToFirstDuring(std::chrono::milliseconds(700)), 0U);
+    EXPECT_TRUE(runUntil(
+        [this] {
+            return call(get("/read/1")).body == "first";
+        },
+        std::chrono::seconds(1)));
+}
+
+TEST_F(endpoint_notice_test, a_request_is_refused_at_once_while_all_endpoints_pause)
+{
+    status = 503;
+    notice = "X-Not-Executed: 1\r\nRetry-After: 2\r\n";
+    call(get("/read/1"));
+    const auto result = call(get("/read/1"));
+    EXPECT_EQ(result.status, 503);
+    EXPECT_LT(result.ms, 100);
+    EXPECT_GE(std::stod(std::string(toView(result.head["Retry-After"]))), 1.8);
+    EXPECT_EQ(first.requests.size(), 1U);
+}
+
 namespace
 {
 
@@ -160,11 +189,12 @@
 
 TEST_F(notice_order, a_new_process_starts_without_what_the_old_one_said)
 {
-    applyNotice(endpoints, endpoint(), {.leaving = true, .limit = 2}, at(0), at(1));
+    applyNotice(endpoints, endpoint(), {.leaving = true, .limit = 2, .pause = std::chrono::seconds(9)}, at(0), at(1));
     EXPECT_FALSE(endpoint().usable(at(2)));
     endpoints.update({.id = "e1", .service = "s", .startedMs = 6});
     EXPECT_TRUE(endpoint().usable(at(3)));
     EXPECT_FALSE(endpoint().limit);
+    EXPECT_LT(endpoint().pausedUntil, at(3));
 }
 
 // Guards against changes that are not reported because many endpoints have a limit, and against limits that are never reported again.
