Soak: endpoints that name limits, leave by a word and ask for pauses

The endpoints of the fault soak now name, change and drop limits, leave without a word in the store, ask for pauses, repeat old refusals and end in the middle of a head; endpoint_demands checks what reaches them from daemons that were told.

--- a/soak/faultsoak.cpp
+++ b/soak/faultsoak.cpp
@@ -2,6 +2,7 @@
 // and endpoints observe. The same seed gives the same faults at the same times; the processes themselves are not deterministic.
 
 #include "soak/asio_helpers.h"
+#include "soak/endpoint_demands.h"
 #include "soak/oracle.h"
 #include "soak/processes.h"
 #include "soak/proxy.h"
@@ -81,13 +82,17 @@
     void writeConfiguration();
     void injectFault();
     void stopNextDaemon();
-    task<void> disturbProxy(proxy &networkProxy, proxy_mode mode, std::int64_t durationMs, std::string daemon);
+    task<void> disturbProxy(proxy &networkProxy, proxy_mode mode, std::int64_t durationMs, std::string daemon, std::string endpoint);
     task<void> disturbStore(store_mode mode, std::int64_t durationMs);
     task<void> pauseDaemon(std::size_t index, std::int64_t durationMs);
     task<void> stopDaemon(std::size_t index, int signalNumber, std::int64_t downTimeMs);
     task<void> replaceEndpoint(std::size_t index, std::int64_t drainMs, std::int64_t downMs);
     task<void> dropResponses(std::size_t index, std::int64_t durationMs);
     task<void> poisonParts();
+    task<void> makeDemands();
+    task<void> makeDemand(std::size_t index, int kind);
+    endpoint_stand_in *standInWithId(const std::string &id);
+    void recordRestart(std::size_t index);
     void replaceCrashed(const std::string &id);
     std::string promptHeaders(const std::string &crashingPart);
     task<void> superviseDaemons();
@@ -102,7 +107,9 @@
     std::mt19937_64 m_callerRandom;
     std::mt19937_64 m_partRandom; ///< For the crashing parts and the replaced engines, whose times depend on the requests.
     std::string m_crashingPart; ///< Crashes engines now; empty if none does.
+    std::mt19937_64 m_demandRandom; ///< For what endpoints say of themselves.
     oracle m_oracle;
+    endpoint_demands m_demands;
     store_stand_in m_store;
     std::vector<std::unique_ptr<proxy>> m_storeProxies; ///< Proxies between each daemon and the store, in the order of the daemons.
     std::vector<std::unique_ptr<daemon_process>> m_daemons;
@@ -126,6 +133,7 @@
     , m_random(FLAGS_seed)
     , m_callerRandom(~FLAGS_seed)
     , m_partRandom(FLAGS_seed + (1ULL << 32))
+    , m_demandRandom(FLAGS_seed + (1ULL << 33))
     , m_store(loop, m_oracle)
 {
     for (std::size_t i = 0; i < m_keys.size(); ++i) {
@@ -167,7 +175,7 @@
     managed_endpoint endpoint;
     endpoint.streaming = streaming;
     endpoint.standIn = std::make_unique<endpoint_stand_in>(
-        m_loop, m_oracle, "e" + std::to_string(++m_nextEndpoint), streaming, m_partRandom(), [this](const std::string &id) {
+        m_loop, m_oracle, m_demands, "e" + std::to_string(++m_nextEndpoint), streaming, m_partRandom(), [this](const std::string &id) {
             replaceCrashed(id);
         });
     endpoint.networkProxy = std::make_unique<proxy>(m_loop, endpoint.standIn->endpoint());
@@ -210,23 +218,24 @@
     m_store.put("op", "config", document.dump());
 }
 
-// `daemon` is the one behind a proxy of the store, and empty for a proxy of an endpoint.
-task<void> soak_run::disturbProxy(proxy &networkProxy, proxy_mode mode, std::int64_t durationMs, std::string daemon)
+// The proxy is either that of `daemon` to the store, or that of `endpoint`; the other one is empty.
+task<void> soak_run::disturbProxy(proxy &networkProxy, proxy_mode mode, std::int64_t durationMs, std::string daemon, std::string endpoint)
 {
-    const bool isStoreProxy = !daemon.empty();
-    networkProxy.setMode(mode);
-    for (std::int64_t remainingMs = durationMs; remainingMs > 0 && m_injectingFaults; remainingMs -= 100) {
-        if (isStoreProxy) {
+    const auto record = [&] {
+        if (!endpoint.empty()) {
+            m_demands.recordLinkFault(endpoint, nowMs());
+        } else {
             m_oracle.recordStoreFault(nowMs());
             m_oracle.recordDisruption(daemon, nowMs());
         }
+    };
+    networkProxy.setMode(mode);
+    for (std::int64_t remainingMs = durationMs; remainingMs > 0 && m_injectingFaults; remainingMs -= 100) {
+        record();
         co_await sleepMs(std::min<std::int64_t>(remainingMs, 100));
     }
     networkProxy.setMode(proxy_mode::Forward);
-    if (isStoreProxy) {
-        m_oracle.recordStoreFault(nowMs());
-        m_oracle.recordDisruption(daemon, nowMs());
-    }
+    record();
 }
 
 task<void> soak_run::disturbStore(store_mode mode, std::int64_t durationMs)
@@ -246,12 +255,12 @@
     m_daemons[index]->sendSignal(SIGSTOP);
     for (std::int64_t remainingMs = durationMs; remainingMs > 0 && m_injectingFaults; remainingMs -= 100) {
         m_oracle.recordStoreFault(nowMs()); // The limits of the oracle do not apply while a daemon is paused.
-        m_oracle.recordDisruption(m_daemons[index]->id(), nowMs());
+        recordRestart(index);
         co_await sleepMs(100);
     }
     m_daemons[index]->sendSignal(SIGCONT);
     m_oracle.recordStoreFault(nowMs());
-    m_oracle.recordDisruption(m_daemons[index]->id(), nowMs());
+    recordRestart(index);
 }
 
 task<void> soak_run::stopDaemon(std::size_t index, int signalNumber, std::int64_t downTimeMs)
@@ -262,7 +271,7 @@
     m_shouldRun[index] = false;
     m_daemons[index]->sendSignal(SIGCONT);
     m_daemons[index]->sendSignal(signalNumber);
-    m_oracle.recordDisruption(m_daemons[index]->id(), nowMs());
+    recordRestart(index);
     co_await sleepMs(downTimeMs);
     m_shouldRun[index] = true;
 }
@@ -329,6 +338,76 @@
     }
 }
 
+void soak_run::recordRestart(std::size_t index)
+{
+    m_oracle.recordDisruption(m_daemons[index]->id(), nowMs());
+    m_demands.recordRestart(m_daemons[index]->id(), nowMs());
+}
+
+// Null once the endpoint has been replaced.
+endpoint_stand_in *soak_run::standInWithId(const std::string &id)
+{
+    const auto found = std::ranges::find_if(m_endpoints, [&id](const auto &endpoint) {
+        return endpoint.standIn && endpoint.standIn->id() == id;
+    });
+    return found == m_endpoints.end() ? nullptr : found->standIn.get();
+}
+
+// Endpoints name a limit, change it and drop it, leave without a word in the store, ask for pauses, and write bytes that belong to no request.
+task<void> soak_run::makeDemands()
+{
+    while (m_injectingFaults) {
+        co_await sleepMs(randomBetween(m_demandRandom, 800, 2500));
+        const auto endpoint = static_cast<std::size_t>(randomBetween(m_demandRandom, 0, static_cast<std::int64_t>(m_endpoints.size()) - 1));
+        const int kind = static_cast<int>(randomBetween(m_demandRandom, 0, 5));
+        if (m_injectingFaults && m_endpoints[endpoint].standIn) {
+            ++m_faultCount;
+            asio::co_spawn(m_loop, makeDemand(endpoint, kind), asio::detached);
+        }
+    }
+}
+
+task<void> soak_run::makeDemand(std::size_t index, int kind)
+{
+    const std::string id = m_endpoints[index].standIn->id();
+    const auto wait = [this](std::int64_t low, std::int64_t high) {
+        return sleepMs(randomBetween(m_demandRandom, low, high));
+    };
+    switch (kind) {
+    case 0:
+        m_endpoints[index].standIn->sayLeaving();
+        co_await wait(3000, 6000);
+        if (standInWithId(id) != nullptr) {
+            co_await replaceEndpoint(index, 0, 300);
+        }
+        break;
+    case 1:
+        m_endpoints[index].standIn->setPause(randomBetween(m_demandRandom, 1000, 4000));
+        co_await wait(200, 1500);
+        if (auto *standIn = standInWithId(id)) {
+            standIn->setPause(0);
+        }
+        break;
+    case 2:
+        m_endpoints[index].standIn->setGarbles(true);
+        co_await wait(1000, 3000);
+        if (auto *standIn = standInWithId(id)) {
+            standIn->setGarbles(false);
+        }
+        break;
+    default:
+        for (int change = 0; change < 2; ++change) {
+            if (auto *standIn = standInWithId(id)) {
+                standIn->setLimit(static_cast<double>(randomBetween(m_demandRandom, 5, 60)) / 10);
+            }
+            co_await wait(5000, 9000);
+        }
+        if (auto *standIn = standInWithId(id)) {
+            standIn->setLimit(std::nullopt);
+        }
+    }
+}
+
 // The first part is common to all prompts and the last one to none.
 std::string soak_run::promptHeaders(const std::string &crashingPart)
 {
@@ -362,12 +441,12 @@
     case 3:
         return start(pauseDaemon(daemon, durationMs));
     case 4:
-        return start(disturbProxy(*m_storeProxies[daemon], mode, durationMs, m_daemons[daemon]->id()));
+        return start(disturbProxy(*m_storeProxies[daemon], mode, durationMs, m_daemons[daemon]->id(), ""));
     case 5:
         return start(disturbStore(static_cast<store_mode>(randomBetween(m_random, 1, 3)), durationMs));
     case 6:
         if (m_endpoints[endpoint].networkProxy) {
-            start(disturbProxy(*m_endpoints[endpoint].networkProxy, mode, durationMs, ""));
+            start(disturbProxy(*m_endpoints[endpoint].networkProxy, mode, durationMs, "", m_endpoints[endpoint].standIn->id()));
         }
         return;
     case 7:
@@ -416,7 +495,7 @@
         for (std::size_t i = 0; i < m_daemons.size(); ++i) {
             if (m_daemons[i]->reapIfEnded() && m_shouldRun[i]) {
                 m_daemons[i]->start();
-                m_oracle.recordDisruption(m_daemons[i]->id(), nowMs());
+                recordRestart(i);
             }
         }
         co_await sleepMs(50);
@@ -457,6 +536,7 @@
     const bool crashes = result.kind == call_kind::Streaming && std::bernoulli_distribution(crashingFraction)(m_callerRandom);
     const std::string crashingPart = crashes ? m_crashingPart : std::string();
     m_oracle.recordSent(result.id, result.key, result.sentAtMs, daemon, crashingPart);
+    m_demands.recordSent(result.id, daemon, result.sentAtMs);
     const bool isGet = result.kind == call_kind::Idempotent;
     std::string text = (isGet ? "GET /" : "POST /") + std::string(pathPrefixes[static_cast<std::size_t>(result.kind)])
         + "/x HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: " + result.id + "\r\nX-Api-Key: " + result.key + "\r\nX-Deadline-Ms: 4000\r\n";
@@ -527,6 +607,9 @@
         }
         if (endpoint.standIn) {
             endpoint.standIn->setDropResponses(false);
+            endpoint.standIn->setLimit(std::nullopt);
+            endpoint.standIn->setPause(0);
+            endpoint.standIn->setGarbles(false);
         }
     }
     for (std::size_t i = 0; i < m_daemons.size(); ++i) {
@@ -551,6 +634,7 @@
         co_await sleepMs(calmMs);
         m_oracle.recordFaultsBegan(nowMs());
         asio::co_spawn(m_loop, poisonParts(), asio::detached);
+        asio::co_spawn(m_loop, makeDemands(), asio::detached);
     }
     while (nowMs() < end) {
         if (stopsOnly) {
@@ -573,16 +657,18 @@
 
 bool soak_run::passed() const
 {
-    return m_oracle.violations().empty() && std::ranges::none_of(m_daemons, [](const auto &daemon) {
+    return m_oracle.violations().empty() && m_demands.violations().empty() && std::ranges::none_of(m_daemons, [](const auto &daemon) {
                return daemon->crashed();
            });
 }
 
 void soak_run::report() const
 {
-    std::cout << "seed " << FLAGS_seed << ": " << m_faultCount << " faults, " << m_oracle.summary() << "\n";
-    for (const auto &violation : m_oracle.violations()) {
-        std::cout << "violation: " << violation << "\n";
+    std::cout << "seed " << FLAGS_seed << ": " << m_faultCount << " faults, " << m_oracle.summary() << "; " << m_demands.summary() << "\n";
+    for (const auto *violations : {&m_oracle.violations(), &m_demands.violations()}) {
+        for (const auto &violation : *violations) {
+            std::cout << "violation: " << violation << "\n";
+        }
     }
     for (const auto &daemon : m_daemons) {
         if (daemon->crashed()) {
--- a/soak/stand_ins.cpp
+++ b/soak/stand_ins.cpp
@@ -50,6 +50,12 @@
     return out;
 }
 
+std::string responseText(int status, std::string_view body, std::string_view headerFields)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+    return text.append(headerFields).append("\r\n").append(body);
+}
+
 std::string crashingPart(std::string_view parts)
 {
     const auto start = parts.find(crashingPartPrefix);
@@ -130,8 +136,7 @@
 
 task<bool> sendResponse(tcp::socket &socket, int status, std::string_view body, std::string_view headerFields)
 {
-    std::string text = "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
-    text.append(headerFields).append("\r\n").append(body);
+    const std::string text = responseText(status, body, headerFields);
     boost::system::error_code error;
     co_await asio::async_write(socket, asio::buffer(text), errorTo(error));
     co_return !error;
@@ -300,8 +305,15 @@
     return {200, "{}"};
 }
 
-endpoint_stand_in::endpoint_stand_in(asio::io_context &loop, oracle &testOracle, std::string id, bool streaming, std::uint64_t seed, crash_handler onCrash)
+endpoint_stand_in::endpoint_stand_in(asio::io_context &loop,
+                                     oracle &testOracle,
+                                     endpoint_demands &demands,
+                                     std::string id,
+                                     bool streaming,
+                                     std::uint64_t seed,
+                                     crash_handler onCrash)
     : m_oracle(testOracle)
+    , m_demands(demands)
     , m_id(std::move(id))
     , m_streaming(streaming)
     , m_onCrash(std::move(onCrash))
@@ -333,16 +345,63 @@
     m_dropResponses = dropResponse;
 }
 
+void endpoint_stand_in::setLimit(std::optional<double> perSecond)
+{
+    m_limit = perSecond;
+    m_demands.recordLimit(m_id, perSecond, nowMs());
+}
+
+void endpoint_stand_in::sayLeaving()
+{
+    m_leaving = true;
+}
+
+void endpoint_stand_in::setPause(std::int64_t pauseMs)
+{
+    m_pauseMs = pauseMs;
+}
+
+void endpoint_stand_in::setGarbles(bool garbles)
+{
+    m_garbles = garbles;
+}
+
+// What the endpoint says of itself in the answer to a request.
+std::string endpoint_stand_in::demandHeaders(const std::string &id)
+{
+    std::string out;
+    if (m_limit) {
+        m_demands.recordToldLimit(m_id, id, nowMs());
+        out += "Server-Limit: " + std::to_string(*m_limit) + "\r\n";
+    }
+    if (m_leaving) {
+        m_demands.recordToldLeaving(m_id, id, nowMs());
+        out += "Server-Leaving: 1\r\n";
+    }
+    return out;
+}
+
+task<bool> endpoint_stand_in::refuse(const std::string &id, tcp::socket &socket, int status, std::int64_t pauseMs)
+{
+    std::string fields = "X-Request-Id: " + id + "\r\nX-Not-Executed: 1\r\n" + demandHeaders(id);
+    if (pauseMs > 0) {
+        m_demands.recordToldPause(m_id, id, nowMs(), pauseMs);
+        fields += "Retry-After: " + std::to_string(static_cast<double>(pauseMs) / 1000) + "\r\n";
+    }
+    m_lastRefusal = responseText(status, "", fields);
+    co_return co_await sendResponse(socket, status, "", fields);
+}
+
 task<bool> endpoint_stand_in::respond(const request &message, tcp::socket &socket)
 {
     const std::string id(view(message["X-Request-Id"]));
     m_oracle.recordArrival(id, nowMs());
-    const std::string requestIdHeader = "X-Request-Id: " + id + "\r\n";
+    m_demands.recordArrival(m_id, id, nowMs());
     if (view(message["X-Expect-Instance"]) != m_id) {
-        co_return co_await sendResponse(socket, 421, "", requestIdHeader + "X-Not-Executed: 1\r\n");
+        co_return co_await refuse(id, socket, 421);
     }
-    if (m_runningRequests >= slotCount + queueCapacity) {
-        co_return co_await sendResponse(socket, 503, "", requestIdHeader + "X-Not-Executed: 1\r\n");
+    if (m_runningRequests >= slotCount + queueCapacity || m_pauseMs > 0) {
+        co_return co_await refuse(id, socket, 503, m_pauseMs);
     }
     ++m_runningRequests;
     m_oracle.recordExecution({
@@ -353,7 +412,19 @@
         .timeMs = nowMs(),
     });
     const auto alive = m_alive;
-    const std::string responseHeaders = requestIdHeader + "X-Response-Seal: seal-of-" + id + "\r\nKeep-Alive: timeout=5\r\n";
+    const std::string responseHeaders = "X-Request-Id: " + id + "\r\nX-Response-Seal: seal-of-" + id + "\r\nKeep-Alive: timeout=5\r\n" + demandHeaders(id);
+    if (m_garbles && !m_lastRefusal.empty() && m_random() % 2 == 0) {
+        boost::system::error_code ignored;
+        co_await asio::async_write(socket, asio::buffer(m_lastRefusal), errorTo(ignored));
+    }
+    if (m_garbles && m_random() % 4 == 0) {
+        boost::system::error_code ignored;
+        const auto head = responseText(200, "", responseHeaders);
+        const auto cut = head.substr(0, m_random() % (head.size() - 2));
+        co_await asio::async_write(socket, asio::buffer(cut), errorTo(ignored));
+        --m_runningRequests;
+        co_return false;
+    }
     const bool dropResponse = m_dropResponses && m_random() % 2 == 0;
     bool keepAlive = true;
     if (!m_streaming) {
--- a/soak/stand_ins.h
+++ b/soak/stand_ins.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "soak/asio_helpers.h"
+#include "soak/endpoint_demands.h"
 #include "soak/oracle.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -101,7 +103,13 @@
     using crash_handler = std::function<void(const std::string &id)>;
 
     /// `onCrash` is called when a prompt has crashed the endpoint.
-    endpoint_stand_in(asio::io_context &loop, oracle &testOracle, std::string id, bool streaming, std::uint64_t seed, crash_handler onCrash);
+    endpoint_stand_in(asio::io_context &loop,
+                      oracle &testOracle,
+                      endpoint_demands &demands,
+                      std::string id,
+                      bool streaming,
+                      std::uint64_t seed,
+                      crash_handler onCrash);
 
     tcp::endpoint endpoint() const;
     const std::string &id() const;
@@ -109,11 +117,27 @@
     void crash();
     /// While set, every second request on average runs without a complete response.
     void setDropResponses(bool dropResponse);
+    /// Requests a second that it names as its limit in every answer; nullopt: none.
+    void setLimit(std::optional<double> perSecond);
+    /// From now on, every answer says that it leaves; the store does not show it.
+    void sayLeaving();
+    /// While positive, requests are refused, and each refusal asks for a pause of this length.
+    void setPause(std::int64_t pauseMs);
+    /// While set, it repeats its last refusal in front of every second answer, and ends every fourth in its head.
+    void setGarbles(bool garbles);
 
 private:
     task<bool> respond(const request &message, tcp::socket &socket);
+    task<bool> refuse(const std::string &id, tcp::socket &socket, int status, std::int64_t pauseMs = 0);
+    std::string demandHeaders(const std::string &id);
 
     oracle &m_oracle;
+    endpoint_demands &m_demands;
+    std::optional<double> m_limit;
+    bool m_leaving = false;
+    std::int64_t m_pauseMs = 0;
+    bool m_garbles = false;
+    std::string m_lastRefusal;
     std::string m_id;
     bool m_streaming;
     crash_handler m_onCrash;
