--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -519,4 +519,41 @@
     }
 }
 
+TEST_F(stream_forward, prefills_and_streams_both_count_against_the_limits_of_their_engines)
+{
+    const auto prefill = [](const std::string &fields) {
+        return [fields](const http_request &request, int) {
+            return scripted_answer{.bytes = wholeAnswer(request, 200, R"({"kv-handle":"h1"})", fields)};
+        };
+    };
+    const auto decode = [](const std::string &fields) {
+        return [fields](const http_request &request, int) {
+            auto head = streamHead(request);
+            head.insert(head.size() - 2, fields);
+            return scripted_answer{.bytes = head + chunk(event(1)) + "0\r\n\r\n"};
+        };
+    };
+    const std::string limit = "Server-Limit: 9\r\n";
+    scripted_server limitedPrefill(loop, prefill(limit));
+    scripted_server freePrefill(loop, prefill(""));
+    scripted_server limitedDecode(loop, decode(limit));
+    scripted_server freeDecode(loop, decode(""));
+    configure({streamRoute(false)});
+    for (const auto *id : {"daemon-1", "daemon-2", "daemon-3"}) {
+        context->members[id] = {};
+    }
+    addEndpoint("e1", "engines", limitedPrefill.address(), endpoint_role::Prefill);
+    addEndpoint("e2", "engines", freePrefill.address(), endpoint_role::Prefill);
+    addEndpoint("e3", "engines", limitedDecode.address(), endpoint_role::Decode);
+    addEndpoint("e4", "engines", freeDecode.address(), endpoint_role::Decode);
+    int calls = 0;
+    for (const instant end = bootNow() + std::chrono::seconds(2); bootNow() < end; ++calls) {
+        EXPECT_TRUE(call(generation(17000)).whole);
+    }
+    // A third of 9 a second for 2 s and half as much again, and the first one, before the limit was known.
+    EXPECT_LE(limitedPrefill.requests.size(), 10U);
+    EXPECT_LE(limitedDecode.requests.size(), 10U);
+    EXPECT_GE(calls, 30);
+}
+
 }
