Name this daemon as the holder as soon as it holds a lease

Operators could see a duty that this daemon holds and whose holder is empty, until the next read of the row: the status took the holder from the last read and the holding from the grant. Seen once in eight runs at once of node_test.two_daemons_form_a_roster_and_transfer_duties_on_drain.

Test: lease_keeper_test.names_itself_as_the_holder_before_it_has_read_the_row_again failed before (holder empty, epoch 0).

--- a/src/coordination/lease_keeper.cpp
+++ b/src/coordination/lease_keeper.cpp
@@ -68,14 +68,15 @@
     return m_duty;
 }
 
-const std::string &lease_keeper::lastReadHolder() const
+const std::string &lease_keeper::knownHolder(instant now) const
 {
-    return m_row.holder;
+    return grant(now) ? m_holderId : m_row.holder;
 }
 
-std::uint64_t lease_keeper::lastReadEpoch() const
+std::uint64_t lease_keeper::knownEpoch(instant now) const
 {
-    return m_row.epoch;
+    const auto held = grant(now);
+    return held ? held->epoch : m_row.epoch;
 }
 
 void lease_keeper::onTick(instant now, std::vector<control_effect> &out)
--- a/src/coordination/lease_keeper.h
+++ b/src/coordination/lease_keeper.h
@@ -39,9 +39,10 @@
 
     const std::string &duty() const;
 
-    /// Holder and epoch of the row as last read. The holder is empty when nobody holds the lease.
-    const std::string &lastReadHolder() const;
-    std::uint64_t lastReadEpoch() const;
+    /// Holder and epoch: those of the grant while this daemon holds the lease, otherwise those of the row as last read. The holder is empty when nobody
+    /// holds the lease.
+    const std::string &knownHolder(instant now) const;
+    std::uint64_t knownEpoch(instant now) const;
 
 private:
     struct lease_row
--- a/src/coordination/node_control.cpp
+++ b/src/coordination/node_control.cpp
@@ -196,9 +196,9 @@
     m_leaseStatus.clear();
     for (const auto &lease : m_leases) {
         const bool here = lease->grant(now).has_value();
-        const auto &holder = lease->lastReadHolder();
+        const auto &holder = lease->knownHolder(now);
         // The lease row holds INSTANCE/INCARNATION. Operators identify daemons by the instance id alone.
-        m_leaseStatus.push_back({.duty = lease->duty(), .holder = holder.substr(0, holder.rfind('/')), .epoch = lease->lastReadEpoch(), .heldHere = here});
+        m_leaseStatus.push_back({.duty = lease->duty(), .holder = holder.substr(0, holder.rfind('/')), .epoch = lease->knownEpoch(now), .heldHere = here});
         if (here) {
             m_duties.push_back(lease->duty());
         }
--- a/src/serving/lease_runner.cpp
+++ b/src/serving/lease_runner.cpp
@@ -78,14 +78,15 @@
 
 void lease_runner::updateHolding()
 {
-    const auto grant = m_keeper.grant(bootNow());
-    if (grant.has_value() == m_holding) {
+    const instant now = bootNow();
+    const bool holding = m_keeper.grant(now).has_value();
+    if (holding == m_holding) {
         return;
     }
-    m_holding = grant.has_value();
+    m_holding = holding;
     m_context.holdsLease = m_holding;
     auto line = m_context.line(m_holding ? "lease_won" : "lease_lost");
-    line.add("duty", m_keeper.duty()).add("epoch", m_holding ? grant->epoch : m_keeper.lastReadEpoch());
+    line.add("duty", m_keeper.duty()).add("epoch", m_keeper.knownEpoch(now));
     m_context.log.write(line);
 }
 
--- a/tests/lease_keeper_test.cpp
+++ b/tests/lease_keeper_test.cpp
@@ -44,6 +44,15 @@
     EXPECT_EQ(first.grant(at(30))->epoch, 1U);
 }
 
+// Guards against a status in which this daemon holds a lease that nobody holds.
+TEST_F(lease_keeper_test, names_itself_as_the_holder_before_it_has_read_the_row_again)
+{
+    tick(first, 1);
+    ASSERT_TRUE(first.grant(at(1)));
+    EXPECT_EQ(first.knownHolder(at(1)), "d1/a");
+    EXPECT_EQ(first.knownEpoch(at(1)), 1U);
+}
+
 // Guards against a lease term that starts when a commit is answered instead of when it was sent.
 TEST_F(lease_keeper_test, a_slow_answer_shortens_the_validity)
 {
