Test platform: a thread for each connection of the daemons

node_test.two_daemons_form_a_roster_and_transfer_duties_on_drain was known red. Its fake platform answered with eight threads, each held by an idle connection until its keep-alive time of 5 s was over, so calls of the successor waited for longer than the 4 s of the test.

--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -2,6 +2,7 @@
 #include "coordination/load_poller.h"
 #include "coordination/node.h"
 #include "protocol/tunables.h"
+#include "standin/growing_thread_pool.h"
 #include "state/metrics.h"
 
 #include <algorithm>
@@ -49,6 +50,10 @@
             ++orders;
             response.set_content(R"({"granted":[{"id":"e1","address":"127.0.0.1:1"}]})", "application/json");
         });
+        // Idle connections of the daemons occupy a thread each, so calls would wait in a pool of fixed size.
+        m_server.new_task_queue = [] {
+            return new growing_thread_pool;
+        };
         port = m_server.bind_to_any_port("127.0.0.1");
         m_thread = std::thread([this] {
             m_server.listen_after_bind();
