Start the time of an attempt after the wait for its turn

A repeatable call that had waited for the end of a pause or for a slot was given up a quarter of its target after it was sent, as the time of the attempt ran while it waited; callers got a failure from an endpoint that was about to answer.

Test: endpoint_notice_test.the_wait_for_a_turn_does_not_count_as_time_of_the_attempt got 504 before.

--- a/src/serving/service_forward.cpp
+++ b/src/serving/service_forward.cpp
@@ -60,7 +60,7 @@
     return input;
 }
 
-task<attempt> send(edge_context &context, const caller_request &request, const endpoint_ptr &endpoint, instant deadline, double predictedMs)
+task<attempt> send(edge_context &context, const caller_request &request, const endpoint_ptr &endpoint, duration attemptTime, double predictedMs)
 {
     attempt out;
     const auto address = parseAddress(endpoint->entry.address);
@@ -74,6 +74,7 @@
         co_return out;
     }
     const instant now = bootNow();
+    const instant deadline = std::min(request.deadline, now + attemptTime);
     const answer_deadline answerDeadline(endpoint, now + std::chrono::milliseconds(std::lround(3 * predictedMs)));
     out.exchange = std::make_shared<client_exchange>(context.pool, *address, forwardOptions(context, request, deadline));
     request.reply->onDisconnect([exchange = out.exchange] {
@@ -150,9 +151,8 @@
         }
         const auto &endpoint = endpoints[static_cast<std::size_t>(placement.endpoint)];
         const bool lastTry = outcome.attempts + 1 >= route.maxAttempts || !route.repeatable;
-        const auto attemptTimeout = std::chrono::duration_cast<duration>(route.target * attemptTimeoutFactor);
-        const instant deadline = lastTry ? request.deadline : std::min(request.deadline, now + attemptTimeout);
-        last = co_await send(context, request, endpoint, deadline, placement.predictedMs);
+        const auto attemptTime = lastTry ? request.deadline - now : std::chrono::duration_cast<duration>(route.target * attemptTimeoutFactor);
+        last = co_await send(context, request, endpoint, attemptTime, placement.predictedMs);
         if (last.placeAgain) {
             ++unreachable;
             code = "endpoint_limited";
--- a/tests/endpoint_notice_test.cpp
+++ b/tests/endpoint_notice_test.cpp
@@ -15,7 +15,7 @@
     endpoint_notice_test()
         : first(loop,
                 [this](const http_request &request, int) {
-                    return scripted_answer{.bytes = wholeAnswer(request, status, "first", notice)};
+                    return scripted_answer{.bytes = wholeAnswer(request, status, "first", notice), .delay = delay};
                 })
         , second(loop, [](const http_request &request, int) {
             return scripted_answer{.bytes = wholeAnswer(request, 200, "second")};
@@ -49,6 +49,7 @@
 
     int status = 200;
     std::string notice;
+    std::chrono::milliseconds delay{0};
     scripted_server first;
     scripted_server second;
 };
@@ -124,6 +125,20 @@
         std::chrono::seconds(1)));
 }
 
+TEST_F(endpoint_notice_test, the_wait_for_a_turn_does_not_count_as_time_of_the_attempt)
+{
+    status = 503;
+    notice = "X-Not-Executed: 1\r\nRetry-After: 0.2\r\n";
+    call(get("/read/1"));
+    status = 200;
+    notice.clear();
+    delay = std::chrono::milliseconds(250); // With the wait, beyond the time after which a call is repeated elsewhere.
+    addEndpoint("e2", "desk", second.address());
+    context->endpoints.find("e2")->pausedUntil = bootNow() + std::chrono::seconds(5);
+    EXPECT_EQ(call(get("/read/1")).body, "first");
+    EXPECT_EQ(first.requests.size(), 2U);
+}
+
 TEST_F(endpoint_notice_test, a_request_is_refused_at_once_while_all_endpoints_pause)
 {
     status = 503;
--- a/tests/placement_log_test.cpp
+++ b/tests/placement_log_test.cpp
@@ -42,6 +42,7 @@
             .slowdown = toHundredth(0.5 + upTo(300) / 100.0),
             .failureRate = toHundredth(upTo(90) / 100.0),
             .overdueMs = upTo(5) == 0 ? 300.0 : 0,
+            .heldMs = upTo(5) == 0 ? static_cast<double>(upTo(900)) : 0,
         });
     }
     return input;
@@ -90,8 +91,9 @@
 // Guards against placements of plain services that can't be replayed from the log.
 TEST(placement_log, replays_a_service_placement)
 {
-    service_input input{.requestId = "r", .configVersion = 3, .workMs = 61.2, .remainingMs = 790.4, .peerAgeMs = 3.1, .jitter = 0.4};
-    input.endpoints = {{.id = "a", .local = true, .running = 7, .slots = 6, .failureRate = 0.12, .overdueMs = 20}, {.id = "b", .running = 2, .slots = 6}};
+    service_input input{.requestId = "r", .configVersion = 3, .workMs = 61.2, .remainingMs = 790.4, .onTimeMs = 290.4, .peerAgeMs = 3.1, .jitter = 0.4};
+    input.endpoints
+        = {{.id = "a", .local = true, .running = 7, .slots = 6, .failureRate = 0.12, .overdueMs = 20}, {.id = "b", .running = 2, .slots = 6, .heldMs = 33}};
     log_line line(1, "place_service");
     logPlacement(line, input, placeService(input));
     const auto text = line.take();
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -179,4 +179,34 @@
     EXPECT_GT(result.retryAfterMs, 0);
 }
 
+TEST(place_service, waits_for_a_held_endpoint_only_if_the_answer_is_on_time)
+{
+    service_input input{.workMs = 60, .remainingMs = 800, .onTimeMs = 300};
+    input.endpoints = {{.id = "held", .local = true, .slots = 6, .heldMs = 200}, {.id = "busy", .local = true, .running = 60, .slots = 6}};
+    EXPECT_EQ(placeService(input).endpoint, 0);
+    input.endpoints[0].heldMs = 250;
+    EXPECT_EQ(placeService(input).endpoint, 1);
+    input.endpoints.pop_back();
+    const auto refused = placeService(input);
+    EXPECT_EQ(refused.verdict, placement_verdict::Refuse);
+    EXPECT_GE(refused.retryAfterMs, 250);
+}
+
+TEST(place_generation, prefers_engines_that_are_not_held_and_refuses_what_would_be_late)
+{
+    generation_input input{.promptTokens = 300, .targetMs = 300, .remainingMs = 4000};
+    input.engines = {{.id = "held", .role = endpoint_role::Decode, .local = true, .slots = 24, .heldMs = 100},
+                     {.id = "free", .role = endpoint_role::Decode, .local = true, .running = 6, .slots = 24}};
+    EXPECT_EQ(placeGeneration(input, model).decodeIndex, 1);
+    input.engines.pop_back();
+    EXPECT_EQ(placeGeneration(input, model).verdict, placement_verdict::Run);
+    input.engines[0].heldMs = 2000;
+    const auto refused = placeGeneration(input, model);
+    EXPECT_EQ(refused.verdict, placement_verdict::Refuse);
+    EXPECT_GE(refused.retryAfterMs, 2000);
+    EXPECT_EQ(placeDecode(input, model, true), 0);
+    input.remainingMs = 1500;
+    EXPECT_EQ(placeDecode(input, model, true), -1);
+}
+
 }
