--- a/src/serving/endpoint_notices.cpp
+++ b/src/serving/endpoint_notices.cpp
@@ -91,6 +91,7 @@
     changed.insert(changed.end(), others.begin(), others.end());
     changed.resize(std::min(changed.size(), count));
     std::vector<notice_report> out;
+    out.reserve(changed.size());
     for (const auto &endpoint : changed) {
         out.push_back({.endpoint = endpoint->hash,
                        .leaving = endpoint->saysLeaving,
