Keep what endpoints say of themselves in one file

endpoint_notice.h held the struct and endpoint_notices.h the functions on it, which nobody could tell apart. No change of behaviour.

--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -1,6 +1,6 @@
 #include "serving/caller_exchange.h"
 
-#include "serving/endpoint_notices.h"
+#include "serving/endpoint_notice.h"
 #include "serving/peer_exchange.h"
 #include "state/rendezvous.h"
 #include "transport/boot_clock.h"
--- a/src/serving/endpoint_notices.cpp
+++ b/src/serving/endpoint_notice.cpp
@@ -1,4 +1,4 @@
-#include "serving/endpoint_notices.h"
+#include "serving/endpoint_notice.h"
 
 #include <algorithm>
 
--- a/src/serving/endpoint_notice.h
+++ b/src/serving/endpoint_notice.h
@@ -1,9 +1,12 @@
 #pragma once
 
-#include "transport/core_time.h"
+#include "serving/endpoint_registry.h"
 
 #include <optional>
+#include <vector>
 
+/// What endpoints say of themselves in answers, to this daemon and to others. A statement is compared with the time of the last one, because answers can
+/// overtake each other.
 namespace lacewinglock
 {
 
@@ -17,4 +20,14 @@
     bool operator==(const endpoint_notice &) const = default;
 };
 
+/// Records a notice from the answer to a request that was sent at `sentAt` and answered at `now`. Returns whether the limit or the leaving has changed.
+bool applyNotice(endpoint_registry &endpoints, endpoint_state &endpoint, const endpoint_notice &notice, instant sentAt, instant now);
+
+/// Takes over what another daemon has heard, unless something newer is known. Returns whether the limit or the leaving has changed.
+bool applyReport(endpoint_registry &endpoints, const notice_report &report, instant now);
+
+/// Selects what to report to other daemons: at most `count` endpoints, those that have changed lately first, one of the others in turn. `next` keeps the
+/// turn between calls.
+std::vector<notice_report> selectReports(const endpoint_registry &endpoints, std::size_t count, std::size_t &next, instant now);
+
 }
--- a/src/serving/limit_share.cpp
+++ b/src/serving/limit_share.cpp
@@ -17,8 +17,7 @@
     return 1000 / std::max(share.perSecond, minPerSecond);
 }
 
-}
-
+// Start of the first slot of this daemon after `afterMs`.
 double nextSlotMs(const limit_share &share, double afterMs)
 {
     const double length = slotMs(share);
@@ -29,6 +28,8 @@
     return static_cast<double>(first + ahead) * length;
 }
 
+}
+
 double nextFreeSlotMs(const limit_share &share, double usedMs, double nowMs)
 {
     // The clocks of the daemons are corrected all the time. Without a margin, a slot that has been taken could come again.
--- a/src/serving/limit_share.h
+++ b/src/serving/limit_share.h
@@ -19,11 +19,8 @@
     std::uint64_t offset = 0; ///< Differs between endpoints, so that a daemon's slots at several endpoints are spread.
 };
 
-/// Start of the first slot of this daemon after `afterMs`. Times are wall times in milliseconds, the same for all daemons.
-double nextSlotMs(const limit_share &share, double afterMs);
-
 /// Start of the slot that the next request of this daemon takes; the request may be sent at once if it is not after `nowMs`. `usedMs` is the start of the
-/// last slot taken.
+/// last slot taken. All times are wall times in milliseconds, the same for all daemons.
 double nextFreeSlotMs(const limit_share &share, double usedMs, double nowMs);
 
 }
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -1,6 +1,6 @@
 #include "serving/peer_exchange.h"
 
-#include "serving/endpoint_notices.h"
+#include "serving/endpoint_notice.h"
 #include "transport/boot_clock.h"
 
 #include <absl/strings/str_cat.h>
--- a/tests/endpoint_notice_test.cpp
+++ b/tests/endpoint_notice_test.cpp
@@ -1,5 +1,5 @@
 #include "edge_fixture.h"
-#include "serving/endpoint_notices.h"
+#include "serving/endpoint_notice.h"
 #include "serving/limit_share.h"
 
 namespace lacewinglock
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -124,7 +124,7 @@
 }
 
 // Guards against a notice that is read from a malformed header field.
-TEST(endpoint_notices, only_well_formed_values_count)
+TEST(endpoint_notice, only_well_formed_values_count)
 {
     const auto parse = [](http::status status, std::string_view name, std::string_view value) {
         http::response_header<> head;
--- a/tests/virtual_exchange.h
+++ b/tests/virtual_exchange.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "serving/endpoint_notices.h"
+#include "serving/endpoint_notice.h"
 #include "serving/state_exchange.h"
 
 #include <algorithm>
