Soak: an answer on a harmed link tells nobody

The daemons' logs have no notice of e1, and for 5 s no answer of e1 but one lost and one timed out: the link was harmed, and the refusals never arrived, which the rule excuses. They are no longer taken as told; what is told on a sound link binds as before (endpoint_demands_test.an_answer_on_a_harmed_link_binds_nobody).

--- a/soak/endpoint_demands.cpp
+++ b/soak/endpoint_demands.cpp
@@ -14,6 +14,7 @@
 constexpr double limitFactor = 1.5;
 constexpr double limitExtra = 5;
 constexpr int maxDuringPause = 2;
+constexpr std::int64_t faultRecordMs = 200; // A fault of a link is recorded at least this often while it lasts.
 
 }
 
@@ -32,6 +33,14 @@
     m_linkFaultMs[endpoint] = timeMs;
 }
 
+const endpoint_demands::sent_request *endpoint_demands::findTold(const std::string &endpoint, const std::string &id, std::int64_t timeMs) const
+{
+    const auto sent = m_sent.find(id);
+    const auto linkFault = m_linkFaultMs.find(endpoint);
+    const bool isLost = linkFault != m_linkFaultMs.end() && timeMs <= linkFault->second + faultRecordMs;
+    return sent == m_sent.end() || isLost ? nullptr : &sent->second;
+}
+
 bool endpoint_demands::restartedSince(const std::string &daemon, std::int64_t timeMs) const
 {
     const auto found = m_restartedMs.find(daemon);
@@ -50,27 +59,27 @@
 {
     ++m_limitAnswers;
     const auto limit = m_limits.find(endpoint);
-    if (const auto sent = m_sent.find(id); sent != m_sent.end() && limit != m_limits.end()) {
-        limit->second.toldMs.try_emplace(sent->second.daemon, timeMs);
+    if (const auto *told = findTold(endpoint, id, timeMs); told != nullptr && limit != m_limits.end()) {
+        limit->second.toldMs.try_emplace(told->daemon, timeMs);
     }
 }
 
 void endpoint_demands::recordToldLeaving(const std::string &endpoint, const std::string &id, std::int64_t timeMs)
 {
     ++m_leavingAnswers;
-    if (const auto sent = m_sent.find(id); sent != m_sent.end()) {
-        m_toldLeavingMs.try_emplace({endpoint, sent->second.daemon}, timeMs);
+    if (const auto *told = findTold(endpoint, id, timeMs)) {
+        m_toldLeavingMs.try_emplace({endpoint, told->daemon}, timeMs);
     }
 }
 
 void endpoint_demands::recordToldPause(const std::string &endpoint, const std::string &id, std::int64_t timeMs, std::int64_t pauseMs)
 {
     ++m_pauseAnswers;
-    const auto sent = m_sent.find(id);
-    if (sent == m_sent.end()) {
+    const auto *told = findTold(endpoint, id, timeMs);
+    if (told == nullptr) {
         return;
     }
-    auto &asked = m_pauses[{endpoint, sent->second.daemon}];
+    auto &asked = m_pauses[{endpoint, told->daemon}];
     if (timeMs >= asked.untilMs) {
         asked = {.fromMs = timeMs + reactionMs};
     }
--- a/soak/endpoint_demands.h
+++ b/soak/endpoint_demands.h
@@ -59,6 +59,8 @@
     };
     using endpoint_and_daemon = std::pair<std::string, std::string>;
 
+    /// The request that an answer told something; null if the request is unknown, or if the link was harmed and the answer may be lost.
+    const sent_request *findTold(const std::string &endpoint, const std::string &id, std::int64_t timeMs) const;
     bool restartedSince(const std::string &daemon, std::int64_t timeMs) const;
     void checkLimit(const std::string &endpoint, const sent_request &sent, std::int64_t timeMs);
     void checkLeaving(const std::string &endpoint, const std::string &id, const sent_request &sent, std::int64_t timeMs);
--- a/tests/endpoint_demands_test.cpp
+++ b/tests/endpoint_demands_test.cpp
@@ -107,4 +107,20 @@
     EXPECT_EQ(violations(), 1U);
 }
 
+TEST_F(endpoint_demands_test, an_answer_on_a_harmed_link_binds_nobody)
+{
+    checker.recordLinkFault("e", 1000);
+    checker.recordSent("told", "d", 0);
+    checker.recordToldPause("e", "told", 1100, 9000);
+    for (int i = 0; i < 5; ++i) {
+        arrive(4500 + i);
+    }
+    EXPECT_EQ(violations(), 0U);
+    checker.recordToldPause("e", "told", 5000, 9000);
+    for (int i = 0; i < 5; ++i) {
+        arrive(6000 + i);
+    }
+    EXPECT_EQ(violations(), 1U);
+}
+
 }
