--- a/tests/endpoint_notice_test.cpp
+++ b/tests/endpoint_notice_test.cpp
@@ -263,4 +263,29 @@
     }
 }
 
+// Guards against a rate above the limit while an endpoint changes it all the time, or while members come and go: each change moves the slots.
+TEST(limit_share, a_change_of_the_slots_gives_no_daemon_more_than_its_share)
+{
+    constexpr double seconds = 60;
+    for (const bool rosterChanges : {false, true}) {
+        constexpr std::size_t daemons = 9;
+        std::vector<double> used(daemons, 0);
+        double sent = 0;
+        for (int ms = 0; ms < seconds * 1000; ms += 10) {
+            const int change = ms / 100;
+            const limit_share whole{.perSecond = rosterChanges ? 2 : 2 - 0.003 * (change % 30), .daemons = daemons - (rosterChanges ? change % 2 : 0)};
+            for (std::size_t rank = 0; rank < whole.daemons; ++rank) {
+                auto share = whole;
+                share.rank = rank;
+                if (const double slot = nextFreeSlotMs(share, used[rank], 1.8e12 + ms); slot <= 1.8e12 + ms) {
+                    used[rank] = slot;
+                    ++sent;
+                }
+            }
+        }
+        // Each daemon may take its first slot early.
+        EXPECT_LE(sent, 2 * seconds * 1.1 + daemons) << rosterChanges;
+    }
+}
+
 }
