--- a/soak/faultsoak.cpp
+++ b/soak/faultsoak.cpp
@@ -353,7 +353,7 @@
     return found == m_endpoints.end() ? nullptr : found->standIn.get();
 }
 
-// Endpoints name a limit, change it and drop it, leave without a word in the store, ask for pauses, and write bytes that belong to no request.
+// Endpoints name a limit, change it and drop it, leave without marking their entry in the store, ask for pauses, and write bytes that belong to no request.
 task<void> soak_run::makeDemands()
 {
     while (m_injectingFaults) {
