Report the end of a limit for a minute

A daemon that was frozen or cut off when a limit ended kept to it: the end was reported for one second, like any change. In a large fleet it would have found out only with its next slot, minutes later. The end now stays among the reports that go out in turn.

Test: state_exchange.a_daemon_that_was_frozen_learns_that_a_limit_has_ended failed before.

--- a/src/serving/endpoint_notice.cpp
+++ b/src/serving/endpoint_notice.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr auto changeReportTime = std::chrono::seconds(1); // Some fifteen summaries, so that lost ones don't matter.
+constexpr auto endReportTime = std::chrono::minutes(1); // For daemons that were frozen or cut off when a limit ended.
 constexpr std::size_t maxUnchanged = 1; // Per report, for daemons that have just started. More would cost more bytes than the loads.
 
 bool noteLeaving(endpoint_registry &endpoints, endpoint_state &endpoint, instant now)
@@ -77,9 +78,10 @@
     std::vector<endpoint_ptr> changed;
     std::vector<endpoint_ptr> others;
     for (const auto &endpoint : endpoints.all()) {
-        if (now - endpoint->noticeChangedAt <= changeReportTime) {
+        const bool everChanged = endpoint->noticeChangedAt != instant();
+        if (everChanged && now - endpoint->noticeChangedAt <= changeReportTime) {
             changed.push_back(endpoint);
-        } else if (endpoint->limit || endpoint->saysLeaving) {
+        } else if (endpoint->limit || endpoint->saysLeaving || (everChanged && now - endpoint->noticeChangedAt <= endReportTime)) {
             others.push_back(endpoint);
         }
     }
--- a/tests/state_exchange_test.cpp
+++ b/tests/state_exchange_test.cpp
@@ -560,6 +560,31 @@
 }
 
 // Guards against aggregators that need more than the target allows a daemon. Open: see KNOWN-RED.txt.
+// Guards against a daemon that keeps to a limit which ended while it heard nothing.
+TEST(state_exchange, a_daemon_that_was_frozen_learns_that_a_limit_has_ended)
+{
+    virtual_exchange fleet(24, 4);
+    for (auto &daemon : fleet.daemons) {
+        daemon.endpoints.update({.id = "e1", .service = "s", .slots = 4});
+    }
+    const auto say = [&fleet](std::size_t daemon, const endpoint_notice &notice) {
+        auto &endpoints = fleet.daemons[daemon].endpoints;
+        applyNotice(endpoints, *endpoints.find("e1"), notice, fleet.now, fleet.now);
+    };
+    fleet.run(1s);
+    say(3, {.limit = 1});
+    fleet.run(1s);
+    fleet.daemons[8].frozen = true;
+    say(17, {});
+    fleet.run(4s);
+    fleet.daemons[8].inbox.clear();
+    fleet.thaw(8);
+    fleet.run(1s);
+    for (auto &daemon : fleet.daemons) {
+        EXPECT_FALSE(daemon.endpoints.find("e1")->limit) << daemon.id;
+    }
+}
+
 // Guards against notices that cost more than the loads.
 TEST(state_exchange, limits_of_many_endpoints_stay_within_the_control_budget)
 {
