Keep an endpoint's answer when the next one can't be used after the wait

A repeatable call whose first endpoint had answered with an error, and whose repeat waited for a turn that never came, ended with 502 in place of that answer.

Test: endpoint_notice_test.the_answer_of_the_first_endpoint_stays_when_the_next_one_cannot_be_used_after_the_wait got 502 before.

--- a/src/serving/service_forward.cpp
+++ b/src/serving/service_forward.cpp
@@ -152,12 +152,13 @@
         const auto &endpoint = endpoints[static_cast<std::size_t>(placement.endpoint)];
         const bool lastTry = outcome.attempts + 1 >= route.maxAttempts || !route.repeatable;
         const auto attemptTime = lastTry ? request.deadline - now : std::chrono::duration_cast<duration>(route.target * attemptTimeoutFactor);
-        last = co_await send(context, request, endpoint, attemptTime, placement.predictedMs);
-        if (last.placeAgain) {
+        auto result = co_await send(context, request, endpoint, attemptTime, placement.predictedMs);
+        if (result.placeAgain) {
             ++unreachable;
             code = "endpoint_limited";
             continue;
         }
+        last = std::move(result);
         const bool answered = last.state == exchange_state::Complete;
         const int status = answered ? last.exchange->head().result_int() : 0;
         const bool notRun = answered && isMarkedNotExecuted(context, last.exchange->head());
--- a/tests/endpoint_notice_test.cpp
+++ b/tests/endpoint_notice_test.cpp
@@ -139,6 +139,37 @@
     EXPECT_EQ(first.requests.size(), 2U);
 }
 
+TEST_F(endpoint_notice_test, the_answer_of_the_first_endpoint_stays_when_the_next_one_cannot_be_used_after_the_wait)
+{
+    status = 500;
+    addEndpoint("e2", "desk", second.address());
+    const auto next = context->endpoints.find("e2");
+    next->peers.running = 3;
+    next->pausedUntil = bootNow() + std::chrono::milliseconds(100);
+    caller_result result;
+    bool done = false;
+    startCall(get("/read/1"), result, done);
+    ASSERT_TRUE(runUntil(
+        [this] {
+            return !first.requests.empty();
+        },
+        std::chrono::seconds(1)));
+    runUntil(
+        [] {
+            return false;
+        },
+        std::chrono::milliseconds(40));
+    next->pausedUntil = bootNow() + std::chrono::seconds(5);
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return done;
+        },
+        std::chrono::seconds(2)));
+    EXPECT_EQ(result.status, 500);
+    EXPECT_EQ(result.body, "first");
+    EXPECT_TRUE(second.requests.empty());
+}
+
 TEST_F(endpoint_notice_test, a_request_is_refused_at_once_while_all_endpoints_pause)
 {
     status = 503;
