Read what an engine says of itself in the answer to a freed handle

The answer to the call that frees a KV handle was dropped: an engine that says there that it leaves got further requests.

Test: stream_forward.the_answer_to_a_call_that_frees_a_handle_tells_of_a_leaving_engine failed before.

--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -550,11 +550,14 @@
     announcePrefix(m_context, shared, unshared, engine->hash);
 }
 
-task<void> sendFreeKvHandle(edge_context &context, tcp::endpoint address, http_request message)
+task<void> sendFreeKvHandle(edge_context &context, endpoint_ptr engine, tcp::endpoint address, http_request message)
 {
-    const exchange_options options{.deadline = bootNow() + freeHandleTimeout, .reuseConnection = false, .keepConnection = false};
+    const instant now = bootNow();
+    const exchange_options options{.deadline = now + freeHandleTimeout, .reuseConnection = false, .keepConnection = false};
     const auto answer = co_await callServer(context.pool, address, std::move(message), options);
-    if (!answer.ok()) {
+    if (answer.ok()) {
+        noteAnswer(context, *engine, answer->base(), now);
+    } else {
         auto line = context.line("handle_not_freed");
         line.add("error", answer.status().ToString());
         context.log.write(line);
@@ -564,7 +567,8 @@
 void stream_session::freeKvHandle(const endpoint_ptr &prefillEngine, const std::string &handle) const
 {
     if (const auto address = parseAddress(prefillEngine->entry.address); address.ok()) {
-        spawnBackground(m_context.loop, sendFreeKvHandle(m_context, *address, m_context.platform.wire.engine.freeKvHandle(handle)), "free_kv_handle");
+        auto message = m_context.platform.wire.engine.freeKvHandle(handle);
+        spawnBackground(m_context.loop, sendFreeKvHandle(m_context, prefillEngine, *address, std::move(message)), "free_kv_handle");
     }
 }
 
--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -556,4 +556,24 @@
     EXPECT_GE(calls, 30);
 }
 
+TEST_F(stream_forward, the_answer_to_a_call_that_frees_a_handle_tells_of_a_leaving_engine)
+{
+    scripted_server prefillEngine(loop, [](const http_request &request, int number) {
+        return scripted_answer{.bytes
+                               = number == 1 ? wholeAnswer(request, 200, R"({"kv-handle":"h1"})") : wholeAnswer(request, 200, "{}", "Server-Leaving: 1\r\n")};
+    });
+    scripted_server decodeEngine(loop, [](const http_request &request, int) {
+        return scripted_answer{.bytes = wholeAnswer(request, 503, "full", "X-Not-Executed: 1\r\n")};
+    });
+    configure({streamRoute(false)});
+    addEndpoint("e1", "engines", prefillEngine.address(), endpoint_role::Prefill);
+    addEndpoint("e2", "engines", decodeEngine.address(), endpoint_role::Decode);
+    EXPECT_EQ(call(generation(17000)).status, 503);
+    EXPECT_TRUE(runUntil(
+        [this] {
+            return !context->endpoints.find("e1")->usable(bootNow());
+        },
+        std::chrono::seconds(1)));
+}
+
 }
