Make no call to free a handle at an engine that asked for a pause

An engine that turns requests away and wants nothing for a while still got a call for each handle that was not used. The handle lapses by itself.

Test: stream_forward.an_engine_that_asked_for_a_pause_gets_no_call_to_free_a_handle saw the call before.

--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -566,7 +566,8 @@
 
 void stream_session::freeKvHandle(const endpoint_ptr &prefillEngine, const std::string &handle) const
 {
-    if (const auto address = parseAddress(prefillEngine->entry.address); address.ok()) {
+    // The handle of an engine that asked for a pause lapses by itself.
+    if (const auto address = parseAddress(prefillEngine->entry.address); address.ok() && bootNow() >= prefillEngine->pausedUntil) {
         auto message = m_context.platform.wire.engine.freeKvHandle(handle);
         spawnBackground(m_context.loop, sendFreeKvHandle(m_context, prefillEngine, *address, std::move(message)), "free_kv_handle");
     }
--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -556,6 +556,23 @@
     EXPECT_GE(calls, 30);
 }
 
+TEST_F(stream_forward, an_engine_that_asked_for_a_pause_gets_no_call_to_free_a_handle)
+{
+    scripted_server prefillEngine(loop, [](const http_request &request, int) {
+        return scripted_answer{.bytes = wholeAnswer(request, 200, R"({"kv-handle":"h1"})")};
+    });
+    scripted_server decodeEngine(loop, [this](const http_request &request, int) {
+        context->endpoints.find("e1")->pausedUntil = bootNow() + std::chrono::seconds(5);
+        return scripted_answer{.bytes = wholeAnswer(request, 503, "full", "X-Not-Executed: 1\r\n")};
+    });
+    configure({streamRoute(false)});
+    addEndpoint("e1", "engines", prefillEngine.address(), endpoint_role::Prefill);
+    addEndpoint("e2", "engines", decodeEngine.address(), endpoint_role::Decode);
+    EXPECT_EQ(call(generation(17000)).status, 503);
+    pause(std::chrono::milliseconds(200));
+    EXPECT_EQ(prefillEngine.requests.size(), 1U);
+}
+
 TEST_F(stream_forward, the_answer_to_a_call_that_frees_a_handle_tells_of_a_leaving_engine)
 {
     scripted_server prefillEngine(loop, [](const http_request &request, int number) {
