Give the slots of daemons that are gone to the others

A machine that is gone for good leaves its row in the store, and its part of every limit lay idle. Slots now go round the members that the state exchange knows to serve. A daemon that hears half of the members or fewer counts them all, since it may be the one that is cut off; so a fleet that splits in two stays below one and a half times the limit.

--- a/src/serving/endpoint_turn.cpp
+++ b/src/serving/endpoint_turn.cpp
@@ -23,16 +23,12 @@
 {
 }
 
-const turn_times::place_in_fleet &turn_times::place() const
+const turn_times::place_and_time &turn_times::findPlaceAndTime() const
 {
-    if (!m_place) {
-        const auto &members = m_context.members;
-        m_place.emplace(place_in_fleet{.daemons = m_context.daemons(), .nowMs = static_cast<double>(m_context.correctedTimeMs())});
-        if (const auto self = members.find(m_context.settings.id); self != members.end() || members.empty()) {
-            m_place->rank = static_cast<std::size_t>(std::distance(members.begin(), self));
-        }
+    if (!m_placeAndTime) {
+        m_placeAndTime = {.place = findPlace(m_context), .nowMs = static_cast<double>(m_context.correctedTimeMs())};
     }
-    return *m_place;
+    return *m_placeAndTime;
 }
 
 double turn_times::heldMs(const endpoint_state &endpoint) const
@@ -41,11 +37,11 @@
     if (!endpoint.limit) {
         return std::ceil(pauseMs);
     }
-    const auto &[rank, daemons, nowMs] = place();
-    if (!rank) {
+    const auto &[place, nowMs] = findPlaceAndTime();
+    if (!place) {
         return std::ceil(std::max(pauseMs, noShareWaitMs));
     }
-    const limit_share share{.perSecond = *endpoint.limit, .daemons = daemons, .rank = *rank, .offset = endpoint.hash};
+    const limit_share share{.perSecond = *endpoint.limit, .daemons = place->daemons, .rank = place->rank, .offset = endpoint.hash};
     const double slotMs = nextFreeSlotMs(share, nowMs + toMs(endpoint.turnTakenAt - m_now), nowMs + pauseMs);
     return std::ceil(std::max(pauseMs, slotMs - nowMs));
 }
--- a/src/serving/endpoint_turn.h
+++ b/src/serving/endpoint_turn.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "serving/edge_context.h"
+#include "serving/fleet_place.h"
 
 namespace lacewinglock
 {
@@ -18,18 +19,17 @@
     double heldMs(const endpoint_state &endpoint) const;
 
 private:
-    /// Of this daemon among the members, and the time that the daemons agree on.
-    struct place_in_fleet
+    /// Of this daemon in the fleet, and the time that the daemons agree on.
+    struct place_and_time
     {
-        std::optional<std::size_t> rank; ///< nullopt if this daemon is not a member; it has no slots then.
-        std::size_t daemons = 1;
+        std::optional<fleet_place> place; ///< nullopt if this daemon is not a member; it has no slots then.
         double nowMs = 0;
     };
-    const place_in_fleet &place() const;
+    const place_and_time &findPlaceAndTime() const;
 
     const edge_context &m_context;
     instant m_now;
-    mutable std::optional<place_in_fleet> m_place; ///< Found out when the first limit is met, because it takes time in a large fleet.
+    mutable std::optional<place_and_time> m_placeAndTime; ///< Found out when the first limit is met, because it takes time in a large fleet.
 };
 
 /// Takes the next turn of this daemon at the endpoint and waits for it; call it before each request to an endpoint. Returns false if the turn lies after
--- a/tests/endpoint_notice_test.cpp
+++ b/tests/endpoint_notice_test.cpp
@@ -1,5 +1,6 @@
 #include "edge_fixture.h"
 #include "serving/endpoint_notice.h"
+#include "serving/fleet_place.h"
 #include "serving/limit_share.h"
 
 namespace lacewinglock
@@ -66,6 +67,17 @@
     EXPECT_GE(second.requests.size(), 20U);
 }
 
+TEST_F(endpoint_notice_test, the_share_of_a_daemon_that_is_gone_goes_to_the_others)
+{
+    addEndpoint("e2", "desk", second.address());
+    context->peers["daemon-2"] = {.serving = true}; // Nothing is heard of daemon-3, whose row in the store stays.
+    notice = "Server-Limit: 30\r\n";
+    callFor(std::chrono::milliseconds(1200));
+    const auto requests = requestsToFirstDuring(std::chrono::seconds(2));
+    EXPECT_GE(requests, 26U);
+    EXPECT_LE(requests, 32U);
+}
+
 TEST_F(endpoint_notice_test, a_request_beyond_all_limits_is_refused_at_once)
 {
     notice = "Server-Limit: 3\r\n";
@@ -265,6 +277,29 @@
     EXPECT_EQ(seen.size(), limited + 1U);
 }
 
+// Guards against a limit that lies idle because of daemons that are gone, and against daemons that take the shares of others because they are cut off.
+TEST_F(endpoint_notice_test, counts_the_serving_members_unless_most_are_silent)
+{
+    auto &peers = context->peers;
+    for (const auto *id : {"daemon-0", "daemon-4"}) {
+        context->members[id] = {};
+    }
+    EXPECT_EQ(findPlace(*context), (fleet_place{.rank = 1, .daemons = 5})); // Cut off from all.
+    peers["daemon-2"] = {.serving = true};
+    EXPECT_EQ(findPlace(*context), (fleet_place{.rank = 1, .daemons = 5}));
+    peers["daemon-4"] = {.serving = true};
+    EXPECT_EQ(findPlace(*context), (fleet_place{.rank = 0, .daemons = 3}));
+    peers["daemon-0"] = {.serving = true};
+    peers["stranger"] = {.serving = true};
+    EXPECT_EQ(findPlace(*context), (fleet_place{.rank = 1, .daemons = 4}));
+    peers["daemon-2"].serving = false; // It stops.
+    EXPECT_EQ(findPlace(*context), (fleet_place{.rank = 1, .daemons = 3}));
+    context->members.erase("daemon-1");
+    EXPECT_EQ(findPlace(*context), std::nullopt);
+    context->members.clear();
+    EXPECT_EQ(findPlace(*context), fleet_place());
+}
+
 // Guards against requests beyond the limit when every daemon has many for the endpoint, at sizes from small to large.
 TEST(limit_share, all_daemons_together_keep_to_the_limit)
 {
