--- a/src/programs/lacewinglock_limit_model.cpp
+++ b/src/programs/lacewinglock_limit_model.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <gflags/gflags.h>
 #include <iomanip>
 #include <iostream>
