Draw the faults of a seed in one order on every machine

The soak of the virtual cell played other runs on arm64 than on x86-64 from the same seed: g++ evaluates the arguments of a call from the right on x86-64 and from the left on arm64, and five calls had two arguments that draw from the generator. So the seeds on record were other runs on arm64, and the check with a broken drain mechanism found nothing in 200 of them.

The values are drawn one after the other now, in the order of x86-64, where the seeds were recorded. On arm64 before: each/broken_mechanisms.are_reported/1 failed, none of 200 seeds reports the violation.

--- a/src/standin/fault_schedule.cpp
+++ b/src/standin/fault_schedule.cpp
@@ -43,6 +43,7 @@
     m_cell.runFor(recoveryTime);
 }
 
+// Compilers differ in the order in which they evaluate the arguments of a call, so no call has two arguments that draw from the generator.
 duration fault_schedule::randomSeconds(double low, double high)
 {
     const auto convert = [](double value) {
@@ -98,7 +99,8 @@
         return;
     }
     if (m_clock.chance(0.6)) {
-        m_cell.orderRole(randomEngine(), static_cast<endpoint_role>(m_clock.random(3)));
+        const auto role = static_cast<endpoint_role>(m_clock.random(3));
+        m_cell.orderRole(randomEngine(), role);
     } else {
         m_cell.provision("z1", 1 + static_cast<int>(m_clock.random(3)));
     }
@@ -200,10 +202,12 @@
             platform.freezeInstances(false);
         });
         break;
-    default:
-        platform.loseAnswers(1 + static_cast<int>(m_clock.random(6)), m_clock.chance(0.6) ? answer_loss::AfterEffect : answer_loss::BeforeEffect);
+    default: {
+        const auto loss = m_clock.chance(0.6) ? answer_loss::AfterEffect : answer_loss::BeforeEffect;
+        platform.loseAnswers(1 + static_cast<int>(m_clock.random(6)), loss);
         break;
     }
+    }
 }
 
 void fault_schedule::injectEndpointFault()
@@ -221,10 +225,12 @@
     case 3:
         m_cell.send({.poison = "poison" + std::to_string(++m_poisonCount), .retries = 3, .retryAfter = randomSeconds(1, 4)});
         break;
-    default:
-        m_cell.reclaim("z" + std::to_string(1 + m_clock.random(3)), randomSeconds(3, 6));
+    default: {
+        const duration notice = randomSeconds(3, 6);
+        m_cell.reclaim("z" + std::to_string(1 + m_clock.random(3)), notice);
         break;
     }
+    }
 }
 
 void fault_schedule::runOperatorAction()
@@ -233,7 +239,8 @@
     if (m_clock.chance(0.4)) {
         const nlohmann::json change = {{"organisations", {{"orgk1", {{"weight", 1 + m_clock.random(9)}}}}}};
         const nlohmann::json rival = {{"organisations", {{"orgk2", {{"weight", 1 + m_clock.random(9)}}}}}};
-        m_cell.patchRace(randomDaemon(), change, randomDaemon(), rival);
+        const std::string rivalDaemon = randomDaemon();
+        m_cell.patchRace(randomDaemon(), change, rivalDaemon, rival);
         return;
     }
     m_cell.grantKey(randomDaemon(), newKey);
@@ -241,7 +248,8 @@
     if (m_keys.size() > maxKeys) {
         m_keys.erase(m_keys.begin());
     }
-    m_cell.withdrawKey(randomDaemon(), m_keys[m_clock.random(m_keys.size())]);
+    const std::string oldKey = m_keys[m_clock.random(m_keys.size())];
+    m_cell.withdrawKey(randomDaemon(), oldKey);
 }
 
 }
