Learn a limit that grows while requests overlap

An endpoint that raised its limit kept the lower one at daemons with always one request under way: each answer that named the higher one had been sent before the last answer that named any, so the lower value stayed and was confirmed anew.

An answer whose higher limit can't be trusted yet no longer counts as a confirmation, so the first request sent after the last answer with the lower limit raises it.

Test: notice_order.a_limit_that_grows_is_learnt_while_requests_overlap stayed at 2 of 8 requests a second before.

--- a/src/serving/endpoint_notice.cpp
+++ b/src/serving/endpoint_notice.cpp
@@ -35,15 +35,15 @@
     return true;
 }
 
-// A limit is said at the latest when the answer arrives, and no limit at the earliest when the request is sent. So a limit ends only with an answer to a
-// request that was sent after the last answer that named it.
+// A limit is said at the latest when the answer arrives, and a higher one or none at the earliest when the request is sent. So a limit ends or grows only
+// with an answer to a request that was sent after the last answer that named it.
 bool noteLimit(endpoint_state &endpoint, std::optional<double> limit, instant sentAt, instant now)
 {
-    const bool overlapsLast = sentAt <= endpoint.limitSaidAt;
-    if (limit) {
-        return setLimit(endpoint, overlapsLast && endpoint.limit ? std::min(*limit, *endpoint.limit) : limit, now, now);
+    const bool relaxes = endpoint.limit && (!limit || *limit > *endpoint.limit);
+    if (relaxes && sentAt <= endpoint.limitSaidAt) {
+        return false;
     }
-    return endpoint.limit && !overlapsLast && setLimit(endpoint, std::nullopt, sentAt, now);
+    return (limit || endpoint.limit) && setLimit(endpoint, limit, limit ? now : sentAt, now);
 }
 
 }
--- a/tests/endpoint_notice_test.cpp
+++ b/tests/endpoint_notice_test.cpp
@@ -241,6 +241,15 @@
     EXPECT_FALSE(endpoint().limit);
 }
 
+// Guards against a limit that stays low because there is always a request under way.
+TEST_F(notice_order, a_limit_that_grows_is_learnt_while_requests_overlap)
+{
+    for (int i = 0; i < 10; ++i) {
+        applyNotice(endpoints, endpoint(), {.limit = i < 3 ? 2 : 8}, at(10 * i), at(10 * i + 15));
+    }
+    EXPECT_EQ(endpoint().limit, 8);
+}
+
 TEST_F(notice_order, an_older_report_does_not_bring_a_limit_back)
 {
     const auto hash = endpoint().hash;
