End no limit on the answer to a freed handle

The answer to the call that frees a KV handle was read like that to a request: without a limit in it, the limit of the engine ended, here and, by the reports, at all daemons. Engines name their limits in answers to requests; that they repeat them in answers to calls of our own is not said anywhere. Such an answer can name a limit now, not end one.

Test: stream_forward.the_answer_to_a_call_that_frees_a_handle_does_not_end_a_limit found no limit before.

--- a/src/serving/caller_exchange.h
+++ b/src/serving/caller_exchange.h
@@ -61,7 +61,8 @@
 /// True when the head has the endpoint's seal, which proves that the endpoint itself made the response.
 bool isSealed(const edge_context &context, const http::response_header<> &head);
 
-/// Records what the endpoint said of itself in the head of an answer to a request that was sent at `sentAt`, and logs it when it has changed.
+/// Records what the endpoint said of itself in the head of an answer to a request that was sent at `sentAt`, and logs it when it has changed. With
+/// instant() as `sentAt`, the answer can name a limit but not end one.
 void noteAnswer(edge_context &context, endpoint_state &endpoint, const http::response_header<> &head, instant sentAt);
 
 /// Call after a connection ended while it carried the request. Probes the endpoint in the background; if it has crashed, counts a crash against the
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -552,11 +552,11 @@
 
 task<void> sendFreeKvHandle(edge_context &context, endpoint_ptr engine, tcp::endpoint address, http_request message)
 {
-    const instant now = bootNow();
-    const exchange_options options{.deadline = now + freeHandleTimeout, .reuseConnection = false, .keepConnection = false};
+    const exchange_options options{.deadline = bootNow() + freeHandleTimeout, .reuseConnection = false, .keepConnection = false};
     const auto answer = co_await callServer(context.pool, address, std::move(message), options);
     if (answer.ok()) {
-        noteAnswer(context, *engine, answer->base(), now);
+        // An engine need not repeat in this answer what it says in those to requests, so the answer ends nothing.
+        noteAnswer(context, *engine, answer->base(), instant());
     } else {
         auto line = context.line("handle_not_freed");
         line.add("error", answer.status().ToString());
--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -593,4 +593,23 @@
         std::chrono::seconds(1)));
 }
 
+// Guards against a limit that is forgotten because the answers to calls of our own do not repeat it.
+TEST_F(stream_forward, the_answer_to_a_call_that_frees_a_handle_does_not_end_a_limit)
+{
+    scripted_server prefillEngine(loop, [](const http_request &request, int number) {
+        return scripted_answer{.bytes
+                               = number == 1 ? wholeAnswer(request, 200, R"({"kv-handle":"h1"})", "Server-Limit: 9\r\n") : wholeAnswer(request, 200, "{}")};
+    });
+    scripted_server decodeEngine(loop, [](const http_request &request, int) {
+        return scripted_answer{.bytes = wholeAnswer(request, 503, "full", "X-Not-Executed: 1\r\n")};
+    });
+    configure({streamRoute(false)});
+    addEndpoint("e1", "engines", prefillEngine.address(), endpoint_role::Prefill);
+    addEndpoint("e2", "engines", decodeEngine.address(), endpoint_role::Decode);
+    EXPECT_EQ(call(generation(17000)).status, 503);
+    pause(std::chrono::milliseconds(200));
+    EXPECT_EQ(prefillEngine.requests.size(), 2U);
+    EXPECT_TRUE(context->endpoints.find("e1")->limit);
+}
+
 }
