Place requests again that wait for a slot when the limit changes

A request that waited for a slot of its endpoint's limit waited to the end of that slot, seconds at a low limit, although the limit had grown or ended or the endpoint had said that it leaves, and its slot was not free for others until then.

The wait looks at the endpoint each 100 ms now, and a change of the limit frees the slots of the requests that wait. They are placed again.

Tests: waiting_call_test.is_sent_soon_when_the_limit_grows and .goes_to_another_endpoint_when_its_own_says_it_leaves had no answer 0.5 s after the change before.

--- a/src/serving/endpoint_notice.cpp
+++ b/src/serving/endpoint_notice.cpp
@@ -31,6 +31,7 @@
         return false;
     }
     endpoint.limit = limit;
+    endpoint.turnTakenAt = endpoint.turnUsedAt; // Requests that wait for a slot of the old limit are placed again.
     endpoint.noticeChangedAt = now;
     return true;
 }
--- a/src/serving/endpoint_registry.h
+++ b/src/serving/endpoint_registry.h
@@ -56,8 +56,9 @@
     std::multiset<instant> answerDeadlines; ///< When the first response of each outstanding request of this daemon is due.
     instant reservedUntil; ///< A role change is in progress; no new requests are sent before this time.
     std::optional<double> limit; ///< Requests per second that it takes from all daemons together, if it names a limit.
-    instant limitSaidAt; ///< When it last said its limit, or that it has none.
-    instant turnTakenAt; ///< Slot of the last request sent under a limit; may lie ahead.
+    instant limitSaidAt; ///< When it last said `limit`, or that it has none.
+    instant turnTakenAt; ///< Last slot of the limit that a request has taken; may lie ahead while the request waits.
+    instant turnUsedAt; ///< Last slot in which a request was sent.
     instant pausedUntil; ///< It has refused a request and asked for none before this time.
     bool saysLeaving = false; ///< It has said in an answer that it leaves.
     instant noticeChangedAt; ///< Last change of `limit` or `saysLeaving`.
--- a/src/serving/endpoint_turn.cpp
+++ b/src/serving/endpoint_turn.cpp
@@ -14,6 +14,20 @@
 {
 
 constexpr double noShareWaitMs = 1000; // For a daemon that is not among the members, and so has no slots.
+constexpr auto checkInterval = std::chrono::milliseconds(100); // A request that waits need not wait on if the endpoint's state changes.
+
+// Returns false as soon as the request must not, or need not, wait on.
+task<bool> waitForTurn(const caller_request &request, const endpoint_state &endpoint, instant turn)
+{
+    const instant changedAt = endpoint.noticeChangedAt;
+    for (instant now = bootNow(); now < turn; now = bootNow()) {
+        co_await sleepFor(std::min<duration>(turn - now, checkInterval));
+        if (request.reply->gone() || endpoint.noticeChangedAt != changedAt || endpoint.pausedUntil > turn || endpoint.entry.draining) {
+            co_return false;
+        }
+    }
+    co_return endpoint.usable(bootNow());
+}
 
 }
 
@@ -49,21 +63,24 @@
 task<bool> awaitTurn(edge_context &context, const caller_request &request, endpoint_ptr endpoint)
 {
     const instant now = bootNow();
-    const auto limit = endpoint->limit;
-    const auto wait = std::chrono::milliseconds(std::llround(turn_times(context, now).heldMs(*endpoint)));
-    if (wait > duration::zero() && now + wait >= request.deadline) {
+    const instant turn = now + std::chrono::milliseconds(std::llround(turn_times(context, now).heldMs(*endpoint)));
+    const bool waits = turn > now;
+    if (waits && turn >= request.deadline) {
         co_return false;
     }
-    if (limit) {
-        endpoint->turnTakenAt = now + wait;
+    if (endpoint->limit) {
+        endpoint->turnTakenAt = turn;
+    }
+    if (waits) {
+        context.counters.count(metric_counter::RequestsHeld);
+        if (!co_await waitForTurn(request, *endpoint, turn)) {
+            co_return false;
+        }
     }
-    if (wait <= duration::zero()) {
-        co_return true;
+    if (endpoint->limit) {
+        endpoint->turnUsedAt = turn;
     }
-    context.counters.count(metric_counter::RequestsHeld);
-    co_await sleepFor(wait);
-    const bool limitChanged = endpoint->limit && endpoint->limit != limit;
-    co_return !request.reply->gone() && !limitChanged && endpoint->usable(bootNow()) && bootNow() >= endpoint->pausedUntil;
+    co_return true;
 }
 
 }
--- a/tests/endpoint_notice_test.cpp
+++ b/tests/endpoint_notice_test.cpp
@@ -188,6 +188,69 @@
     EXPECT_TRUE(second.requests.empty());
 }
 
+namespace
+{
+
+/// A call that waits for a slot of the only endpoint.
+class waiting_call_test : public endpoint_notice_test
+{
+protected:
+    waiting_call_test()
+    {
+        auto route = makeRoute("/read/", "desk");
+        route.repeatable = true;
+        route.target = std::chrono::seconds(4);
+        route.timeout = std::chrono::seconds(5);
+        configure({route});
+        endpoint = context->endpoints.find("e1");
+        report({.endpoint = endpoint->hash, .limit = 1});
+        // Half a round of three daemons at the least until the next slot.
+        endpoint->turnTakenAt = bootNow();
+        startCall(get("/read/1"), result, done);
+        runFor(std::chrono::milliseconds(300));
+    }
+
+    void report(const notice_report &given)
+    {
+        applyReport(context->endpoints, given, bootNow());
+    }
+
+    void runFor(std::chrono::milliseconds time)
+    {
+        runUntil(
+            [] {
+                return false;
+            },
+            time);
+    }
+
+    endpoint_ptr endpoint;
+    caller_result result;
+    bool done = false;
+};
+
+}
+
+TEST_F(waiting_call_test, is_sent_soon_when_the_limit_grows)
+{
+    ASSERT_FALSE(done);
+    ASSERT_TRUE(first.requests.empty());
+    report({.endpoint = endpoint->hash, .limit = 30});
+    runFor(std::chrono::milliseconds(500));
+    EXPECT_TRUE(done);
+    EXPECT_EQ(result.body, "first");
+}
+
+TEST_F(waiting_call_test, goes_to_another_endpoint_when_its_own_says_it_leaves)
+{
+    ASSERT_FALSE(done);
+    addEndpoint("e2", "desk", second.address());
+    report({.endpoint = endpoint->hash, .leaving = true});
+    runFor(std::chrono::milliseconds(500));
+    EXPECT_TRUE(done);
+    EXPECT_EQ(result.body, "second");
+}
+
 TEST_F(endpoint_notice_test, a_request_is_refused_at_once_while_all_endpoints_pause)
 {
     status = 503;
