Keep to a limit that changes all the time

Each change of a limit moves all slots, and a daemon could use slots of the last second under the new limit that another had used under the old one. An endpoint that changes its limit by a few per cent each 100 or 300 ms got up to 161 requests in 4 s from 90 daemons and 128 from 9, at up to 20 a second; the rule allows 125. Each change also expedited a summary of the state exchange.

Slots that began before the daemon knew of the limit are lost now, and limits are rounded down to eight steps an octave, so that small changes move nothing and are not reported. The rounding is bounded: a limit of 10^300 had no slot at all.

Tests: limit_share.a_change_of_the_slots_gives_no_daemon_more_than_its_share is stricter (worst 4 s, three sizes of fleet) and changes the limit by fractions of a round; before, it moved no slot, since its changes were whole rounds. It failed before and holds now. limit_share.a_limit_of_any_size_has_slots failed before.

--- a/src/programs/lacewinglock_limit_model.cpp
+++ b/src/programs/lacewinglock_limit_model.cpp
@@ -14,6 +14,7 @@
 DEFINE_double(age_ms, 130, "age of what a daemon knows of the others");
 DEFINE_double(skew_ms, 50, "clocks differ by up to this much from the true time");
 DEFINE_bool(roster_changes, true, "half of the daemons miss one member for a second of every ten");
+DEFINE_double(change_ms, 0, "the endpoint changes its limit by a little each time this has passed; 0: never");
 DEFINE_uint64(seed, 1, "seed of the arrivals");
 
 // Compares ways to share the request limit of one endpoint between daemons that get its requests at random. A request that a way does not let through is
@@ -27,6 +28,8 @@
 constexpr double windowMs = 4000;
 constexpr double allowedFactor = 1.5;
 constexpr double allowedExtra = 5;
+constexpr double changeSize = 0.0137; // Of the limit, each time.
+constexpr double changesPerCycle = 7; // Then the first limit holds again.
 
 /// What a daemon knows when a request arrives.
 struct arrival
@@ -36,6 +39,7 @@
     std::size_t daemon = 0;
     std::size_t daemons = 1; ///< As the daemon counts them.
     double limit = 1; ///< Requests per second.
+    double limitSinceMs = 0; ///< By the daemon's clock, the time from which roundLimit() has had the same result.
     std::span<const double> sent; ///< Times of all requests that were sent, by any daemon.
     std::span<const std::size_t> senders;
 };
@@ -94,7 +98,11 @@
 
     bool admit(const arrival &now)
     {
-        const limit_share share{.perSecond = now.limit, .daemons = now.daemons, .rank = now.daemon % now.daemons, .offset = 7};
+        const limit_share share{.perSecond = lacewinglock::roundLimit(now.limit),
+                                .daemons = now.daemons,
+                                .rank = now.daemon % now.daemons,
+                                .offset = 7,
+                                .sinceMs = now.limitSinceMs};
         const double slot = lacewinglock::nextFreeSlotMs(share, usedMs[now.daemon], now.clockMs);
         if (slot > now.clockMs) {
             return false;
@@ -127,14 +135,26 @@
     std::vector<bool> served(daemons);
     outcome out;
     std::size_t windowBegin = 0;
+    double limitNow = limit;
+    double roundedLimit = 0;
+    double roundedSinceMs = 0;
     for (double at = 10'000; at < 10'000 + runMs; at += pause(random)) {
         const auto daemon = static_cast<std::size_t>(random() % daemons);
         const bool missesOne = FLAGS_roster_changes && std::fmod(at, 10'000) < 1000 && daemon % 2 == 0 && daemons > 1;
+        if (FLAGS_change_ms > 0) {
+            const double change = std::floor(at / FLAGS_change_ms);
+            limitNow = limit * (1 - changeSize * std::fmod(change, changesPerCycle));
+            if (const double rounded = lacewinglock::roundLimit(limitNow); rounded != roundedLimit) {
+                roundedLimit = rounded;
+                roundedSinceMs = change * FLAGS_change_ms;
+            }
+        }
         const arrival now{.atMs = at,
                           .clockMs = at + offsets[daemon],
                           .daemon = daemon,
                           .daemons = missesOne ? daemons - 1 : daemons,
-                          .limit = limit,
+                          .limit = limitNow,
+                          .limitSinceMs = roundedSinceMs + offsets[daemon],
                           .sent = sent,
                           .senders = senders};
         const auto admits = [&now](auto &chosen) {
--- a/src/serving/endpoint_notice.cpp
+++ b/src/serving/endpoint_notice.cpp
@@ -1,5 +1,7 @@
 #include "serving/endpoint_notice.h"
 
+#include "serving/limit_share.h"
+
 #include <algorithm>
 
 namespace lacewinglock
@@ -24,6 +26,11 @@
     return true;
 }
 
+std::optional<double> rounded(std::optional<double> limit)
+{
+    return limit ? std::optional(roundLimit(*limit)) : std::nullopt;
+}
+
 bool setLimit(endpoint_state &endpoint, std::optional<double> limit, instant saidAt, instant now)
 {
     endpoint.limitSaidAt = saidAt;
@@ -55,7 +62,7 @@
     if (notice.pause) {
         endpoint.pausedUntil = std::max(endpoint.pausedUntil, now + *notice.pause);
     }
-    return noteLimit(endpoint, notice.limit, sentAt, now) || left;
+    return noteLimit(endpoint, rounded(notice.limit), sentAt, now) || left;
 }
 
 bool applyReport(endpoint_registry &endpoints, const notice_report &report, instant now)
@@ -70,8 +77,9 @@
     const bool left = report.leaving && noteLeaving(endpoints, *endpoint, now);
     // The age of a report lacks its time on the way, so an equal limit must not look newer each time it is passed on.
     const instant saidAt = now - std::chrono::milliseconds(report.ageMs);
-    const bool isNews = report.limit != endpoint->limit && saidAt > endpoint->limitSaidAt;
-    return (isNews && setLimit(*endpoint, report.limit, saidAt, now)) || left;
+    const auto limit = rounded(report.limit);
+    const bool isNews = limit != endpoint->limit && saidAt > endpoint->limitSaidAt;
+    return (isNews && setLimit(*endpoint, limit, saidAt, now)) || left;
 }
 
 std::vector<notice_report> selectReports(const endpoint_registry &endpoints, std::size_t count, std::size_t &next, instant now)
--- a/src/serving/endpoint_registry.h
+++ b/src/serving/endpoint_registry.h
@@ -55,7 +55,7 @@
     double slowdown = 1; ///< Ratio of measured to predicted prefill time, moving average.
     std::multiset<instant> answerDeadlines; ///< When the first response of each outstanding request of this daemon is due.
     instant reservedUntil; ///< A role change is in progress; no new requests are sent before this time.
-    std::optional<double> limit; ///< Requests per second that it takes from all daemons together, if it names a limit.
+    std::optional<double> limit; ///< Requests per second that it takes from all daemons together, if it names a limit; rounded by roundLimit().
     instant limitSaidAt; ///< When it last said `limit`, or that it has none.
     instant turnTakenAt; ///< Last slot of the limit that a request has taken; may lie ahead while the request waits.
     instant turnUsedAt; ///< Last slot in which a request was sent.
--- a/src/serving/endpoint_turn.cpp
+++ b/src/serving/endpoint_turn.cpp
@@ -55,7 +55,11 @@
     if (!place) {
         return std::ceil(std::max(pauseMs, noShareWaitMs));
     }
-    const limit_share share{.perSecond = *endpoint.limit, .daemons = place->daemons, .rank = place->rank, .offset = endpoint.hash};
+    const limit_share share{.perSecond = *endpoint.limit,
+                            .daemons = place->daemons,
+                            .rank = place->rank,
+                            .offset = endpoint.hash,
+                            .sinceMs = nowMs + toMs(endpoint.noticeChangedAt - m_now)};
     const double slotMs = nextFreeSlotMs(share, nowMs + toMs(endpoint.turnTakenAt - m_now), nowMs + pauseMs);
     return std::ceil(std::max(pauseMs, slotMs - nowMs));
 }
--- a/tests/endpoint_notice_test.cpp
+++ b/tests/endpoint_notice_test.cpp
@@ -411,24 +411,71 @@
 TEST(limit_share, a_change_of_the_slots_gives_no_daemon_more_than_its_share)
 {
     constexpr double seconds = 60;
-    for (const bool rosterChanges : {false, true}) {
-        constexpr std::size_t daemons = 9;
+    constexpr double beginMs = 1.8e12;
+    const auto worstRate = [](std::size_t daemons, double perSecond, int changeMs, bool rosterChanges) {
         std::vector<double> used(daemons, 0);
-        double sent = 0;
-        for (int ms = 0; ms < seconds * 1000; ms += 10) {
-            const int change = ms / 100;
-            const limit_share whole{.perSecond = rosterChanges ? 2 : 2 - 0.003 * (change % 30), .daemons = daemons - (rosterChanges ? change % 2 : 0)};
-            for (std::size_t rank = 0; rank < whole.daemons; ++rank) {
-                auto share = whole;
-                share.rank = rank;
-                if (const double slot = nextFreeSlotMs(share, used[rank], 1.8e12 + ms); slot <= 1.8e12 + ms) {
-                    used[rank] = slot;
-                    ++sent;
+        std::vector<int> sent;
+        std::size_t worst = 0;
+        for (int ms = 0, first = 0; ms < seconds * 1000; ms += 10) {
+            const int change = ms / changeMs;
+            limit_share share{.perSecond = perSecond, .daemons = daemons};
+            if (rosterChanges) {
+                share.daemons -= static_cast<std::size_t>(change % 2);
+            } else {
+                // No change by a whole number of rounds, which would leave the slots where they are.
+                share.perSecond *= 1 - 0.0137 * (change % 7);
+                share.sinceMs = beginMs + change * changeMs;
+            }
+            for (share.rank = 0; share.rank < share.daemons; ++share.rank) {
+                if (const double slot = nextFreeSlotMs(share, used[share.rank], beginMs + ms); slot <= beginMs + ms) {
+                    used[share.rank] = slot;
+                    sent.push_back(ms);
                 }
             }
+            while (first < static_cast<int>(sent.size()) && ms - sent[static_cast<std::size_t>(first)] >= 4000) {
+                ++first;
+            }
+            worst = std::max(worst, sent.size() - static_cast<std::size_t>(first));
+        }
+        EXPECT_LE(static_cast<double>(sent.size()), perSecond * seconds * 1.1 + static_cast<double>(daemons)) << daemons << " daemons, " << perSecond << "/s";
+        return worst;
+    };
+    for (const std::size_t daemons : {1U, 9U, 90U}) {
+        for (const double perSecond : {1.0, 2.0, 20.0}) {
+            for (const int changeMs : {100, 300, 1000}) {
+                // The slots of 4 s and of the second before, and one at each end.
+                EXPECT_LE(worstRate(daemons, perSecond, changeMs, false), 5 * perSecond + 2)
+                    << daemons << " daemons, " << perSecond << "/s, a change each " << changeMs << " ms";
+            }
         }
-        // Each daemon may take its first slot early.
-        EXPECT_LE(sent, 2 * seconds * 1.1 + daemons) << rosterChanges;
+    }
+    worstRate(9, 2, 100, true);
+}
+
+// Guards against slots that move all the time, and against servers that are left idle.
+TEST(limit_share, a_rounded_limit_stays_close_and_does_not_change_with_small_changes)
+{
+    for (double perSecond = 0.1; perSecond < 1000; perSecond *= 1.01) {
+        const double rounded = roundLimit(perSecond);
+        EXPECT_LE(rounded, perSecond * 1.00001);
+        EXPECT_GE(rounded, perSecond * 0.91);
+        EXPECT_EQ(roundLimit(rounded), rounded);
+    }
+    EXPECT_EQ(roundLimit(1), 1);
+    EXPECT_EQ(roundLimit(4), 4);
+    EXPECT_EQ(roundLimit(3.7), roundLimit(3.8));
+}
+
+// Guards against numbers that have no slot.
+TEST(limit_share, a_limit_of_any_size_has_slots)
+{
+    for (const double perSecond : {0.0, 1e-300, 1e9, 1e300}) {
+        const limit_share share{.perSecond = roundLimit(perSecond), .daemons = 9, .rank = 3, .offset = 7};
+        const double nowMs = 1.8e12;
+        const double slot = nextFreeSlotMs(share, 0, nowMs);
+        EXPECT_GE(slot, nowMs - 1000) << perSecond;
+        EXPECT_LE(slot, perSecond < 1 ? nowMs + 100'000 : nowMs) << perSecond;
+        EXPECT_GT(nextFreeSlotMs(share, slot, nowMs), slot) << perSecond;
     }
 }
 
