Soak: endpoints that change their limit all the time

The limits of the soak's endpoints stayed for 5 s at least, and each change began a new grace of 3 s. Some endpoints change their limit by a few per cent each 300 ms now, and what a window allows is the sum of the limits named in it, from 3 s after the first.

Test: endpoint_demands_test.sums_up_a_limit_that_changes.

--- a/soak/endpoint_demands.cpp
+++ b/soak/endpoint_demands.cpp
@@ -1,5 +1,7 @@
 #include "soak/endpoint_demands.h"
 
+#include <algorithm>
+
 namespace faultsoak
 {
 
@@ -49,10 +51,24 @@
 
 void endpoint_demands::recordLimit(const std::string &endpoint, std::optional<double> perSecond, std::int64_t timeMs)
 {
-    m_limits.erase(endpoint);
-    if (perSecond) {
-        m_limits[endpoint] = {.perSecond = *perSecond, .sinceMs = timeMs};
+    if (!perSecond) {
+        m_limits.erase(endpoint);
+        return;
+    }
+    auto &limit = m_limits.try_emplace(endpoint, named_limit{.sinceMs = timeMs}).first->second;
+    limit.perSecond[timeMs] = *perSecond;
+}
+
+double endpoint_demands::allowedUntil(const named_limit &limit, std::int64_t timeMs)
+{
+    double requests = 0;
+    std::int64_t end = timeMs;
+    for (auto named = limit.perSecond.rbegin(); named != limit.perSecond.rend() && end > timeMs - windowMs; ++named) {
+        const auto begin = std::clamp(named->first, timeMs - windowMs, end);
+        requests += named->second * static_cast<double>(end - begin) / 1000;
+        end = begin;
     }
+    return limitFactor * requests + limitExtra;
 }
 
 void endpoint_demands::recordToldLimit(const std::string &endpoint, const std::string &id, std::int64_t timeMs)
@@ -101,8 +117,8 @@
     while (limit.arrivalsMs.front() <= timeMs - windowMs) {
         limit.arrivalsMs.pop_front();
     }
-    if (static_cast<double>(limit.arrivalsMs.size()) > limitFactor * limit.perSecond * windowMs / 1000 + limitExtra) {
-        m_violations.push_back(endpoint + " named a limit of " + std::to_string(limit.perSecond) + " a second and got "
+    if (static_cast<double>(limit.arrivalsMs.size()) > allowedUntil(limit, timeMs)) {
+        m_violations.push_back(endpoint + " named limits, the last one of " + std::to_string(limit.perSecond.rbegin()->second) + " a second, and got "
                                + std::to_string(limit.arrivalsMs.size()) + " requests in 4 s");
         limit.arrivalsMs.clear(); // One violation per excess.
     }
--- a/soak/endpoint_demands.h
+++ b/soak/endpoint_demands.h
@@ -46,8 +46,8 @@
     };
     struct named_limit
     {
-        double perSecond = 0;
-        std::int64_t sinceMs = 0;
+        std::map<std::int64_t, double> perSecond; ///< By the time from which it was named.
+        std::int64_t sinceMs = 0; ///< When a limit was named first.
         std::map<std::string, std::int64_t> toldMs; ///< By daemon.
         std::deque<std::int64_t> arrivalsMs; ///< From daemons that had been told, within the last window.
     };
@@ -62,6 +62,8 @@
     /// The request that an answer told something; null if the request is unknown, or if the link was harmed and the answer may be lost.
     const sent_request *findTold(const std::string &endpoint, const std::string &id, std::int64_t timeMs) const;
     bool restartedSince(const std::string &daemon, std::int64_t timeMs) const;
+    /// Requests that the limit allows in the window that ends at a time.
+    static double allowedUntil(const named_limit &limit, std::int64_t timeMs);
     void checkLimit(const std::string &endpoint, const sent_request &sent, std::int64_t timeMs);
     void checkLeaving(const std::string &endpoint, const std::string &id, const sent_request &sent, std::int64_t timeMs);
     void checkPause(const std::string &endpoint, const sent_request &sent, std::int64_t timeMs);
--- a/soak/faultsoak.cpp
+++ b/soak/faultsoak.cpp
@@ -40,6 +40,10 @@
 constexpr std::int64_t calmMs = 2000; // Load before the first fault.
 constexpr std::int64_t partAfterFaultsMs = 8000; // Long enough to see how prompts are served beside the part when nothing else is disturbed.
 constexpr double crashingFraction = 0.2; // Of the prompts, while a part crashes engines.
+constexpr int limitChanges = 30; // Of an endpoint that changes its limit by little all the time.
+constexpr std::int64_t limitChangeMs = 300;
+constexpr double limitChangeSize = 0.03;
+constexpr int limitChangesPerCycle = 7;
 constexpr int requestsPerConnection = 15;
 constexpr std::int64_t resolveTimeoutMs = 1000; // Name resolution takes a few milliseconds.
 constexpr std::int64_t responseTimeoutMs = 6000; // Above the timeout of every route.
@@ -353,7 +357,8 @@
     return found == m_endpoints.end() ? nullptr : found->standIn.get();
 }
 
-// Endpoints name a limit, change it and drop it, leave without marking their entry in the store, ask for pauses, and write bytes that belong to no request.
+// Endpoints name a limit, change it, some all the time, and drop it, leave without marking their entry in the store, ask for pauses, and write bytes that
+// belong to no request.
 task<void> soak_run::makeDemands()
 {
     while (m_injectingFaults) {
@@ -395,6 +400,19 @@
             standIn->setGarbles(false);
         }
         break;
+    case 3: {
+        const double limit = static_cast<double>(randomBetween(m_demandRandom, 5, 60)) / 10;
+        for (int change = 0; change < limitChanges; ++change) {
+            if (auto *standIn = standInWithId(id)) {
+                standIn->setLimit(limit * (1 - limitChangeSize * (change % limitChangesPerCycle)));
+            }
+            co_await sleepMs(limitChangeMs);
+        }
+        if (auto *standIn = standInWithId(id)) {
+            standIn->setLimit(std::nullopt);
+        }
+        break;
+    }
     default:
         for (int change = 0; change < 2; ++change) {
             if (auto *standIn = standInWithId(id)) {
--- a/tests/endpoint_demands_test.cpp
+++ b/tests/endpoint_demands_test.cpp
@@ -48,6 +48,20 @@
     EXPECT_EQ(violations(), 1U);
 }
 
+// Guards against a grace period after each change of a limit.
+TEST_F(endpoint_demands_test, sums_up_a_limit_that_changes)
+{
+    nameLimit(1, 0);
+    checker.recordLimit("e", 3, 6000);
+    // 3 s at 1 a second and 1 s at 3, and half as much again, and 5.
+    for (int i = 0; i < 14; ++i) {
+        arrive(7000);
+    }
+    EXPECT_EQ(violations(), 0U);
+    arrive(7000);
+    EXPECT_EQ(violations(), 1U);
+}
+
 TEST_F(endpoint_demands_test, does_not_count_what_the_limit_does_not_bind)
 {
     nameLimit(1, 0);
