Do not take an empty answer for the end of a resumed stream

An engine that answers a resumed stream with 200, a length of 0 and no content type ended the caller's stream as complete, in the middle. Without a new event, only an answer that says that it is an event stream proves the end now; otherwise the stream is broken, and goes on at another engine or ends without its last chunk.

Test: stream_forward.an_error_of_the_next_engine_does_not_enter_a_stream_that_has_begun has this answer as another case, in which the stream was whole before.

--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -30,10 +30,19 @@
 constexpr double slowdownSmoothing = 0.2; // Weight of a new sample: a slow engine shows after five prefills.
 constexpr auto freeHandleTimeout = std::chrono::milliseconds(500);
 
-bool maybeEventStream(const http::response_header<> &head)
+enum class body_kind {
+    Unknown, ///< The engine names no type.
+    Events,
+    Other,
+};
+
+body_kind bodyKind(const http::response_header<> &head)
 {
     const auto type = toView(head[http::field::content_type]);
-    return type.empty() || type.starts_with("text/event-stream");
+    if (type.empty()) {
+        return body_kind::Unknown;
+    }
+    return type.starts_with("text/event-stream") ? body_kind::Events : body_kind::Other;
 }
 
 /// Serves one streaming request: places it, runs the prefill on a separate engine if placed so, forwards the events, and retries or resumes.
@@ -396,7 +405,7 @@
         }
         co_return co_await fail(silent ? http::status::gateway_timeout : http::status::bad_gateway, toText(state));
     }
-    const bool mayContinue = !m_streaming || maybeEventStream(exchange->head());
+    const bool mayContinue = !m_streaming || bodyKind(exchange->head()) != body_kind::Other;
     if (exchange->head().result() == http::status::ok && isSealed(m_context, exchange->head()) && mayContinue) {
         co_return co_await forwardEvents(*exchange, state, engine, reservation);
     }
@@ -486,8 +495,8 @@
         }
     }
     const instant now = bootNow();
-    // After a resume, the end of a connection that brought no new event may also be that of the engine.
-    const bool endIsProved = !first || !exchange.endsWithConnection();
+    // After a resume, the end of a connection that brought no new event may also be that of the engine, and an empty body that of an error.
+    const bool endIsProved = !first || (!exchange.endsWithConnection() && bodyKind(exchange.head()) == body_kind::Events);
     if (state == exchange_state::Complete && events.partialBytes() == 0 && m_streaming && endIsProved) {
         m_context.endpoints.noteResult(*engine, attempt_result::Succeeded, now);
         recordSuccess(m_context, m_request);
--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -480,6 +480,9 @@
         chunked("error: overloaded\n\n"),
         chunked("HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\n\r\nfull"),
         chunked("error: overloaded\n\n" + event(2)),
+        [](const http_request &request) {
+            return wholeAnswer(request, 200, "");
+        },
     };
     for (std::size_t i = 0; i < answers.size(); ++i) {
         int calls = 0;
