Test: the next slot lies within the target of the calls that wait for it

The next slot of the two tests with a waiting call is 1.5 to 4.5 s away, by the clock, and the call was refused, as it must be, when it lay beyond the target of 4 s. The checks are the same.

--- a/tests/endpoint_notice_test.cpp
+++ b/tests/endpoint_notice_test.cpp
@@ -199,8 +199,8 @@
     {
         auto route = makeRoute("/read/", "desk");
         route.repeatable = true;
-        route.target = std::chrono::seconds(4);
-        route.timeout = std::chrono::seconds(5);
+        route.target = std::chrono::seconds(10); // Beyond the next slot, which is 4.5 s away at most.
+        route.timeout = std::chrono::seconds(12);
         configure({route});
         endpoint = context->endpoints.find("e1");
         report({.endpoint = endpoint->hash, .limit = 1});
