Take one retry from the budget for a repeat that is placed again

A repeat that waited for a slot or the end of a pause and was placed again took another retry from the budget each time, and so did one whose endpoint could not be reached, although nothing was sent. A caller was told that the budget is spent, or got the first endpoint's error, while another endpoint was free.

Test: waiting_repeat_test.takes_one_retry_from_the_budget_although_it_is_placed_again got the first endpoint's error before. The test beside it shares the fixture now, with the same checks.

--- a/src/serving/service_forward.cpp
+++ b/src/serving/service_forward.cpp
@@ -123,6 +123,7 @@
     std::set<std::string> failedEndpoints;
     int unreachable = 0;
     bool mayHaveRun = false;
+    bool retryAcquired = false; // For an attempt that has not been sent yet.
     attempt last;
     double retryAfterMs = 250;
     http::status failure = http::status::service_unavailable;
@@ -145,7 +146,8 @@
             code = "crashes_endpoints";
             break;
         }
-        if (outcome.attempts > 0 && !context.retryBudget.tryAcquire(request.service, context.daemons(), now)) {
+        retryAcquired = retryAcquired || outcome.attempts == 0 || context.retryBudget.tryAcquire(request.service, context.daemons(), now);
+        if (!retryAcquired) {
             code = "retry_budget";
             break;
         }
@@ -173,6 +175,7 @@
             continue;
         }
         ++outcome.attempts;
+        retryAcquired = false;
         if (notRun) {
             code = "endpoint_full";
             continue;
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -73,7 +73,8 @@
     /// Updates the engine's slowdown from the time of a prefill, unless the prefill was queued behind others or too short.
     void updateSlowdown(const endpoint_ptr &engine, bool wasQueued, double tokens, double elapsedMs) const;
     bool mayRetry() const;
-    bool acquireRetry();
+    /// Acquires a retry from the budget, unless `acquired` says that one is left from a request that was not sent.
+    bool acquireRetry(bool &acquired);
 
     edge_context &m_context;
     caller_request &m_request;
@@ -83,6 +84,8 @@
     std::set<std::string> m_failed;
     int m_unreachable = 0;
     int m_prefillAttempts = 0; ///< Prefill requests sent; the first one needs no retry budget.
+    bool m_retryAcquired = false; ///< For an attempt that has not been sent yet.
+    bool m_prefillRetryAcquired = false; ///< For a prefill request that has not been sent yet.
     bool m_mayHaveRun = false; ///< A decode engine may have run the request.
     bool m_streaming = false; ///< The response head was sent to the caller.
     std::optional<std::uint64_t> m_lastEventId; ///< Id of the last event sent to the caller.
@@ -142,9 +145,10 @@
     return m_outcome.attempts < m_route.maxAttempts && (!m_mayHaveRun || m_route.resumable);
 }
 
-bool stream_session::acquireRetry()
+bool stream_session::acquireRetry(bool &acquired)
 {
-    return m_context.retryBudget.tryAcquire(m_request.service, m_context.daemons(), bootNow());
+    acquired = acquired || m_context.retryBudget.tryAcquire(m_request.service, m_context.daemons(), bootNow());
+    return acquired;
 }
 
 task<caller_outcome> stream_session::run()
@@ -175,7 +179,7 @@
             co_await refuse("crashes_endpoints", crashRetryAfterMs);
             break;
         }
-        if (m_outcome.attempts > 0 && !acquireRetry()) {
+        if (m_outcome.attempts > 0 && !acquireRetry(m_retryAcquired)) {
             co_await refuse("retry_budget", m_retryAfterMs);
             break;
         }
@@ -284,7 +288,7 @@
 
 task<std::string> stream_session::prefillPrompt(const endpoint_ptr &prefillEngine, const endpoint_ptr &kvSource, double tokens, double predictedMs)
 {
-    if (m_prefillAttempts++ > 0 && !acquireRetry()) {
+    if (m_prefillAttempts++ > 0 && !acquireRetry(m_prefillRetryAcquired)) {
         co_return std::string();
     }
     const auto address = parseAddress(prefillEngine->entry.address);
@@ -299,6 +303,7 @@
         --m_prefillAttempts;
         co_return std::string();
     }
+    m_prefillRetryAcquired = false;
     const instant now = bootNow();
     auto message = makeForwardedRequest(m_context, m_request, prefillEngine->entry, now);
     m_context.platform.wire.engine.markPrefill(message);
@@ -380,6 +385,7 @@
         co_return step::Retry;
     }
     ++m_outcome.attempts;
+    m_retryAcquired = false;
     const bool answered = hasHead(state);
     if (answered) {
         if (isMarkedNotExecuted(m_context, exchange->head())) {
--- a/tests/endpoint_notice_test.cpp
+++ b/tests/endpoint_notice_test.cpp
@@ -152,42 +152,72 @@
     EXPECT_EQ(first.requests.size(), 2U);
 }
 
-TEST_F(endpoint_notice_test, the_answer_of_the_first_endpoint_stays_when_the_next_one_cannot_be_used_after_the_wait)
+namespace
 {
-    auto route = makeRoute("/read/", "desk");
-    route.repeatable = true;
-    route.target = std::chrono::seconds(1);
-    route.timeout = std::chrono::seconds(3);
-    configure({route});
-    status = 500;
-    addEndpoint("e2", "desk", second.address());
-    const auto next = context->endpoints.find("e2");
-    next->peers.running = 3;
-    next->pausedUntil = bootNow() + std::chrono::milliseconds(600);
+
+/// A call that the first endpoint has answered with an error, and that waits for the end of a pause of the second one.
+class waiting_repeat_test : public endpoint_notice_test
+{
+protected:
+    void SetUp() override
+    {
+        auto route = makeRoute("/read/", "desk");
+        route.repeatable = true;
+        route.target = std::chrono::seconds(1);
+        route.timeout = std::chrono::seconds(3);
+        configure({route});
+        status = 500;
+        addEndpoint("e2", "desk", second.address());
+        next = context->endpoints.find("e2");
+        next->peers.running = 3;
+        next->pausedUntil = bootNow() + std::chrono::milliseconds(600);
+        startCall(get("/read/1"), result, done);
+        ASSERT_TRUE(runUntil(
+            [this] {
+                return !first.requests.empty();
+            },
+            std::chrono::seconds(1)));
+        runUntil(
+            [] {
+                return false;
+            },
+            std::chrono::milliseconds(40));
+    }
+
+    void awaitAnswer()
+    {
+        ASSERT_TRUE(runUntil(
+            [this] {
+                return done;
+            },
+            std::chrono::seconds(2)));
+    }
+
+    endpoint_ptr next;
     caller_result result;
     bool done = false;
-    startCall(get("/read/1"), result, done);
-    ASSERT_TRUE(runUntil(
-        [this] {
-            return !first.requests.empty();
-        },
-        std::chrono::seconds(1)));
-    runUntil(
-        [] {
-            return false;
-        },
-        std::chrono::milliseconds(40));
+};
+
+}
+
+TEST_F(waiting_repeat_test, the_answer_of_the_first_endpoint_stays_when_the_next_one_cannot_be_used_after_the_wait)
+{
     next->pausedUntil = bootNow() + std::chrono::seconds(5);
-    ASSERT_TRUE(runUntil(
-        [&] {
-            return done;
-        },
-        std::chrono::seconds(2)));
+    awaitAnswer();
     EXPECT_EQ(result.status, 500);
     EXPECT_EQ(result.body, "first");
     EXPECT_TRUE(second.requests.empty());
 }
 
+TEST_F(waiting_repeat_test, takes_one_retry_from_the_budget_although_it_is_placed_again)
+{
+    while (context->retryBudget.tryAcquire("desk", context->daemons(), bootNow())) {
+    }
+    applyReport(context->endpoints, {.endpoint = next->hash, .limit = 30}, bootNow());
+    awaitAnswer();
+    EXPECT_EQ(result.body, "second");
+}
+
 namespace
 {
 
