--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -559,60 +559,73 @@
     EXPECT_GE(calls, 30);
 }
 
-TEST_F(stream_forward, an_engine_that_asked_for_a_pause_gets_no_call_to_free_a_handle)
+namespace
 {
-    scripted_server prefillEngine(loop, [](const http_request &request, int) {
-        return scripted_answer{.bytes = wholeAnswer(request, 200, R"({"kv-handle":"h1"})")};
-    });
-    scripted_server decodeEngine(loop, [this](const http_request &request, int) {
-        context->endpoints.find("e1")->pausedUntil = bootNow() + std::chrono::seconds(5);
-        return scripted_answer{.bytes = wholeAnswer(request, 503, "full", "X-Not-Executed: 1\r\n")};
-    });
-    configure({streamRoute(false)});
-    addEndpoint("e1", "engines", prefillEngine.address(), endpoint_role::Prefill);
-    addEndpoint("e2", "engines", decodeEngine.address(), endpoint_role::Decode);
+
+/// A prompt is prefilled at one engine and refused at the other, so that the handle of its KV cache is freed.
+class freed_handle_test : public stream_forward
+{
+protected:
+    freed_handle_test()
+        : prefillEngine(loop,
+                        [this](const http_request &request, int number) {
+                            return scripted_answer{.bytes = number == 1 ? wholeAnswer(request, 200, R"({"kv-handle":"h1"})", prefillFields)
+                                                                        : wholeAnswer(request, 200, "{}", freeFields)};
+                        })
+        , decodeEngine(loop, [this](const http_request &request, int) {
+            beforeRefusal();
+            return scripted_answer{.bytes = wholeAnswer(request, 503, "full", "X-Not-Executed: 1\r\n")};
+        })
+    {
+        configure({streamRoute(false)});
+        addEndpoint("e1", "engines", prefillEngine.address(), endpoint_role::Prefill);
+        addEndpoint("e2", "engines", decodeEngine.address(), endpoint_role::Decode);
+    }
+
+    endpoint_state &prefillState()
+    {
+        return *context->endpoints.find("e1");
+    }
+
+    std::string prefillFields;
+    std::string freeFields;
+    std::function<void()> beforeRefusal = [] {
+    };
+    scripted_server prefillEngine;
+    scripted_server decodeEngine;
+};
+
+}
+
+TEST_F(freed_handle_test, an_engine_that_asked_for_a_pause_gets_no_call)
+{
+    beforeRefusal = [this] {
+        prefillState().pausedUntil = bootNow() + std::chrono::seconds(5);
+    };
     EXPECT_EQ(call(generation(17000)).status, 503);
     pause(std::chrono::milliseconds(200));
     EXPECT_EQ(prefillEngine.requests.size(), 1U);
 }
 
-TEST_F(stream_forward, the_answer_to_a_call_that_frees_a_handle_tells_of_a_leaving_engine)
+TEST_F(freed_handle_test, the_answer_tells_of_a_leaving_engine)
 {
-    scripted_server prefillEngine(loop, [](const http_request &request, int number) {
-        return scripted_answer{.bytes
-                               = number == 1 ? wholeAnswer(request, 200, R"({"kv-handle":"h1"})") : wholeAnswer(request, 200, "{}", "Server-Leaving: 1\r\n")};
-    });
-    scripted_server decodeEngine(loop, [](const http_request &request, int) {
-        return scripted_answer{.bytes = wholeAnswer(request, 503, "full", "X-Not-Executed: 1\r\n")};
-    });
-    configure({streamRoute(false)});
-    addEndpoint("e1", "engines", prefillEngine.address(), endpoint_role::Prefill);
-    addEndpoint("e2", "engines", decodeEngine.address(), endpoint_role::Decode);
+    freeFields = "Server-Leaving: 1\r\n";
     EXPECT_EQ(call(generation(17000)).status, 503);
     EXPECT_TRUE(runUntil(
         [this] {
-            return !context->endpoints.find("e1")->usable(bootNow());
+            return !prefillState().usable(bootNow());
         },
         std::chrono::seconds(1)));
 }
 
 // Guards against a limit that is forgotten because the answers to calls of our own do not repeat it.
-TEST_F(stream_forward, the_answer_to_a_call_that_frees_a_handle_does_not_end_a_limit)
+TEST_F(freed_handle_test, the_answer_does_not_end_a_limit)
 {
-    scripted_server prefillEngine(loop, [](const http_request &request, int number) {
-        return scripted_answer{.bytes
-                               = number == 1 ? wholeAnswer(request, 200, R"({"kv-handle":"h1"})", "Server-Limit: 9\r\n") : wholeAnswer(request, 200, "{}")};
-    });
-    scripted_server decodeEngine(loop, [](const http_request &request, int) {
-        return scripted_answer{.bytes = wholeAnswer(request, 503, "full", "X-Not-Executed: 1\r\n")};
-    });
-    configure({streamRoute(false)});
-    addEndpoint("e1", "engines", prefillEngine.address(), endpoint_role::Prefill);
-    addEndpoint("e2", "engines", decodeEngine.address(), endpoint_role::Decode);
+    prefillFields = "Server-Limit: 9\r\n";
     EXPECT_EQ(call(generation(17000)).status, 503);
     pause(std::chrono::milliseconds(200));
     EXPECT_EQ(prefillEngine.requests.size(), 2U);
-    EXPECT_TRUE(context->endpoints.find("e1")->limit);
+    EXPECT_TRUE(prefillState().limit);
 }
 
 }
