Refuse at once what would be late because its decode engine is held

The wait for a slot of the decode engine's limit did not count as a queue when another engine does the prefill: a request that could only be late was prefilled and then held the KV cache for the wait, and a refused one was told to come back after 250 ms.

The wait beyond the prefill counts now, for the verdict and the retry time. Placements without a limit or a pause are the same.

Test: place_generation.refuses_what_would_be_late_because_decode_is_held ran the request 4 s late before.

--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -174,7 +174,7 @@
                     .kvSourceIndex = plan.kvSourceIndex,
                     .firstEventMs = first,
                     .prefillDoneMs = plan.doneMs,
-                    .queueMs = plan.queueMs,
+                    .queueMs = std::max(plan.queueMs, input.engines[static_cast<std::size_t>(decodeIndex)].heldMs - plan.doneMs),
                     .prefillMs = plan.workMs};
         }
     };
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -79,7 +79,7 @@
     int kvSourceIndex = -1; ///< Engine from which the prefilling engine fetches cached prefix blocks; -1 for none.
     double firstEventMs = 0; ///< Predicted time from now to the first event.
     double prefillDoneMs = 0; ///< Predicted time from now to the end of the prefill.
-    double queueMs = 0; ///< Predicted queue time at the prefilling engine.
+    double queueMs = 0; ///< Predicted queue time: at the prefilling engine, or after the prefill if the decode engine holds the request longer.
     double prefillMs = 0; ///< Predicted prefill work at the prefilling engine.
     double retryAfterMs = 0; ///< Set when refused.
     std::string_view reason;
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -209,4 +209,18 @@
     EXPECT_EQ(placeDecode(input, model, true), -1);
 }
 
+TEST(place_generation, refuses_what_would_be_late_because_decode_is_held)
+{
+    generation_input input{.promptTokens = 17000, .targetMs = 2000, .remainingMs = 20000, .mayDisaggregate = true};
+    input.engines = {{.id = "prefill", .role = endpoint_role::Prefill, .local = true, .slots = 24},
+                     {.id = "held", .role = endpoint_role::Decode, .local = true, .slots = 24}};
+    const auto placed = placeGeneration(input, model);
+    ASSERT_EQ(placed.verdict, placement_verdict::Run);
+    ASSERT_EQ(placed.prefillIndex, 0);
+    input.engines[1].heldMs = 4000;
+    const auto refused = placeGeneration(input, model);
+    EXPECT_EQ(refused.verdict, placement_verdict::Refuse);
+    EXPECT_GE(refused.retryAfterMs, std::min(input.engines[1].heldMs - placed.prefillDoneMs, 3000.0)); // No retry time is longer than 3 s.
+}
+
 }
