Send nothing to limited endpoints before the members are known

A daemon that had started and not read the members yet, for as long as the store did not answer it, took itself for the only one and sent the whole limit of an endpoint, beside the shares of the others: close to twice the limit. It has no slots now until it knows its place; other endpoints are used.

The last line of .counts_the_serving_members_unless_most_are_silent had stated the old behaviour, that a daemon without members is alone; each daemon writes a row of its own, so none is.

--- a/src/serving/endpoint_turn.h
+++ b/src/serving/endpoint_turn.h
@@ -22,7 +22,7 @@
     /// Of this daemon in the fleet, and the time that the daemons agree on.
     struct place_and_time
     {
-        std::optional<fleet_place> place; ///< nullopt if this daemon is not a member; it has no slots then.
+        std::optional<fleet_place> place; ///< nullopt if this daemon is not a known member; it has no slots then.
         double nowMs = 0;
     };
     const place_and_time &findPlaceAndTime() const;
--- a/src/serving/fleet_place.cpp
+++ b/src/serving/fleet_place.cpp
@@ -6,9 +6,6 @@
 // Members and peers are both in the order of their ids, so one pass over both is enough in a large fleet.
 std::optional<fleet_place> findPlace(const edge_context &context)
 {
-    if (context.members.empty()) {
-        return fleet_place();
-    }
     fleet_place serving{.daemons = 0};
     fleet_place all{.daemons = 0};
     bool found = false;
--- a/src/serving/fleet_place.h
+++ b/src/serving/fleet_place.h
@@ -17,7 +17,7 @@
 };
 
 /// The place of this daemon by id among the members that serve, according to the state exchange. If only half of the members or fewer are known to serve,
-/// this daemon may be the one that is cut off, and all members count. nullopt if this daemon is not a member; without any members it is alone.
+/// this daemon may be the one that is cut off, and all members count. nullopt if this daemon is not a member, or does not know the members yet.
 std::optional<fleet_place> findPlace(const edge_context &context);
 
 }
--- a/tests/endpoint_notice_test.cpp
+++ b/tests/endpoint_notice_test.cpp
@@ -404,8 +404,19 @@
     EXPECT_EQ(findPlace(*context), (fleet_place{.rank = 1, .daemons = 3}));
     context->members.erase("daemon-1");
     EXPECT_EQ(findPlace(*context), std::nullopt);
+    // A daemon that has started and not read the members yet; its own row is among them.
     context->members.clear();
-    EXPECT_EQ(findPlace(*context), fleet_place());
+    EXPECT_EQ(findPlace(*context), std::nullopt);
+}
+
+TEST_F(endpoint_notice_test, a_daemon_that_does_not_know_the_members_sends_nothing_to_a_limited_endpoint)
+{
+    addEndpoint("e2", "desk", second.address());
+    context->members.clear();
+    notice = "Server-Limit: 50\r\n";
+    callFor(std::chrono::milliseconds(100));
+    EXPECT_EQ(requestsToFirstDuring(std::chrono::milliseconds(500)), 0U);
+    EXPECT_FALSE(second.requests.empty());
 }
 
 // Guards against requests beyond the limit when every daemon has many for the endpoint, at sizes from small to large.
