Keep the stream of a silent engine until another one has begun it

A resumable stream without an event for a second was cut at its engine first, and placed again after. When there was no other engine, no retry left in the budget, or the other engine refused, nothing was left to answer with. The class: giving up what works before its replacement does.

The engine's exchange now stays open while another engine is asked, and is cancelled when that one has begun to answer. An event of the silent engine ends the takeover instead. The same holds before the first event.

Before the change four of the eight new tests failed: no other engine, the other engine full, the budget used up, and a stream that goes on 0.2 s later.

--- a/src/serving/endpoint_turn.cpp
+++ b/src/serving/endpoint_turn.cpp
@@ -64,6 +64,19 @@
     return std::ceil(std::max(pauseMs, slotMs - nowMs));
 }
 
+bool takeTurnNow(const edge_context &context, endpoint_state &endpoint)
+{
+    const instant now = bootNow();
+    if (turn_times(context, now).heldMs(endpoint) > 0) {
+        return false;
+    }
+    if (endpoint.limit) {
+        endpoint.turnTakenAt = now;
+        endpoint.turnUsedAt = now;
+    }
+    return true;
+}
+
 task<bool> awaitTurn(edge_context &context, const caller_request &request, endpoint_ptr endpoint)
 {
     const instant now = bootNow();
--- a/src/serving/endpoint_turn.h
+++ b/src/serving/endpoint_turn.h
@@ -32,6 +32,9 @@
     mutable std::optional<place_and_time> m_placeAndTime; ///< Found out when the first limit is met, because it takes time in a large fleet.
 };
 
+/// Takes a turn of this daemon at the endpoint if there is one now. Returns false otherwise.
+bool takeTurnNow(const edge_context &context, endpoint_state &endpoint);
+
 /// Takes the next turn of this daemon at the endpoint and waits for it; call it before each request to an endpoint. Returns false if the turn lies after
 /// the request's deadline, or if the request must not be sent after the wait; then place it again.
 task<bool> awaitTurn(edge_context &context, const caller_request &request, endpoint_ptr endpoint);
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -4,8 +4,10 @@
 #include "serving/event_stream.h"
 #include "serving/peer_exchange.h"
 #include "serving/placement_log.h"
+#include "serving/stream_takeover.h"
 #include "transport/boot_clock.h"
 #include "transport/spawn.h"
+#include "transport/timeout.h"
 
 #include <algorithm>
 #include <cmath>
@@ -22,29 +24,15 @@
 constexpr std::size_t maxErrorBytes = 1U << 20U; // Limit of a response body that is not a stream.
 constexpr auto prefillTimeoutMargin = std::chrono::milliseconds(400); // Added to the scaled prediction before a prefill counts as timed out.
 constexpr double prefillTimeoutFactor = 3; // Predictions can be too low by this factor when several daemons send at the same time.
-// A stream without events for this long is resumed at another engine. Callers abandon a silent stream after two seconds.
-constexpr auto resumeTimeout = std::chrono::milliseconds(1000);
-// A resumable stream without a first event is retried at another engine after this time plus twice the predicted time to the first event.
+// After this long without an event, another engine is asked to take the stream over. Callers abandon a silent stream after two seconds.
+constexpr auto eventTimeout = std::chrono::milliseconds(1000);
+// The same without a first event; twice the predicted time to it is added.
 constexpr auto firstEventTimeout = std::chrono::milliseconds(1500);
+constexpr auto takeoverRetryInterval = std::chrono::milliseconds(250); // Until another engine is looked for again.
 constexpr double minSpeedSampleTokens = 1000; // The time of a shorter prefill depends more on the network than on the engine.
 constexpr double slowdownSmoothing = 0.2; // Weight of a new sample: a slow engine shows after five prefills.
 constexpr auto freeHandleTimeout = std::chrono::milliseconds(500);
 
-enum class body_kind {
-    Unknown, ///< The engine names no type.
-    Events,
-    Other,
-};
-
-body_kind bodyKind(const http::response_header<> &head)
-{
-    const auto type = toView(head[http::field::content_type]);
-    if (type.empty()) {
-        return body_kind::Unknown;
-    }
-    return type.starts_with("text/event-stream") ? body_kind::Events : body_kind::Other;
-}
-
 /// Serves one streaming request: places it, runs the prefill on a separate engine if placed so, forwards the events, and retries or resumes.
 class stream_session
 {
@@ -55,7 +43,8 @@
 private:
     enum class step {
         Done, ///< The caller has received its final answer, or no answer is possible any more.
-        Retry ///< The request may be placed again on another engine.
+        Retry, ///< The request may be placed again on another engine.
+        TakenOver ///< Another engine has begun to answer in place of a silent one.
     };
 
     generation_input makePlacementInput(const std::vector<endpoint_ptr> &engines) const;
@@ -64,9 +53,18 @@
     /// are not cached.
     task<std::string> prefillPrompt(const endpoint_ptr &prefillEngine, const endpoint_ptr &kvSource, double tokens, double predictedMs);
     task<step> handleResponse(const endpoint_ptr &engine, std::shared_ptr<client_exchange> exchange, exchange_state state, load_reservation &reservation);
-    task<step> forwardEvents(client_exchange &exchange, exchange_state state, const endpoint_ptr &engine, load_reservation &reservation);
+    task<step> forwardEvents(std::shared_ptr<client_exchange> exchange, exchange_state state, const endpoint_ptr &engine, load_reservation &reservation);
     task<step> refuse(std::string_view code, double retryAfterMs);
     task<step> fail(http::status status, std::string_view code);
+    void logDecision(const generation_input &input, const generation_result &placement) const;
+    /// Looks for an engine to take the stream over when no event has arrived at the end of `time`.
+    void watchForSilence(std::shared_ptr<client_exchange> exchange, const endpoint_ptr &engine, duration time);
+    void startTakeover(const std::shared_ptr<client_exchange> &exchange);
+    /// Counts a takeover that has failed or is given up.
+    void dropTakeover();
+    /// Waits for a takeover that is under way. Returns whether its engine has begun to answer.
+    task<bool> isTakenOver();
+    task<step> adoptTakeover(const endpoint_ptr &silentEngine);
     void notePrefixBlocks(const endpoint_ptr &engine);
     void freeKvHandle(const endpoint_ptr &prefillEngine, const std::string &handle) const;
     void noteFirstEvent(const endpoint_ptr &engine, load_reservation &reservation);
@@ -90,6 +88,9 @@
     bool m_streaming = false; ///< The response head was sent to the caller.
     std::optional<std::uint64_t> m_lastEventId; ///< Id of the last event sent to the caller.
     double m_retryAfterMs = 250;
+    bool m_awaitsHead = false; ///< The attempt under way is not counted in m_outcome yet.
+    timeout m_silence;
+    std::shared_ptr<stream_takeover> m_takeover; ///< Null if none is under way.
 };
 
 stream_session::stream_session(edge_context &context, caller_request &request)
@@ -97,6 +98,7 @@
     , m_request(request)
     , m_route(*request.route)
     , m_prompt(request.prompt)
+    , m_silence(context.loop)
 {
 }
 
@@ -165,10 +167,7 @@
         const auto engines = m_context.endpoints.ofService(m_request.service);
         const auto input = makePlacementInput(engines);
         const auto placement = placeGeneration(input, m_context.settings.engines);
-        auto line = m_context.line("place_generation");
-        line.add("attempt", m_outcome.attempts + 1);
-        logPlacement(line, input, placement);
-        m_context.log.write(line);
+        logDecision(input, placement);
         // A stream whose head was sent continues on any engine with room. A request that may have run can no longer be refused as "not run", and
         // a late answer is better than a failure.
         if (placement.decodeIndex < 0 || (placement.verdict == placement_verdict::Refuse && !m_streaming && !m_mayHaveRun)) {
@@ -261,18 +260,18 @@
     if (m_lastEventId) {
         message.set(fromView(m_context.platform.wire.fields.lastEventId), std::to_string(*m_lastEventId));
     }
-    const bool canResume = m_route.resumable && m_outcome.attempts + 1 < m_route.maxAttempts;
-    const auto timeout = firstEventTimeout + std::chrono::milliseconds(std::lround(2 * placement.firstEventMs));
-    const instant deadline = canResume ? std::min<instant>(m_request.deadline, now + timeout) : m_request.deadline;
-    auto exchange = std::make_shared<client_exchange>(m_context.pool, *address, forwardOptions(m_context, m_request, deadline));
+    auto exchange = std::make_shared<client_exchange>(m_context.pool, *address, forwardOptions(m_context, m_request, m_request.deadline));
     m_request.reply->onDisconnect([exchange] {
         exchange->cancel();
     });
     m_outcome.endpoint = engine->entry.id;
+    watchForSilence(exchange, engine, firstEventTimeout + std::chrono::milliseconds(std::lround(2 * placement.firstEventMs)));
     exchange_state state = exchange_state::NotSent;
     {
         const answer_deadline answerDeadline(engine, now + std::chrono::milliseconds(std::lround(3 * placement.firstEventMs + 100)));
+        m_awaitsHead = true;
         state = co_await exchange->begin(message);
+        m_awaitsHead = false;
     }
     if (hasHead(state)) {
         noteAnswer(m_context, *engine, exchange->head(), now);
@@ -281,11 +280,128 @@
     if (notExecuted && !handle.empty()) {
         freeKvHandle(prefillEngine, handle);
     }
-    const auto result = co_await handleResponse(engine, exchange, state, reservation);
+    auto result = co_await handleResponse(engine, exchange, state, reservation);
+    while (result == step::TakenOver) {
+        const auto silentEngine = std::exchange(engine, m_takeover->engine);
+        result = co_await adoptTakeover(silentEngine);
+    }
+    m_silence.cancel();
+    if (m_takeover) {
+        m_takeover->exchange->cancel();
+        dropTakeover();
+    }
     m_request.reply->onDisconnect(nullptr);
     co_return result;
 }
 
+void stream_session::logDecision(const generation_input &input, const generation_result &placement) const
+{
+    auto line = m_context.line("place_generation");
+    line.add("attempt", m_outcome.attempts + 1);
+    logPlacement(line, input, placement);
+    m_context.log.write(line);
+}
+
+void stream_session::watchForSilence(std::shared_ptr<client_exchange> exchange, const endpoint_ptr &engine, duration time)
+{
+    if (!m_route.resumable) {
+        return;
+    }
+    m_silence.start(time, [this, exchange = std::move(exchange), engine] {
+        m_failed.insert(engine->entry.id);
+        if (m_takeover && m_takeover->ended && !m_takeover->begun) {
+            dropTakeover();
+        }
+        if (m_outcome.attempts + (m_awaitsHead ? 1 : 0) < m_route.maxAttempts) {
+            if (!m_takeover) {
+                startTakeover(exchange);
+            }
+            watchForSilence(exchange, engine, takeoverRetryInterval);
+        }
+    });
+}
+
+void stream_session::startTakeover(const std::shared_ptr<client_exchange> &exchange)
+{
+    if (m_request.reply->gone() || bootNow() >= m_request.deadline || crashesEndpoints(m_context, m_request)) {
+        return;
+    }
+    const auto engines = m_context.endpoints.ofService(m_request.service);
+    auto input = makePlacementInput(engines);
+    input.mayDisaggregate = false;
+    for (auto &candidate : input.engines) {
+        candidate.excluded = candidate.excluded || candidate.heldMs > 0;
+    }
+    const auto placement = placeGeneration(input, m_context.settings.engines);
+    logDecision(input, placement);
+    if (placement.decodeIndex < 0 || !acquireRetry(m_retryAcquired)) {
+        return;
+    }
+    const auto &engine = engines[static_cast<std::size_t>(placement.decodeIndex)];
+    const auto address = parseAddress(engine->entry.address);
+    if (!address.ok() || !takeTurnNow(m_context, *engine)) {
+        return;
+    }
+    m_retryAcquired = false;
+    auto message = makeForwardedRequest(m_context, m_request, engine->entry, bootNow());
+    if (placement.kvSourceIndex >= 0) {
+        m_context.platform.wire.engine.fetchCachedPrefix(message, engines[static_cast<std::size_t>(placement.kvSourceIndex)]->entry);
+    }
+    if (m_lastEventId) {
+        message.set(fromView(m_context.platform.wire.fields.lastEventId), std::to_string(*m_lastEventId));
+    }
+    const double cachedTokens = input.engines[static_cast<std::size_t>(placement.decodeIndex)].cachedTokens;
+    m_takeover = std::make_shared<stream_takeover>(m_context.loop, engine, std::max(0.0, input.promptTokens - cachedTokens));
+    m_takeover->exchange = std::make_shared<client_exchange>(m_context.pool, *address, forwardOptions(m_context, m_request, m_request.deadline));
+    m_request.reply->onDisconnect([exchange, other = m_takeover->exchange] {
+        exchange->cancel();
+        other->cancel();
+    });
+    notePrefixBlocks(engine);
+    auto line = m_context.line("takeover");
+    line.add("id", m_request.id).add("silent", m_outcome.endpoint).add("endpoint", engine->entry.id);
+    m_context.log.write(line);
+    spawnBackground(m_context.loop, runTakeover(m_context, m_takeover, std::move(message), exchange), "take_stream_over");
+}
+
+void stream_session::dropTakeover()
+{
+    if (!m_takeover) {
+        return;
+    }
+    if (m_takeover->state != exchange_state::NotSent || !m_takeover->ended) {
+        ++m_outcome.attempts;
+    }
+    m_failed.insert(m_takeover->engine->entry.id);
+    m_takeover.reset();
+}
+
+task<bool> stream_session::isTakenOver()
+{
+    m_silence.cancel();
+    if (!m_takeover) {
+        co_return false;
+    }
+    const auto takeover = m_takeover; // Named, because it is an argument of an awaited call.
+    co_await awaitTakeover(takeover);
+    if (!takeover->begun) {
+        dropTakeover();
+    }
+    co_return takeover->begun;
+}
+
+task<stream_session::step> stream_session::adoptTakeover(const endpoint_ptr &silentEngine)
+{
+    const auto takeover = std::exchange(m_takeover, nullptr);
+    m_context.endpoints.noteResult(*silentEngine, attempt_result::NoAnswer, bootNow());
+    m_outcome.endpoint = takeover->engine->entry.id;
+    m_request.reply->onDisconnect([exchange = takeover->exchange] {
+        exchange->cancel();
+    });
+    watchForSilence(takeover->exchange, takeover->engine, eventTimeout);
+    co_return co_await handleResponse(takeover->engine, takeover->exchange, takeover->state, takeover->reservation);
+}
+
 task<std::string> stream_session::prefillPrompt(const endpoint_ptr &prefillEngine, const endpoint_ptr &kvSource, double tokens, double predictedMs)
 {
     if (m_prefillAttempts++ > 0 && !acquireRetry(m_prefillRetryAcquired)) {
@@ -371,6 +487,13 @@
 task<stream_session::step>
 stream_session::handleResponse(const endpoint_ptr &engine, std::shared_ptr<client_exchange> exchange, exchange_state state, load_reservation &reservation)
 {
+    const bool streams = hasHead(state) && !isMarkedNotExecuted(m_context, exchange->head()) && exchange->head().result() == http::status::ok
+        && isSealed(m_context, exchange->head()) && (!m_streaming || bodyKind(exchange->head()) != body_kind::Other);
+    if (!streams && co_await isTakenOver()) {
+        ++m_outcome.attempts;
+        m_mayHaveRun = true;
+        co_return step::TakenOver;
+    }
     const instant now = bootNow();
     if (state == exchange_state::Cancelled) {
         m_outcome.reason = "caller_gone";
@@ -411,9 +534,8 @@
         }
         co_return co_await fail(silent ? http::status::gateway_timeout : http::status::bad_gateway, toText(state));
     }
-    const bool mayContinue = !m_streaming || bodyKind(exchange->head()) != body_kind::Other;
-    if (exchange->head().result() == http::status::ok && isSealed(m_context, exchange->head()) && mayContinue) {
-        co_return co_await forwardEvents(*exchange, state, engine, reservation);
+    if (streams) {
+        co_return co_await forwardEvents(exchange, state, engine, reservation);
     }
     // The engine answered with an error.
     m_context.endpoints.noteResult(*engine, attempt_result::Failed, now);
@@ -439,7 +561,7 @@
 }
 
 task<stream_session::step>
-stream_session::forwardEvents(client_exchange &exchange, exchange_state state, const endpoint_ptr &engine, load_reservation &reservation)
+stream_session::forwardEvents(std::shared_ptr<client_exchange> exchange, exchange_state state, const endpoint_ptr &engine, load_reservation &reservation)
 {
     event_splitter events;
     std::string received;
@@ -448,7 +570,7 @@
     while (true) {
         if (state == exchange_state::InProgress) {
             received.clear();
-            state = co_await exchange.readSome(received);
+            state = co_await exchange->readSome(received);
             events.feed(received);
         }
         std::string ready;
@@ -458,7 +580,7 @@
                 continue;
             }
             if (!continues && !event->id) {
-                exchange.cancel();
+                exchange->cancel();
                 state = exchange_state::Malformed;
                 break;
             }
@@ -469,7 +591,7 @@
             }
         }
         if (events.partialBytes() > maxEventBytes) {
-            exchange.cancel();
+            exchange->cancel();
             state = exchange_state::Malformed;
         }
         if (!ready.empty()) {
@@ -477,23 +599,27 @@
                 first = false;
                 noteFirstEvent(engine, reservation);
             }
-            exchange.setDeadline(m_request.deadline); // The engine is not silent while the caller takes the events.
+            m_silence.cancel(); // The engine is not silent while the caller takes the events.
+            if (m_takeover && !m_takeover->begun) {
+                m_takeover->exchange->cancel();
+                dropTakeover();
+            }
             if (!m_streaming) {
                 m_streaming = true;
                 m_outcome.status = 200;
-                if (!co_await m_request.reply->beginStream(makeAnswerHead(exchange.head()))) {
-                    exchange.cancel();
+                if (!co_await m_request.reply->beginStream(makeAnswerHead(exchange->head()))) {
+                    exchange->cancel();
                     m_outcome.reason = "caller_gone";
                     co_return step::Done;
                 }
             }
             if (!co_await m_request.reply->sendChunk(ready)) {
-                exchange.cancel();
+                exchange->cancel();
                 m_outcome.reason = "caller_gone";
                 co_return step::Done;
             }
-            if (m_route.resumable && m_outcome.attempts < m_route.maxAttempts && state == exchange_state::InProgress) {
-                exchange.setDeadline(std::min<instant>(m_request.deadline, bootNow() + resumeTimeout));
+            if (state == exchange_state::InProgress) {
+                watchForSilence(exchange, engine, eventTimeout);
             }
         }
         if (state != exchange_state::InProgress) {
@@ -502,7 +628,7 @@
     }
     const instant now = bootNow();
     // After a resume, the end of a connection that brought no new event may also be that of the engine, and an empty body that of an error.
-    const bool endIsProved = !first || (!exchange.endsWithConnection() && bodyKind(exchange.head()) == body_kind::Events);
+    const bool endIsProved = !first || (!exchange->endsWithConnection() && bodyKind(exchange->head()) == body_kind::Events);
     if (state == exchange_state::Complete && events.partialBytes() == 0 && m_streaming && endIsProved) {
         m_context.endpoints.noteResult(*engine, attempt_result::Succeeded, now);
         recordSuccess(m_context, m_request);
@@ -510,6 +636,9 @@
         co_await m_request.reply->endStream();
         co_return step::Done;
     }
+    if (co_await isTakenOver()) {
+        co_return step::TakenOver;
+    }
     if (state == exchange_state::Cancelled || m_request.reply->gone()) {
         m_outcome.reason = "caller_gone";
         co_return step::Done;
@@ -519,7 +648,7 @@
         checkForCrash(m_context, *engine, m_request);
     }
     m_failed.insert(engine->entry.id);
-    exchange.cancel();
+    exchange->cancel();
     if (mayRetry()) {
         co_return step::Retry;
     }
--- /dev/null
+++ b/src/serving/stream_takeover.cpp
@@ -0,0 +1,61 @@
+#include "serving/stream_takeover.h"
+
+#include "serving/caller_exchange.h"
+#include "serving/event_stream.h"
+#include "transport/boot_clock.h"
+
+namespace lacewinglock
+{
+
+namespace
+{
+
+bool isStream(const edge_context &context, const http::response_header<> &head)
+{
+    return head.result() == http::status::ok && isSealed(context, head) && !isMarkedNotExecuted(context, head) && bodyKind(head) != body_kind::Other;
+}
+
+attempt_result classifyFailure(const edge_context &context, const stream_takeover &takeover)
+{
+    switch (takeover.state) {
+    case exchange_state::NotSent:
+        return attempt_result::Unreachable;
+    case exchange_state::TimedOut:
+        return attempt_result::NoAnswer;
+    case exchange_state::InProgress:
+    case exchange_state::Complete:
+        return isMarkedNotExecuted(context, takeover.exchange->head()) ? attempt_result::Rejected : attempt_result::Failed;
+    default:
+        return attempt_result::ConnectionLost;
+    }
+}
+
+}
+
+task<void> runTakeover(edge_context &context, std::shared_ptr<stream_takeover> takeover, http_request message, std::shared_ptr<client_exchange> silent)
+{
+    const instant sentAt = bootNow();
+    takeover->state = co_await takeover->exchange->begin(message);
+    takeover->ended = true;
+    if (hasHead(takeover->state)) {
+        noteAnswer(context, *takeover->engine, takeover->exchange->head(), sentAt);
+        takeover->begun = isStream(context, takeover->exchange->head());
+    }
+    if (takeover->begun) {
+        silent->cancel();
+    } else if (takeover->state != exchange_state::Cancelled) {
+        context.endpoints.noteResult(*takeover->engine, classifyFailure(context, *takeover), bootNow());
+        takeover->exchange->cancel();
+    }
+    takeover->changed.cancel();
+}
+
+task<void> awaitTakeover(std::shared_ptr<stream_takeover> takeover)
+{
+    while (!takeover->ended) {
+        boost::system::error_code ignored; // The timer is cancelled.
+        co_await takeover->changed.async_wait(errorTo(ignored));
+    }
+}
+
+}
--- /dev/null
+++ b/src/serving/stream_takeover.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "serving/edge_context.h"
+
+#include <memory>
+
+namespace lacewinglock
+{
+
+/// A resumable stream that is sent to a second engine while its first engine is silent.
+///
+/// The first engine may be sound, so its exchange stays open until the second one has begun to answer. Whichever sends the next event first serves the
+/// stream from there on.
+struct stream_takeover
+{
+    stream_takeover(asio::io_context &loop, endpoint_ptr taking, double promptTokens)
+        : engine(std::move(taking))
+        , reservation(engine, promptTokens)
+        , changed(loop, asio::steady_timer::time_point::max())
+    {
+    }
+
+    endpoint_ptr engine;
+    load_reservation reservation;
+    std::shared_ptr<client_exchange> exchange;
+    exchange_state state = exchange_state::NotSent; ///< Result of client_exchange::begin(), once `ended` is set.
+    bool ended = false; ///< The engine has answered, or the exchange failed.
+    bool begun = false; ///< The engine answers with the stream; the exchange of the silent engine was cancelled.
+    asio::steady_timer changed; ///< Cancelled when `ended` is set.
+};
+
+/// Sends the request to the engine of the takeover and waits for the head of its response.
+task<void> runTakeover(edge_context &context, std::shared_ptr<stream_takeover> takeover, http_request message, std::shared_ptr<client_exchange> silent);
+
+/// Waits until the takeover has ended.
+task<void> awaitTakeover(std::shared_ptr<stream_takeover> takeover);
+
+}
--- a/tests/edge_fixture.h
+++ b/tests/edge_fixture.h
@@ -22,6 +22,8 @@
     bool reset = false; ///< The connection is reset after the bytes.
     bool silent = false; ///< After the bytes nothing more is written; the connection stays open.
     std::chrono::milliseconds delay{0}; ///< Before the bytes.
+    std::string rest = {}; ///< Written after the bytes and `pause`.
+    std::chrono::milliseconds pause{0};
 };
 
 /// A response with Content-Length and the header fields that endpoints set.
@@ -132,6 +134,14 @@
                 co_await sleepFor(answer.delay);
             }
             co_await asio::async_write(*socket, asio::buffer(answer.bytes), errorTo(error));
+            if (!answer.rest.empty()) {
+                co_await sleepFor(answer.pause);
+                co_await asio::async_write(*socket, asio::buffer(answer.rest), errorTo(error));
+                if (error) {
+                    ++closedByPeer;
+                    co_return;
+                }
+            }
             if (answer.silent) {
                 char byte = 0;
                 const auto got = co_await socket->async_read_some(asio::buffer(&byte, 1), errorTo(error));
--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -628,4 +628,177 @@
     EXPECT_TRUE(prefillState().limit);
 }
 
+namespace
+{
+
+constexpr auto silence = std::chrono::milliseconds(1600);
+constexpr auto silenceAtFirst = std::chrono::milliseconds(2400); // The first event may be awaited for 1.5 s and twice its predicted time.
+
+/// An engine that falls silent after its first event, or before it, and goes on.
+scripted_server::script makeSilentEngine(int eventsBefore)
+{
+    return [eventsBefore](const http_request &request, int) {
+        std::string before = eventsBefore > 0 ? streamHead(request) + chunk(event(1)) : std::string();
+        std::string after = eventsBefore > 0 ? std::string() : streamHead(request) + chunk(event(1));
+        return scripted_answer{
+            .bytes = std::move(before), .rest = std::move(after) + chunk(event(2)) + "0\r\n\r\n", .pause = eventsBefore > 0 ? silence : silenceAtFirst};
+    };
+}
+
+scripted_server::script makeFullEngine()
+{
+    return [](const http_request &request, int) {
+        return scripted_answer{.bytes = wholeAnswer(request, 503, "full", "X-Not-Executed: true\r\n")};
+    };
+}
+
+}
+
+TEST_F(stream_forward, a_silent_engine_keeps_its_stream_when_there_is_no_other)
+{
+    scripted_server engine(loop, makeSilentEngine(1));
+    configure({streamRoute(true)});
+    addEndpoint("e1", "engines", engine.address(), endpoint_role::Decode);
+    const auto result = call(generation(), std::chrono::seconds(4));
+    EXPECT_TRUE(result.whole);
+    EXPECT_EQ(result.body, event(1) + event(2));
+}
+
+TEST_F(stream_forward, a_silent_engine_keeps_its_stream_when_the_other_is_full)
+{
+    scripted_server silent(loop, makeSilentEngine(1));
+    scripted_server full(loop, makeFullEngine());
+    configure({streamRoute(true)});
+    addEndpoint("e1", "engines", silent.address(), endpoint_role::Decode);
+    context->endpoints.update(
+        {.id = "e2", .service = "engines", .address = full.address(), .failureDomain = "domain-b", .slots = 4, .role = endpoint_role::Decode});
+    const auto result = call(generation(), std::chrono::seconds(4));
+    ASSERT_EQ(silent.requests.size(), 1U);
+    ASSERT_EQ(full.requests.size(), 1U);
+    EXPECT_TRUE(result.whole);
+    EXPECT_EQ(result.body, event(1) + event(2));
+}
+
+TEST_F(stream_forward, a_silent_engine_keeps_its_stream_when_the_retry_budget_is_used_up)
+{
+    settings.retries = {.ratio = 0, .slack = 0, .window = std::chrono::seconds(10)};
+    context->retryBudget = retry_budget(settings.retries);
+    scripted_server silent(loop, makeSilentEngine(1));
+    scripted_server other(loop, makeSilentEngine(1));
+    configure({streamRoute(true)});
+    addEndpoint("e1", "engines", silent.address(), endpoint_role::Decode);
+    addEndpoint("e2", "engines", other.address(), endpoint_role::Decode);
+    const auto result = call(generation(), std::chrono::seconds(4));
+    EXPECT_TRUE(result.whole);
+    EXPECT_EQ(silent.requests.size() + other.requests.size(), 1U);
+}
+
+TEST_F(stream_forward, a_request_is_not_failed_because_its_engine_is_silent_before_the_first_event)
+{
+    scripted_server silent(loop, makeSilentEngine(0));
+    scripted_server full(loop, makeFullEngine());
+    configure({streamRoute(true)});
+    addEndpoint("e1", "engines", silent.address(), endpoint_role::Decode);
+    context->endpoints.update(
+        {.id = "e2", .service = "engines", .address = full.address(), .failureDomain = "domain-b", .slots = 4, .role = endpoint_role::Decode});
+    const auto result = call(generation(), std::chrono::seconds(4));
+    EXPECT_EQ(result.status, 200);
+    EXPECT_TRUE(result.whole);
+}
+
+// The first engine must stop when the second one has begun, and no event may be missing or come twice.
+TEST_F(stream_forward, another_engine_takes_the_stream_of_a_silent_one)
+{
+    int calls = 0;
+    const auto script = [&calls](const http_request &request, int) {
+        if (++calls == 1) {
+            return scripted_answer{.bytes = streamHead(request, "first") + chunk(event(1) + "id: 2\nda"), .silent = true};
+        }
+        return scripted_answer{.bytes = streamHead(request, "second") + chunk(event(1) + event(2) + event(3)) + "0\r\n\r\n"};
+    };
+    scripted_server first(loop, script);
+    scripted_server second(loop, script);
+    configure({streamRoute(true)});
+    addEndpoint("e1", "engines", first.address(), endpoint_role::Decode);
+    addEndpoint("e2", "engines", second.address(), endpoint_role::Decode);
+    const auto result = call(generation(), std::chrono::seconds(4));
+    EXPECT_TRUE(result.whole);
+    EXPECT_EQ(result.body, event(1) + event(2) + event(3));
+    EXPECT_EQ(result.head["X-Response-Seal"], "first");
+    EXPECT_EQ(first.closedByPeer + second.closedByPeer, 1);
+    EXPECT_LT(result.ms, 1500);
+}
+
+// The second engine begins later than the first one goes on.
+TEST_F(stream_forward, a_stream_that_goes_on_is_not_taken_over)
+{
+    int calls = 0;
+    const auto script = [&calls](const http_request &request, int) {
+        if (++calls == 1) {
+            return scripted_answer{
+                .bytes = streamHead(request, "first") + chunk(event(1)), .rest = chunk(event(2)) + "0\r\n\r\n", .pause = std::chrono::milliseconds(1200)};
+        }
+        return scripted_answer{.bytes = streamHead(request, "second") + chunk(event(2)) + "0\r\n\r\n", .delay = std::chrono::milliseconds(600)};
+    };
+    scripted_server first(loop, script);
+    scripted_server second(loop, script);
+    configure({streamRoute(true)});
+    addEndpoint("e1", "engines", first.address(), endpoint_role::Decode);
+    addEndpoint("e2", "engines", second.address(), endpoint_role::Decode);
+    const auto result = call(generation(), std::chrono::seconds(4));
+    EXPECT_TRUE(result.whole);
+    EXPECT_EQ(result.body, event(1) + event(2));
+    EXPECT_EQ(first.requests.size() + second.requests.size(), 2U);
+    EXPECT_LT(result.ms, 1600);
+}
+
+// The first engine breaks off while the second one is asked.
+TEST_F(stream_forward, a_stream_that_breaks_while_it_is_taken_over_goes_on)
+{
+    int calls = 0;
+    const auto script = [&calls](const http_request &request, int) {
+        if (++calls == 1) {
+            return scripted_answer{
+                .bytes = streamHead(request, "first") + chunk(event(1)), .close = true, .rest = "x", .pause = std::chrono::milliseconds(1200)};
+        }
+        return scripted_answer{.bytes = streamHead(request, "second") + chunk(event(2)) + "0\r\n\r\n", .delay = std::chrono::milliseconds(600)};
+    };
+    scripted_server first(loop, script);
+    scripted_server second(loop, script);
+    configure({streamRoute(true)});
+    addEndpoint("e1", "engines", first.address(), endpoint_role::Decode);
+    addEndpoint("e2", "engines", second.address(), endpoint_role::Decode);
+    const auto result = call(generation(), std::chrono::seconds(4));
+    EXPECT_TRUE(result.whole);
+    EXPECT_EQ(result.body, event(1) + event(2));
+    EXPECT_EQ(first.requests.size() + second.requests.size(), 2U);
+}
+
+TEST_F(stream_forward, a_caller_that_leaves_a_silent_stream_leaves_both_engines)
+{
+    int calls = 0;
+    const auto script = [&calls](const http_request &request, int) {
+        return scripted_answer{.bytes = ++calls == 1 ? streamHead(request) + chunk(event(1)) : std::string(), .silent = true};
+    };
+    scripted_server first(loop, script);
+    scripted_server second(loop, script);
+    configure({streamRoute(true)});
+    addEndpoint("e1", "engines", first.address(), endpoint_role::Decode);
+    addEndpoint("e2", "engines", second.address(), endpoint_role::Decode);
+    tcp::socket caller(loop);
+    caller.connect(callers);
+    asio::write(caller, asio::buffer(generation()));
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return first.requests.size() + second.requests.size() == 2;
+        },
+        std::chrono::seconds(2)));
+    caller.close();
+    EXPECT_TRUE(runUntil(
+        [&] {
+            return first.closedByPeer + second.closedByPeer == 2;
+        },
+        std::chrono::milliseconds(400)));
+}
+
 }
