Keep idle connections to the limit in effect when it expires

A caller may use a connection for most of the idle limit of the newest configuration. The timer of an idle connection ran with the limit at the time at which it became idle, so after a change that raises the limit requests met a closing connection. The limit is now read again when the timer expires.

The new test failed before. Seen in tests only; not shown to be what the users reported.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -101,14 +101,29 @@
     void startTimeout(duration time)
     {
         timer.start(time, [weak = weak_from_this()] {
-            // A request that has arrived is about to be read.
-            if (const auto self = weak.lock(); self && !(self->idle && self->hasInput())) {
+            if (const auto self = weak.lock()) {
                 self->noteEnd(unanswered_cause::TimedOut);
                 self->close();
             }
         });
     }
 
+    // Closes the idle connection at the limit that is in effect then: it may have risen since the connection became idle.
+    void startIdleTimeout(duration time)
+    {
+        timer.start(time, [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (!self) {
+                return;
+            }
+            if (const duration left = self->hooks.limits().idleTimeout - (bootNow() - self->idleSince); left > duration::zero()) {
+                self->startIdleTimeout(left);
+            } else if (!self->hasInput()) { // A request that has arrived is about to be read.
+                self->close();
+            }
+        });
+    }
+
     // The first cause counts: closing the connection makes further operations fail.
     void noteEnd(unanswered_cause cause)
     {
@@ -235,6 +250,7 @@
     std::function<void()> disconnectAction;
     std::optional<unanswered_cause> endCause;
     bool idle = true; ///< No byte of the next request has arrived.
+    instant idleSince;
     bool closeAfter = false;
     bool skipBody = false;
     bool responseBegun = false;
@@ -284,8 +300,9 @@
     client.buffer.max_size(limits.headerBytes + maxReadBytes);
     boost::system::error_code error;
     client.idle = client.buffer.size() == 0;
-    client.startTimeout(limits.idleTimeout);
     if (client.idle) {
+        client.idleSince = bootNow();
+        client.startIdleTimeout(limits.idleTimeout);
         co_await client.socket.async_wait(tcp::socket::wait_read, errorTo(error));
         if (error) {
             co_return false;
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -187,6 +187,21 @@
     EXPECT_EQ(server.connections(), 0U);
 }
 
+TEST_F(http_server_test, a_raised_idle_limit_holds_for_connections_that_are_idle_already)
+{
+    limits.idleTimeout = 50ms;
+    connect();
+    limits.idleTimeout = 300ms;
+    loop.restart();
+    loop.run_for(150ms);
+    EXPECT_EQ(server.connections(), 1U);
+    write(wholeRequest);
+    EXPECT_TRUE(readAnswer().starts_with("HTTP/1.1 200"));
+    loop.restart();
+    loop.run_for(400ms);
+    EXPECT_EQ(server.connections(), 0U);
+}
+
 // Guards against a caller that waits for ever, and a stop that waits for it, because the handler of its request failed.
 TEST_F(http_server_test, a_handler_that_fails_ends_its_request_with_an_error)
 {
