Take a restored store for another history

The class: a position without the history that it belongs to.

The adapter joins the era that the store names in each answer to its versions, so that versions rise across histories, and positions or conditions of another history are refused. A follower that meets another history reads the whole table. The configuration held stays in force and counts as confirmed when the store lists it or a newer one again; an endpoint that was seen to leave stays away although the copy lists it.

--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -90,7 +90,10 @@
 
     std::shared_ptr<const serving_configuration> configuration; ///< Null until the first one is read.
     std::optional<instant> configurationRequestedAt; ///< The configuration held contains every change that was acknowledged before this time.
+    std::uint64_t configurationHash = 0; ///< Of the row that it was read from.
+    bool configurationConfirmed = true; ///< The store lists this configuration or a newer one.
     bool endpointsListed = false; ///< The endpoints table was read.
+    instant storeRestoredAt; ///< When this daemon last read a table after the store came back from an older copy; the epoch of the clock if never.
     instant storeFailedAt; ///< Last failed call to the store by this daemon or a relay that it queried; the epoch of the clock if none failed.
 
     endpoint_registry endpoints;
--- a/src/serving/endpoint_registry.cpp
+++ b/src/serving/endpoint_registry.cpp
@@ -14,6 +14,7 @@
 constexpr auto initialBackoff = std::chrono::milliseconds(200); // A restarted endpoint takes at least a few hundred milliseconds to listen again.
 constexpr auto maxBackoff = std::chrono::seconds(2); // Bounds how long a recovered endpoint stays unused.
 constexpr auto leavingMemory = std::chrono::minutes(10); // A leaving process ends within its drain time, which is a matter of seconds.
+constexpr auto copiedEntryTime = std::chrono::seconds(6); // The store drops an entry after three heartbeats of silence, 3.6 s at the usual interval.
 constexpr double failureWeight = 0.1; // Weight of one attempt: about ten attempts distinguish a failing endpoint from a single failure.
 
 std::uint64_t hashOf(const endpoint_entry &entry)
@@ -36,6 +37,8 @@
 void endpoint_registry::update(endpoint_entry entry)
 {
     const auto hash = hashOf(entry);
+    m_copied.erase(entry.id);
+    m_removed.erase(hash);
     auto &state = m_byId[entry.id];
     // A delayed entry of an earlier process: a newer process has this id now.
     if (state && entry.startedMs != 0 && entry.startedMs < state->entry.startedMs) {
@@ -60,18 +63,30 @@
     state->missing = false;
 }
 
-void endpoint_registry::erase(std::map<std::string, endpoint_ptr, std::less<>>::iterator found)
+void endpoint_registry::updateFromCopy(endpoint_entry entry, instant now)
 {
+    if (m_removed.contains(hashOf(entry))) {
+        const std::string id = entry.id;
+        m_copied.insert_or_assign(id, copied_entry{std::move(entry), now});
+    } else {
+        update(std::move(entry));
+    }
+}
+
+void endpoint_registry::erase(std::map<std::string, endpoint_ptr, std::less<>>::iterator found, instant now)
+{
+    m_removed[found->second->hash] = now;
     // Requests in progress still hold the state; marking it as draining stops new ones.
     found->second->entry.draining = true;
     m_byHash.erase(found->second->hash);
     m_byId.erase(found);
 }
 
-void endpoint_registry::remove(std::string_view id)
+void endpoint_registry::remove(std::string_view id, instant now)
 {
+    forgetCopy(id);
     if (const auto found = m_byId.find(id); found != m_byId.end()) {
-        erase(found);
+        erase(found, now);
     }
 }
 
@@ -80,8 +95,16 @@
     m_leaving.try_emplace(hash, now);
 }
 
+void endpoint_registry::forgetCopy(std::string_view id)
+{
+    if (const auto copied = m_copied.find(id); copied != m_copied.end()) {
+        m_copied.erase(copied);
+    }
+}
+
 void endpoint_registry::noteMissing(std::string_view id, instant now)
 {
+    forgetCopy(id);
     if (const auto found = m_byId.find(id); found != m_byId.end() && !found->second->missing) {
         found->second->missing = true;
         found->second->missingSince = now;
@@ -90,13 +113,23 @@
 
 void endpoint_registry::expireMissing(instant now, duration grace)
 {
-    std::erase_if(m_leaving, [now](const auto &process) {
+    const auto isForgotten = [now](const auto &process) {
         return now - process.second > leavingMemory;
-    });
+    };
+    std::erase_if(m_leaving, isForgotten);
+    std::erase_if(m_removed, isForgotten);
+    for (auto it = m_copied.begin(); it != m_copied.end();) {
+        const auto current = it++;
+        if (now - current->second.since >= copiedEntryTime) {
+            auto entry = std::move(current->second.entry);
+            m_copied.erase(current);
+            update(std::move(entry));
+        }
+    }
     for (auto it = m_byId.begin(); it != m_byId.end();) {
         const auto current = it++;
         if (current->second->missing && now - current->second->missingSince >= grace) {
-            erase(current);
+            erase(current, now);
         }
     }
 }
@@ -111,7 +144,7 @@
         if (storeWasFailing) {
             noteMissing(current->first, now);
         } else {
-            erase(current);
+            erase(current, now);
         }
     }
 }
--- a/src/serving/endpoint_registry.h
+++ b/src/serving/endpoint_registry.h
@@ -79,13 +79,17 @@
 public:
     /// Adds or updates an endpoint. An entry with a newer start time is a new process: its load, hash and outcomes are reset. An older one is ignored.
     void update(endpoint_entry entry);
+    /// Like update(), with an entry of an older copy of the store. If its process has been removed, it is added only when it is still listed after
+    /// copiedEntryTime: the entry of a process that has ended lapses before.
+    void updateFromCopy(endpoint_entry entry, instant now);
     /// Removes an endpoint that has left; it gets no new requests. Requests in progress keep its state alive.
-    void remove(std::string_view id);
+    void remove(std::string_view id, instant now);
     /// Records that the process with this hash has said that it leaves. It counts as draining from then on, whatever the store lists.
     void noteLeaving(std::uint64_t hash, instant now);
     /// Records that an entry expired while the store was failing. The endpoint stays in use until expireMissing() removes it, unless it is listed again.
     void noteMissing(std::string_view id, instant now);
-    /// Removes the endpoints that have been missing for `grace` or longer, and forgets processes that have left long ago.
+    /// Removes the endpoints that have been missing for `grace` or longer, forgets processes that have left long ago, and adds the entries of an older
+    /// copy that are still listed.
     void expireMissing(instant now, duration grace);
     /// Removes all endpoints that are not in `listed`, or marks them as missing if the store was failing.
     void reconcile(const std::vector<std::string> &listed, bool storeWasFailing, instant now);
@@ -104,11 +108,20 @@
     void clearPeerLoads();
 
 private:
-    void erase(std::map<std::string, endpoint_ptr, std::less<>>::iterator found);
+    struct copied_entry
+    {
+        endpoint_entry entry;
+        instant since;
+    };
+
+    void erase(std::map<std::string, endpoint_ptr, std::less<>>::iterator found, instant now);
+    void forgetCopy(std::string_view id);
 
     std::map<std::string, endpoint_ptr, std::less<>> m_byId;
     std::unordered_map<std::uint64_t, endpoint_ptr> m_byHash;
     std::unordered_map<std::uint64_t, instant> m_leaving; ///< Hashes of the processes that have said that they leave, and when.
+    std::unordered_map<std::uint64_t, instant> m_removed; ///< Hashes of the processes that were removed, and when.
+    std::map<std::string, copied_entry, std::less<>> m_copied; ///< Entries of removed processes that an older copy of the store lists, by id.
     std::unordered_map<std::uint64_t, endpoint_load> m_peerLoads; ///< Sums over the other daemons, also for endpoints that are not listed.
 };
 
--- a/src/serving/platform_port.h
+++ b/src/serving/platform_port.h
@@ -93,12 +93,18 @@
 };
 
 /// Access to the platform's table store.
+///
+/// The store may come back from an older copy of itself: what was written since is gone, and another history begins. Versions rise across histories
+/// all the same.
 struct platform_store
 {
+    /// Number of the newest history that an answer belonged to; it rises with each one, and is 0 before the first answer.
+    std::function<std::uint64_t()> history;
+
     /// Reads all rows of a table.
     std::function<task<absl::StatusOr<table_changes>>(platform_table)> readAll;
-    /// Waits up to `wait` for changes after `version`. Fails with absl::StatusCode::kOutOfRange when the store no longer has the history since
-    /// `version`; then call readAll.
+    /// Waits up to `wait` for changes after `version`. Fails with absl::StatusCode::kOutOfRange when the store no longer has the changes since
+    /// `version`, or another history has begun; then call readAll.
     std::function<task<absl::StatusOr<table_changes>>(platform_table, std::uint64_t version, duration wait)> changes;
 
     // The following functions access the system's own table.
--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 #include <functional>
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
 
 namespace lacewinglock
 {
@@ -58,11 +59,18 @@
 constexpr duration leafStoreWait = std::chrono::milliseconds(1800); // Of a daemon that relays for no other; API keys may be trusted for 5 s.
 constexpr duration maxRelayWait = std::chrono::milliseconds(500);
 
+/// What an answer of the store holds.
+enum class table_scope {
+    Changes,
+    Whole, ///< The whole table.
+    Restored ///< The whole table, from the older copy that the store came back from.
+};
+
 /// Applies the rows of a followed table.
 struct table_handler
 {
     std::string_view name; ///< The step in log lines.
-    std::function<void(const table_changes &, bool snapshot)> apply; ///< `snapshot`: the changes hold the whole table.
+    std::function<void(const table_changes &, table_scope)> apply;
 };
 
 void noteStoreFailure(edge_context &context, std::string_view step, const absl::Status &status, bool &failing)
@@ -135,6 +143,7 @@
     bool failing = false;
     std::optional<std::uint64_t> version; // Kept while a snapshot is read again, so that an older one is dropped.
     bool snapshot = true;
+    std::uint64_t history = 0; // That the rows held belong to.
     feed_source source;
     while (true) {
         const auto role = feedRole(context);
@@ -142,7 +151,7 @@
             if (const auto relayed = co_await readFromRelay(context, table, handler, *version, role, source)) {
                 version = relayed->version;
                 source.verifiedAt = std::max(source.verifiedAt, relayed->requestedAt);
-                handler.apply(*relayed, false);
+                handler.apply(*relayed, table_scope::Changes);
                 publishChanges(context, table, *relayed, false);
                 continue;
             }
@@ -173,9 +182,20 @@
             continue;
         }
         noteStoreSuccess(context, handler.name, failing);
+        const bool restored = version && snapshot && history != context.platform.store.history();
+        if (restored) {
+            context.storeRestoredAt = bootNow();
+            auto line = context.line("store_restored");
+            line.add("step", handler.name).add("from_history", history).add("to_history", context.platform.store.history());
+            line.add("from", *version).add("to", answer->version);
+            context.log.write(line);
+        }
+        if (snapshot) {
+            history = context.platform.store.history();
+        }
         version = answer->version;
         source.verifiedAt = answer->requestedAt;
-        handler.apply(*answer, snapshot);
+        handler.apply(*answer, restored ? table_scope::Restored : snapshot ? table_scope::Whole : table_scope::Changes);
         publishChanges(context, table, *answer, snapshot);
         snapshot = false;
         if (!answer->rows.empty()) {
@@ -184,8 +204,11 @@
     }
 }
 
-void applyConfiguration(edge_context &context, const table_changes &changes)
+// A restored store may list an older configuration than this daemon holds, or none, until the operator writes the newer one again. The configuration held
+// stays in force, but is not confirmed: a newer one may be lost as well.
+void applyConfiguration(edge_context &context, const table_changes &changes, table_scope scope)
 {
+    context.configurationConfirmed = context.configurationConfirmed && scope != table_scope::Restored;
     for (const auto &changed : changes.rows) {
         if (changed.removed) {
             continue;
@@ -198,9 +221,13 @@
             continue;
         }
         const std::uint64_t held = context.configuration ? context.configuration->version : 0;
-        if (parsed->version <= held) {
+        context.configurationConfirmed = parsed->version >= held;
+        // In another history, the operator may give a version out again.
+        const auto hash = XXH3_64bits(changed.value.data(), changed.value.size());
+        if (parsed->version < held || (parsed->version == held && hash == context.configurationHash)) {
             continue;
         }
+        context.configurationHash = hash;
         indexRoutes(*parsed);
         auto line = context.line("configuration");
         line.add("from", held).add("to", parsed->version).add("routes", parsed->routes.size()).add("services", parsed->services.size());
@@ -213,23 +240,26 @@
         }
         context.configuration = std::make_shared<const serving_configuration>(std::move(*parsed));
     }
-    if (context.configuration) {
+    if (context.configuration && context.configurationConfirmed) {
         // The data of a relay may be older than a previous answer of the store.
         context.configurationRequestedAt = std::max(context.configurationRequestedAt.value_or(changes.requestedAt), changes.requestedAt);
     }
 }
 
-void applyEndpoints(edge_context &context, const table_changes &changes, bool snapshot)
+void applyEndpoints(edge_context &context, const table_changes &changes, table_scope scope)
 {
     const instant now = bootNow();
-    const bool storeFailedRecently = context.storeFailedAt != instant{} && now - context.storeFailedAt < storeRecoveryTime;
+    const auto isRecent = [now](instant event) {
+        return event != instant{} && now - event < storeRecoveryTime;
+    };
+    const bool storeFailedRecently = isRecent(context.storeFailedAt) || isRecent(context.storeRestoredAt);
     std::vector<std::string> listed;
     for (const auto &changed : changes.rows) {
         if (changed.removed) {
             if (storeFailedRecently) {
                 context.endpoints.noteMissing(changed.key, now);
             } else {
-                context.endpoints.remove(changed.key);
+                context.endpoints.remove(changed.key, now);
             }
             auto line = context.line("endpoint_gone");
             line.add("endpoint", changed.key).add("kept", storeFailedRecently);
@@ -250,9 +280,13 @@
             .add("reclaimable", parsed->reclaimable)
             .add("role", static_cast<int>(parsed->role.value_or(endpoint_role::Mixed)));
         context.log.write(line);
-        context.endpoints.update(std::move(*parsed));
+        if (scope == table_scope::Restored) {
+            context.endpoints.updateFromCopy(std::move(*parsed), now);
+        } else {
+            context.endpoints.update(std::move(*parsed));
+        }
     }
-    if (snapshot) {
+    if (scope != table_scope::Changes) {
         context.endpoints.reconcile(listed, storeFailedRecently, now);
         context.endpointsListed = true;
     }
@@ -271,16 +305,16 @@
 
 task<void> followConfiguration(edge_context &context)
 {
-    table_handler handler{"follow_configuration", [&context](const table_changes &changes, bool /*snapshot*/) {
-                              applyConfiguration(context, changes);
+    table_handler handler{"follow_configuration", [&context](const table_changes &changes, table_scope scope) {
+                              applyConfiguration(context, changes, scope);
                           }};
     co_await follow(context, platform_table::Configuration, std::move(handler));
 }
 
 task<void> followEndpoints(edge_context &context)
 {
-    table_handler handler{"follow_endpoints", [&context](const table_changes &changes, bool snapshot) {
-                              applyEndpoints(context, changes, snapshot);
+    table_handler handler{"follow_endpoints", [&context](const table_changes &changes, table_scope scope) {
+                              applyEndpoints(context, changes, scope);
                           }};
     co_await follow(context, platform_table::Endpoints, std::move(handler));
 }
--- a/tests/endpoint_notice_test.cpp
+++ b/tests/endpoint_notice_test.cpp
@@ -115,7 +115,7 @@
     // The store lists it as ready for a while, or loses its entry and gets it back.
     addEndpoint("e1", "desk", first.address());
     EXPECT_EQ(call(get("/read/1")).body, "second");
-    context->endpoints.remove("e1");
+    context->endpoints.remove("e1", bootNow());
     addEndpoint("e1", "desk", first.address());
     EXPECT_EQ(call(get("/read/1")).body, "second");
     EXPECT_EQ(first.requests.size(), 1U);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -11,6 +11,8 @@
 namespace
 {
 
+using namespace std::chrono_literals;
+
 using nlohmann::json;
 
 const row_parsers parsers = platform::makeRowParsers();
@@ -237,6 +239,39 @@
     EXPECT_EQ(answer.status().code(), absl::StatusCode::kOutOfRange);
 }
 
+// Guards against versions that a restored store gives out again passing for those of the history before.
+TEST_F(platform_store_test, a_restored_store_begins_another_history)
+{
+    int era = 1;
+    int version = 9;
+    storeScript = [&](const http_request &request, int) {
+        return scripted_answer{.bytes = wholeAnswer(request,
+                                                    200,
+                                                    json{{"rows", {storedRow("a", "x", version)}}, {"has-more", false}, {"ver", version}}.dump(),
+                                                    absl::StrCat("Store-Era: ", era, "\r\n"))};
+    };
+    const auto before = await(context->platform.store.readAll(platform_table::Endpoints));
+    const auto rowBefore = await(context->platform.store.read("a"));
+    ASSERT_TRUE(before.ok() && rowBefore.ok() && rowBefore->has_value());
+    era = 2;
+    version = 9;
+    // The same version, of another history.
+    EXPECT_EQ(await(context->platform.store.changes(platform_table::Endpoints, before->version, 50ms)).status().code(), absl::StatusCode::kOutOfRange);
+    EXPECT_EQ(context->platform.store.history(), 2U);
+    const auto sent = store.requests.size();
+    const transaction change{.conditions = {{.key = "a", .version = (*rowBefore)->version}}, .writes = {{.key = "a", .value = "v"}}};
+    EXPECT_EQ(await(context->platform.store.commit(change)), commit_outcome::Conflict);
+    EXPECT_EQ(store.requests.size(), sent);
+    version = 3;
+    const auto after = await(context->platform.store.readAll(platform_table::Endpoints));
+    ASSERT_TRUE(after.ok());
+    EXPECT_GT(after->version, before->version);
+    // A late answer of the history before.
+    era = 1;
+    EXPECT_FALSE(await(context->platform.store.changes(platform_table::Endpoints, after->version, 50ms)).ok());
+    EXPECT_EQ(context->platform.store.history(), 2U);
+}
+
 // Guards against rows lost between the pages of a large table, and against a feed that continues later than the first page's version.
 TEST_F(platform_store_test, reads_all_pages)
 {
@@ -320,4 +355,58 @@
     EXPECT_EQ(*context->configurationRequestedAt, requestedAt);
 }
 
+// Guards against a fleet that learns nothing from a restored store until its versions have passed the old ones, and against the older configuration.
+TEST_F(platform_store_test, a_follower_goes_on_with_a_restored_store)
+{
+    auto older = validConfiguration();
+    older["version"] = 5;
+    auto newer = validConfiguration();
+    newer["version"] = 8;
+    int step = 0;
+    storeScript = [&](const http_request &request, int) {
+        const bool feed = toView(request.target()).find("rows-feed") != std::string_view::npos;
+        const auto answer = [&](int era, int version, const json &rows, std::chrono::milliseconds delay = 0ms) {
+            return scripted_answer{
+                .bytes
+                = wholeAnswer(request, 200, json{{"rows", rows}, {"has-more", false}, {"ver", version}}.dump(), absl::StrCat("Store-Era: ", era, "\r\n")),
+                .delay = delay};
+        };
+        if (step == 0) {
+            return feed ? scripted_answer{.bytes = wholeAnswer(request, 410, "{}", "Store-Era: 2\r\n")}
+                        : answer(1, 20, json::array({storedRow("config", validConfiguration().dump(), 20)}));
+        }
+        if (!feed) {
+            return answer(2, 4, json::array({storedRow("config", older.dump(), 4)}));
+        }
+        return step == 1 ? answer(2, 4, json::array(), 50ms) : answer(2, 5, json::array({storedRow("config", newer.dump(), 5)}), 50ms);
+    };
+    asio::co_spawn(loop, followConfiguration(*context), asio::detached);
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return context->platform.store.history() == 2;
+        },
+        1s));
+    step = 1;
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return context->storeRestoredAt != instant{};
+        },
+        1s));
+    const auto confirmedAt = *context->configurationRequestedAt;
+    runUntil(
+        [] {
+            return false;
+        },
+        300ms);
+    EXPECT_EQ(context->configuration->version, 7U);
+    EXPECT_EQ(*context->configurationRequestedAt, confirmedAt);
+    step = 2;
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return context->configuration->version == 8;
+        },
+        1s));
+    EXPECT_GT(*context->configurationRequestedAt, confirmedAt);
+}
+
 }
--- a/tests/service_forward_test.cpp
+++ b/tests/service_forward_test.cpp
@@ -357,7 +357,7 @@
     });
     configure({repeatableRoute()});
     addEndpoint("e1", "desk", endpoint.address());
-    context->endpoints.remove("e1");
+    context->endpoints.remove("e1", bootNow());
     const auto result = call(get("/read/1"));
     EXPECT_EQ(result.status, 503);
     EXPECT_TRUE(endpoint.requests.empty());
@@ -540,8 +540,8 @@
         EXPECT_EQ(endpoint.requests.size(), 2U);
         EXPECT_TRUE(other.requests.empty());
         EXPECT_EQ(result.status, withId ? 200 : 502);
-        context->endpoints.remove("e1");
-        context->endpoints.remove("e2");
+        context->endpoints.remove("e1", bootNow());
+        context->endpoints.remove("e2", bootNow());
     }
 }
 
--- a/tests/serving_state_test.cpp
+++ b/tests/serving_state_test.cpp
@@ -26,6 +26,25 @@
 
 }
 
+// Guards against requests to an endpoint that has left and that an older copy of the store lists again.
+TEST(endpoint_registry, an_older_copy_brings_back_no_endpoint_that_left)
+{
+    endpoint_registry registry;
+    registry.update(entry("left"));
+    registry.update(entry("lapsed"));
+    registry.remove("left", start);
+    registry.remove("lapsed", start);
+    registry.updateFromCopy(entry("left"), start + 1s);
+    registry.updateFromCopy(entry("lapsed"), start + 1s);
+    registry.updateFromCopy(entry("other"), start + 1s);
+    EXPECT_EQ(registry.find("left"), nullptr);
+    EXPECT_NE(registry.find("other"), nullptr);
+    registry.remove("left", start + 4s); // The store drops the entry of a process that is silent.
+    registry.expireMissing(start + 10s, 1s);
+    EXPECT_EQ(registry.find("left"), nullptr);
+    EXPECT_NE(registry.find("lapsed"), nullptr);
+}
+
 // Guards against attributing the load and cache of an earlier process to a new one with the same id.
 TEST(endpoint_registry, resets_state_for_a_new_process)
 {
@@ -85,7 +104,7 @@
     registry.setPeerLoad({hash, {2, 100}});
     EXPECT_EQ(registry.find("e")->peers.running, 2);
     EXPECT_DOUBLE_EQ(registry.find("e")->peers.promptTokens, 100);
-    registry.remove("e");
+    registry.remove("e", start);
     registry.update(entry("e"));
     EXPECT_EQ(registry.find("e")->peers.running, 2);
     registry.clearPeerLoads();
--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -178,7 +178,7 @@
         return scripted_answer{.bytes = streamHead(request) + chunk(event(1)) + "0\r\n\r\n"};
     });
     scripted_server prefillEngine(loop, [this](const http_request &request, int) {
-        context->endpoints.remove("e2");
+        context->endpoints.remove("e2", bootNow());
         return scripted_answer{.bytes = wholeAnswer(request, 200, R"({"kv-handle":"h1"})"), .delay = std::chrono::milliseconds(20)};
     });
     configure({streamRoute(false)});
@@ -335,7 +335,7 @@
         scripted_server first(loop, script);
         scripted_server second(loop, script);
         addEndpoint("e1", "engines", first.address(), endpoint_role::Decode);
-        context->endpoints.remove("e2");
+        context->endpoints.remove("e2", bootNow());
         configure({streamRoute(false)});
         const auto broken = call(generation());
         EXPECT_TRUE(broken.answered);
@@ -502,8 +502,8 @@
         EXPECT_FALSE(result.whole) << i;
         EXPECT_EQ(first.requests.size(), 1U) << i;
         EXPECT_EQ(second.requests.size(), 1U) << i;
-        context->endpoints.remove("e1");
-        context->endpoints.remove("e2");
+        context->endpoints.remove("e1", bootNow());
+        context->endpoints.remove("e2", bootNow());
     }
 }
 
