Keep epochs unique and the lease with its holder across a restored store

A restored store shows an older row of the lease: free, or with an earlier holder and a lower epoch. The class: state that others rely on, kept only in a row that can go back.

Epochs begin anew above all of the history before. A holder whose lease has not ended takes it again at once, and all others wait for a whole term from the moment at which they meet the new history, also if the row shows the lease as free. Tests: lease_keeper_test.a_holder_keeps_its_lease_when_the_store_is_restored, .an_earlier_holder_does_not_hold_the_lease_by_an_older_row; they use the new function, so they were not run on the code before.

--- a/src/coordination/lease_keeper.cpp
+++ b/src/coordination/lease_keeper.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/tunables.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <type_traits>
 #include <utility>
@@ -9,6 +10,13 @@
 namespace lacewinglock
 {
 
+namespace
+{
+
+constexpr int historyEpochBits = 20; // Epochs of a history that can be used before those of the next one begin.
+
+}
+
 lease_keeper::lease_keeper(const std::string &cell, std::string duty, std::string holderId)
     : m_key("lease/" + cell + "/" + duty)
     , m_duty(std::move(duty))
@@ -63,6 +71,21 @@
     m_rank = rank;
 }
 
+// A holder whose lease has not ended may take it again at once: nobody else can have it, and all others wait for a whole term in the new history.
+void lease_keeper::enterHistory(std::uint64_t history, instant now)
+{
+    if (history == m_history) {
+        return;
+    }
+    if (m_history != 0) {
+        m_enteredAt = now;
+        m_reclaimUntil = m_held ? m_grant.validUntil : instant{};
+        m_nextReadAt = now;
+        m_nextCommitAt = now;
+    }
+    m_history = history;
+}
+
 const std::string &lease_keeper::duty() const
 {
     return m_duty;
@@ -161,18 +184,23 @@
         sendCommit(next, m_rowVersion, now, out);
         return;
     }
-    if (mayTakeOver()) {
-        next.epoch = m_row.epoch + 1;
+    if (mayTakeOver(now)) {
+        next.epoch = std::max(m_row.epoch, m_history << historyEpochBits) + 1;
         next.renewals = 0;
         sendCommit(next, m_rowVersion, now, out);
     }
 }
 
 // The row counts as unchanged up to the time when the latest read was sent, not answered: it may have changed while the answer was on its way.
-bool lease_keeper::mayTakeOver() const
+bool lease_keeper::mayTakeOver(instant now) const
 {
+    if (now < m_reclaimUntil) {
+        return true;
+    }
     const duration rankDelay = tunables::leaseRankDelay * static_cast<int>(m_rank);
-    const duration wait = m_row.holder.empty() ? rankDelay : tunables::leaseTerm + rankDelay;
+    // A lease that the older row shows as free may have been acquired since, in the history before.
+    const bool isFree = m_row.holder.empty() && (!m_enteredAt || m_readSentAt >= *m_enteredAt + tunables::leaseTerm);
+    const duration wait = isFree ? rankDelay : tunables::leaseTerm + rankDelay;
     return m_unchangedSince && (wait == duration::zero() || m_readSentAt >= *m_unchangedSince + wait);
 }
 
--- a/src/coordination/lease_keeper.h
+++ b/src/coordination/lease_keeper.h
@@ -37,6 +37,10 @@
     /// lease.
     void setRank(std::size_t rank);
 
+    /// Call before handle(): `history` is the number of the history that the store is in, 0 if it has none. In another history the row may be an older
+    /// one, and epochs that were used may be missing.
+    void enterHistory(std::uint64_t history, instant now);
+
     const std::string &duty() const;
 
     /// Holder and epoch: those of the grant while this daemon holds the lease, otherwise those of the row as last read. The holder is empty when nobody
@@ -70,7 +74,7 @@
     void applyOwnCommit(const own_commit &commit, instant now);
     void recordRow(const std::optional<row> &found, instant now);
     void advance(instant now, std::vector<control_effect> &out);
-    bool mayTakeOver() const;
+    bool mayTakeOver(instant now) const;
 
     std::string m_key;
     std::string m_duty;
@@ -90,6 +94,10 @@
     std::optional<instant> m_unchangedSince; ///< When the first read returned the current row version.
     std::map<std::string, own_commit> m_ownCommits; ///< By nonce.
 
+    std::uint64_t m_history = 0;
+    std::optional<instant> m_enteredAt; ///< When another history was met; none before the first change.
+    instant m_reclaimUntil; ///< End of the lease that this process held in the history before.
+
     bool m_held = false;
     bool m_draining = false;
     bool m_released = false;
--- a/src/serving/lease_runner.cpp
+++ b/src/serving/lease_runner.cpp
@@ -32,6 +32,7 @@
         m_keeper.setRank(rendezvousRank(m_keeper.duty(), m_context.settings.id, m_context.memberIds()));
         std::vector<control_effect> effects;
         const instant now = bootNow();
+        m_keeper.enterHistory(m_context.platform.store.history(), now);
         if (m_context.stopping && !releasing && m_permits.settled(now)) {
             releasing = true;
             m_keeper.release(now, effects);
@@ -63,11 +64,13 @@
             row_read_event event{.op = read->op, .result = absl::UnknownError("no request was sent to the store")};
             event.result = co_await m_context.platform.store.read(read->key);
             m_context.counters.count(metric_counter::StoreReads);
+            m_keeper.enterHistory(m_context.platform.store.history(), bootNow());
             m_keeper.handle(event, bootNow(), next);
         } else if (const auto *commit = std::get_if<commit_effect>(&effect)) {
             commit_event event{.op = commit->op};
             event.outcome = co_await m_context.platform.store.commit(commit->change);
             m_context.counters.count(metric_counter::StoreWrites);
+            m_keeper.enterHistory(m_context.platform.store.history(), bootNow());
             m_keeper.handle(event, bootNow(), next);
         }
         for (auto &effectToQueue : next) {
--- a/tests/lease_keeper_test.cpp
+++ b/tests/lease_keeper_test.cpp
@@ -196,4 +196,53 @@
 
 }
 
+// Guards against two holders, and an epoch that is used twice, after the store came back from a copy in which the lease is free.
+TEST_F(lease_keeper_test, a_holder_keeps_its_lease_when_the_store_is_restored)
+{
+    const auto copy = copyRows(table);
+    first.enterHistory(1, at(1));
+    second.enterHistory(1, at(1));
+    tickRange(first, 1, 10);
+    const auto epoch = first.grant(at(10))->epoch;
+    restoreRows(table, copy);
+    second.enterHistory(2, at(10));
+    tickRange(second, 10, 11);
+    EXPECT_FALSE(second.grant(at(11)));
+    first.enterHistory(2, at(11));
+    tick(first, 11);
+    ASSERT_TRUE(first.grant(at(11)));
+    EXPECT_GT(first.grant(at(11))->epoch, epoch);
+    for (double now = 11; now < 30; now += 0.1) {
+        tick(first, now);
+        tick(second, now);
+        ASSERT_TRUE(first.grant(at(now)));
+        ASSERT_FALSE(second.grant(at(now)));
+    }
+}
+
+// Guards against an earlier holder that takes the lease for its own because the older row says so.
+TEST_F(lease_keeper_test, an_earlier_holder_does_not_hold_the_lease_by_an_older_row)
+{
+    first.enterHistory(1, at(1));
+    second.enterHistory(1, at(1));
+    tickRange(first, 1, 3);
+    const auto copy = copyRows(table);
+    tickRange(second, 3, 20);
+    ASSERT_TRUE(second.grant(at(20)));
+    const auto epoch = second.grant(at(20))->epoch;
+    tick(first, 20);
+    restoreRows(table, copy);
+    first.enterHistory(2, at(20.1));
+    tick(first, 20.1);
+    EXPECT_FALSE(first.grant(at(20.1)));
+    // The second holder is gone; the first one waits for the end of its lease.
+    for (double now = 20.1; now < 26; now += 0.1) {
+        tick(first, now);
+        ASSERT_FALSE(first.grant(at(now)) && second.grant(at(now)));
+    }
+    tickRange(first, 26, 40);
+    ASSERT_TRUE(first.grant(at(40)));
+    EXPECT_GT(first.grant(at(40))->epoch, epoch);
+}
+
 }
--- a/tests/store_executor.h
+++ b/tests/store_executor.h
@@ -54,6 +54,27 @@
     }
 };
 
+/// The rows of a table, for restoreRows().
+inline std::vector<row> copyRows(const memory_table &table)
+{
+    return *table.scan("", 100000, "");
+}
+
+/// Brings the table back to the rows of an older copy. Versions rise, as they do for users of a store whose versions carry its history.
+inline void restoreRows(memory_table &table, const std::vector<row> &copy)
+{
+    transaction change;
+    for (const auto &current : copyRows(table)) {
+        change.writes.push_back({.key = current.key, .value = std::nullopt});
+    }
+    table.commit(change);
+    change.writes.clear();
+    for (const auto &copied : copy) {
+        change.writes.push_back({.key = copied.key, .value = copied.value});
+    }
+    table.commit(change);
+}
+
 inline instant at(double seconds)
 {
     return instant() + std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
