Write the member row again to a restored store

The row is written once at the start of a daemon. A restored store without it made all others drop the daemon: no relay, no share of limits, no callers, and no wait for its usage. It is now written again in each history, and daemons that are heard stay members for 5 s after a restore.

Test: platform_store_test.a_member_writes_its_row_again_to_a_restored_store.

--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -23,6 +23,7 @@
 constexpr auto retryPause = std::chrono::milliseconds(150); // After a failed call: seven calls per second and daemon, a small part of the store's rate.
 constexpr auto storeRecoveryTime = std::chrono::milliseconds(2500); // Running endpoints list themselves again within 2 s of the store's return.
 constexpr auto memberReadInterval = std::chrono::seconds(10); // Finds members whose summaries never arrive; the first summary of others causes a read.
+constexpr auto memberRewriteTime = std::chrono::seconds(5); // Within it, daemons that reach a restored store write their rows again.
 constexpr auto memberCheckInterval = std::chrono::milliseconds(500);
 const std::string memberPrefix = "member/";
 
@@ -73,6 +74,19 @@
     std::function<void(const table_changes &, table_scope)> apply;
 };
 
+// A restored store may lack rows of daemons that are alive; they write them again as soon as they meet it.
+void keepLostMembers(const edge_context &context, std::map<std::string, member_entry, std::less<>> &members)
+{
+    if (context.storeRestoredAt == instant{} || bootNow() - context.storeRestoredAt > memberRewriteTime) {
+        return;
+    }
+    for (const auto &[id, member] : context.members) {
+        if (context.peers.contains(id)) {
+            members.try_emplace(id, member);
+        }
+    }
+}
+
 void noteStoreFailure(edge_context &context, std::string_view step, const absl::Status &status, bool &failing)
 {
     context.storeFailedAt = bootNow();
@@ -323,13 +337,19 @@
 {
     bool failing = false;
     bool stored = false;
+    std::uint64_t history = 0; // That the row was written to.
+    const auto isLost = [&] {
+        return !stored || history != context.platform.store.history();
+    };
     while (!context.stopping) {
-        if (!stored) {
+        if (isLost()) {
+            const std::uint64_t before = context.platform.store.history();
             const nlohmann::json value = encodeMember(context);
             transaction change{.writes = {{.key = memberPrefix + context.settings.id, .value = value.dump()}}};
             const auto outcome = co_await context.platform.store.commit(std::move(change));
             context.counters.count(metric_counter::StoreWrites);
             stored = outcome == commit_outcome::Committed;
+            history = before != 0 ? before : context.platform.store.history();
             if (!stored) {
                 noteStoreFailure(context, "write_member", absl::UnavailableError("commit of the member row failed"), failing);
                 co_await sleepFor(retryPause);
@@ -355,10 +375,11 @@
             }
             members[row.key.substr(memberPrefix.size())] = std::move(*member);
         }
+        keepLostMembers(context, members);
         updateMembers(context, std::move(members));
         context.unknownSender = false;
         const instant readAt = bootNow();
-        while (!context.stopping && !context.unknownSender && bootNow() - readAt < memberReadInterval) {
+        while (!context.stopping && !isLost() && !context.unknownSender && bootNow() - readAt < memberReadInterval) {
             co_await sleepFor(memberCheckInterval);
         }
     }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -409,4 +409,32 @@
     EXPECT_GT(*context->configurationRequestedAt, confirmedAt);
 }
 
+// Guards against a daemon that drops out of the fleet because a restored store lacks its row.
+TEST_F(platform_store_test, a_member_writes_its_row_again_to_a_restored_store)
+{
+    int era = 1;
+    int writes = 0;
+    storeScript = [&](const http_request &request, int) {
+        writes += request.method() == http::verb::post ? 1 : 0;
+        return scripted_answer{.bytes = wholeAnswer(request, 200, R"({"rows":[],"has-more":false,"ver":3})", absl::StrCat("Store-Era: ", era, "\r\n"))};
+    };
+    context->members["other"] = {.address = "127.0.0.1:1", .failureDomain = "domain-a"};
+    context->peers["other"] = {.serving = true};
+    context->storeRestoredAt = bootNow();
+    asio::co_spawn(loop, maintainMembership(*context), asio::detached);
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return writes == 1;
+        },
+        1s));
+    era = 2;
+    EXPECT_TRUE(await(context->platform.store.read("x")).ok());
+    EXPECT_TRUE(runUntil(
+        [&] {
+            return writes == 2;
+        },
+        1s));
+    EXPECT_TRUE(context->members.contains("other"));
+}
+
 }
