Report no usage window twice after the store was restored

A window was reported at 9 s by one holder and at 24 s by another with other counts, because the copy lacked its frozen row and the final counts of the daemons (ONE). The class: a row that is written once, and whose absence is taken for proof that nothing was done.

Daemons write their counts again in each history. The holder keeps the frozen counts of recent windows in memory and writes their rows again. A holder that does not know a window that ended before the restore reports nothing: whether another daemon did is unknown.

Tests: usage_relay_test.a_restored_store_changes_no_report, .windows_before_a_restore_are_not_reported_by_another_daemon.

--- a/src/serving/usage_duty.cpp
+++ b/src/serving/usage_duty.cpp
@@ -67,6 +67,17 @@
     });
 }
 
+// The frozen row of a window that ended before the store came back from an older copy may be lost. Whether another daemon has reported the window is
+// unknown then, and no report is better than a second one with other counts.
+bool mayBeReported(const edge_context &context, std::int64_t window)
+{
+    if (context.storeRestoredAt == instant{}) {
+        return false;
+    }
+    const double sinceRestoreMs = toMs(bootNow() - context.storeRestoredAt);
+    return static_cast<double>(context.usage.windowEndMs(window)) < static_cast<double>(context.correctedTimeMs()) - sinceRestoreMs;
+}
+
 /// Returns the counts to report: those of the frozen row, which this or an earlier lease holder wrote. Returns nullopt when the store does not
 /// answer or the frozen row is malformed, and, if `mayWaitForCounts`, while final counts of a member are missing.
 task<std::optional<usage_counts>> freezeWindow(edge_context &context, std::int64_t window, std::uint64_t epoch, bool mayWaitForCounts)
@@ -85,8 +96,22 @@
                 context.log.write(line);
                 co_return std::nullopt;
             }
+            context.frozenUsage[window] = counts;
+            co_return counts;
+        }
+        if (const auto known = context.frozenUsage.find(window); known != context.frozenUsage.end()) {
+            const usage_counts counts = known->second;
+            transaction again{.conditions = {{.key = key, .version = 0}}, .writes = {{.key = key, .value = encodeCounts(counts)}}};
+            co_await context.platform.store.commit(std::move(again));
+            context.counters.count(metric_counter::StoreWrites);
             co_return counts;
         }
+        if (mayBeReported(context, window)) {
+            auto line = context.line("usage_withheld");
+            line.add("window", window).add("epoch", epoch);
+            context.log.write(line);
+            co_return usage_counts();
+        }
         const auto rows = co_await context.platform.store.scan(windowPrefix(window));
         if (!rows.ok()) {
             co_return std::nullopt;
@@ -115,6 +140,7 @@
         line.add("window", window).add("epoch", epoch).add("rows", rows->size()).add("outcome", static_cast<int>(outcome));
         context.log.write(line);
         if (outcome == commit_outcome::Committed) {
+            context.frozenUsage[window] = sum;
             co_return sum;
         }
         if (outcome == commit_outcome::Unavailable) {
@@ -184,7 +210,12 @@
 task<void> storeUsage(edge_context &context)
 {
     instant lastFullStore;
+    std::uint64_t history = context.platform.store.history();
     while (true) {
+        if (const auto newest = context.platform.store.history(); newest != history) {
+            context.usage.markAllUnstored();
+            history = newest;
+        }
         const auto interval = std::max<duration>(minStoreInterval, storeIntervalPerDaemon * static_cast<int>(context.daemons()));
         const bool storeAll = bootNow() - lastFullStore >= interval;
         for (auto &change : context.usage.unstored(context.correctedTimeMs())) {
@@ -195,7 +226,9 @@
         if (storeAll) {
             lastFullStore = bootNow();
         }
-        context.usage.eraseBefore(context.usage.windowAt(context.correctedTimeMs()) - retainedWindows);
+        const std::int64_t oldest = context.usage.windowAt(context.correctedTimeMs()) - retainedWindows;
+        context.usage.eraseBefore(oldest);
+        context.frozenUsage.erase(context.frozenUsage.begin(), context.frozenUsage.lower_bound(oldest));
         co_await sleepFor(storePollInterval);
     }
 }
@@ -204,8 +237,15 @@
 {
     std::set<std::int64_t> reported;
     stored_windows stored;
+    std::uint64_t history = context.platform.store.history();
     while (!context.stopping) {
         co_await sleepFor(reportPollInterval);
+        // The frozen rows may be lost. They are written again, and the platform ignores an equal report.
+        if (const auto newest = context.platform.store.history(); newest != history) {
+            history = newest;
+            reported.clear();
+            stored = {};
+        }
         const std::int64_t now = context.correctedTimeMs();
         const std::int64_t lengthMs = context.usage.windowEndMs(0);
         const std::int64_t lastClosedWindow = context.usage.windowAt(now - std::chrono::milliseconds(windowCloseDelay).count()) - 1;
--- a/src/serving/usage_windows.cpp
+++ b/src/serving/usage_windows.cpp
@@ -104,6 +104,14 @@
     }
 }
 
+void usage_windows::markAllUnstored()
+{
+    for (auto &[window, entry] : m_windows) {
+        entry.storedRevision = 0;
+        entry.storedFinal = false;
+    }
+}
+
 void usage_windows::eraseBefore(std::int64_t window)
 {
     m_windows.erase(m_windows.begin(), m_windows.lower_bound(window));
--- a/src/serving/usage_windows.h
+++ b/src/serving/usage_windows.h
@@ -55,6 +55,8 @@
     std::vector<change> unstored(std::int64_t correctedTimeMs);
     /// Call after the counts in `written` reached the store.
     void markStored(const change &written);
+    /// Call when the store has lost what was written: all windows have to be written again.
+    void markAllUnstored();
     /// Drops the counts of all windows before `window`.
     void eraseBefore(std::int64_t window);
 
--- a/tests/usage_relay_test.cpp
+++ b/tests/usage_relay_test.cpp
@@ -1,4 +1,5 @@
 #include "edge_fixture.h"
+#include "store_executor.h"
 
 #include "serving/feed_relay.h"
 #include "serving/store_batch.h"
@@ -253,4 +254,77 @@
         40s));
 }
 
+// Guards against a window that is reported twice, with other counts, because the store came back from a copy without its frozen row.
+TEST_F(usage_relay_test, a_restored_store_changes_no_report)
+{
+    std::uint64_t history = 1;
+    context->platform.store.history = [&history] {
+        return history;
+    };
+    std::map<std::int64_t, std::set<std::string>> reports;
+    context->platform.orders.reportUsage = [&reports](order_authority, std::int64_t window, usage_counts counts) -> task<delivery_outcome> {
+        reports[window].insert(encodeCounts(counts));
+        co_return delivery_outcome::Accepted;
+    };
+    context->members = {{settings.id, {.address = "127.0.0.1:1", .failureDomain = "domain-a"}}};
+    context->peers.clear();
+    const std::int64_t current = wallMs() / 5000;
+    for (std::int64_t window = current - 2; window <= current + 8; ++window) {
+        context->usage.countRequest("o", context->usage.windowEndMs(window) - 1);
+    }
+    const auto copy = copyRows(table);
+    lease_runner lease(*context, "platform");
+    asio::co_spawn(loop, lease.run(), asio::detached);
+    asio::co_spawn(loop, storeUsage(*context), asio::detached);
+    asio::co_spawn(loop, reportUsage(*context, lease), asio::detached);
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return reports.size() >= 2;
+        },
+        20s));
+    // What was counted before the copy is counted on, as by a daemon that was restarted.
+    restoreRows(table, copy);
+    history = 2;
+    context->storeRestoredAt = bootNow();
+    const std::int64_t reported = reports.rbegin()->first;
+    context->usage.countRequest("o", context->usage.windowEndMs(reported) - 1);
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return reports.rbegin()->first > reported;
+        },
+        20s));
+    for (const auto &[window, counts] : reports) {
+        EXPECT_EQ(counts.size(), 1U) << "window " << window;
+    }
+    EXPECT_GE(storedRows(absl::StrFormat("usage/%020d", reported)), 1U);
+    EXPECT_TRUE(table.read(absl::StrFormat("window/%020d", reported))->has_value());
+}
+
+// Guards against the same by a daemon that knows nothing of the report.
+TEST_F(usage_relay_test, windows_before_a_restore_are_not_reported_by_another_daemon)
+{
+    std::set<std::int64_t> reports;
+    context->platform.orders.reportUsage = [&reports](order_authority, std::int64_t window, usage_counts) -> task<delivery_outcome> {
+        reports.insert(window);
+        co_return delivery_outcome::Accepted;
+    };
+    context->members = {{settings.id, {.address = "127.0.0.1:1", .failureDomain = "domain-a"}}};
+    context->peers.clear();
+    context->storeRestoredAt = bootNow();
+    const std::int64_t current = wallMs() / 5000;
+    for (std::int64_t window = current - 2; window <= current + 8; ++window) {
+        context->usage.countRequest("o", context->usage.windowEndMs(window) - 1);
+    }
+    lease_runner lease(*context, "platform");
+    asio::co_spawn(loop, lease.run(), asio::detached);
+    asio::co_spawn(loop, storeUsage(*context), asio::detached);
+    asio::co_spawn(loop, reportUsage(*context, lease), asio::detached);
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return !reports.empty();
+        },
+        20s));
+    EXPECT_GE(*reports.begin(), current);
+}
+
 }
