Accept in a stop only what can be answered before its end

Reported by another operator: requests taken late in the grace period were cut at its end. Here, for 3 s after SIGTERM every request counted with four times its target, also a call that must not run twice, and the time of SIGTERM was that at which the daemon noticed it. So requests that came 3 s after the signal could be taken, passed on and cut.

The short estimate now holds for 2 s and only for streams and calls that may be repeated, the stop is dated to the last turn of the event loop before the signal was seen, and what is accepted during a stop gets an error before the process ends. Both new tests are of cases that the code before accepts without an answer (by reading; they were not run on it).

--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -27,9 +27,9 @@
 constexpr double noConfigurationRetryAfterMs = 300; // The first configuration arrives within a few store calls.
 constexpr double staleKeyRetryAfterMs = 500;
 constexpr double stoppingRetryAfterMs = 50; // Another daemon can take the request at once.
-// For this long after SIGTERM a request is expected to end within four times its target. Callers are elsewhere by then, and the target of a stream
-// covers its first event only.
-constexpr auto callersLeaveTime = std::chrono::seconds(3);
+// For this long after SIGTERM a stream, or a call that may be repeated, is expected to end within four times its target. Callers are elsewhere by then,
+// and the target of a stream covers its first event only.
+constexpr auto callersLeaveTime = std::chrono::seconds(2);
 constexpr auto shutdownMargin = std::chrono::milliseconds(1500); // Time between the last answer and the forced end of the process.
 
 bool sameHeaderName(std::string_view left, std::string_view right)
@@ -202,10 +202,11 @@
         const instant now = bootNow();
         const instant killedAt = context.stoppingSince + context.settings.shutdownGrace;
         const duration remaining = request.deadline - now;
-        const bool early = now - context.stoppingSince < callersLeaveTime;
+        const bool early = now - context.stoppingSince < callersLeaveTime && (request.route->stream || request.route->repeatable);
         if (now + (early ? std::min<duration>(remaining, 4 * request.route->target) : remaining) + shutdownMargin > killedAt) {
             return request_refusal{http::status::service_unavailable, "stopping", "the daemon is shutting down", stoppingRetryAfterMs};
         }
+        request.deadline = std::min<instant>(request.deadline, killedAt - shutdownMargin); // An error is better than a closed connection.
     }
     request.fingerprint = fingerprintOf(request);
     request.prompt = context.platform.wire.parsePrompt(message);
--- a/src/serving/edge_daemon.cpp
+++ b/src/serving/edge_daemon.cpp
@@ -61,6 +61,7 @@
     http_server m_feeds; ///< For requests of other daemons, on the TCP port of the peer address.
     udp::socket m_peers;
     asio::signal_set m_signals;
+    instant m_lastHousekeeping = bootNow();
     lease_runner m_lease;
 };
 
@@ -260,7 +261,7 @@
             reload();
         } else if (!m_context.stopping) {
             m_context.stopping = true;
-            m_context.stoppingSince = bootNow();
+            m_context.stoppingSince = m_lastHousekeeping; // The signal may have come at any time since the last turn without it.
             spawnDuty(m_context.loop, stop(), "stop");
         }
     }
@@ -286,6 +287,7 @@
 task<void> edge_daemon::runHousekeeping()
 {
     while (true) {
+        m_lastHousekeeping = bootNow();
         co_await sleepFor(housekeepingInterval);
         m_context.pool.expire();
         m_context.endpoints.expireMissing(bootNow(), m_context.settings.drainBound - missingEntryMargin);
--- a/tests/edge_daemon_test.cpp
+++ b/tests/edge_daemon_test.cpp
@@ -152,6 +152,44 @@
     EXPECT_EQ(engine.requests.size(), 0U);
 }
 
+// Guards against a call that must not run twice, is accepted during a stop and cut by the end of the process.
+TEST_F(edge_daemon_test, refuses_calls_that_must_not_run_twice_unless_their_whole_time_is_left)
+{
+    auto route = makeRoute("/book/", "desk");
+    route.timeout = std::chrono::seconds(8);
+    configure({route});
+    scripted_server endpoint(loop, [](const http_request &request, int) {
+        return scripted_answer{.bytes = wholeAnswer(request, 200, "ok")};
+    });
+    addEndpoint("e1", "desk", endpoint.address());
+    context->stopping = true;
+    context->stoppingSince = bootNow() - std::chrono::milliseconds(500);
+    EXPECT_EQ(call(post("/book/1", "x")).status, 503);
+    EXPECT_EQ(endpoint.requests.size(), 0U);
+    EXPECT_EQ(call(post("/book/1", "x", "X-Deadline-Ms: 2500\r\n")).status, 200);
+}
+
+// Guards against a request that is accepted during a stop and gets no answer before the process ends.
+TEST_F(edge_daemon_test, a_request_accepted_during_a_stop_is_answered_before_the_end)
+{
+    auto route = makeRoute("/read/", "engines");
+    route.stream = true;
+    route.timeout = std::chrono::seconds(8);
+    route.target = std::chrono::milliseconds(300);
+    configure({route});
+    scripted_server engine(loop, [](const http_request &, int) {
+        return scripted_answer{.silent = true};
+    });
+    addEndpoint("e1", "engines", engine.address());
+    context->settings.shutdownGrace = std::chrono::milliseconds(4500);
+    context->stopping = true;
+    context->stoppingSince = bootNow() - std::chrono::milliseconds(1500);
+    const auto result = call(post("/read/1", "x"));
+    EXPECT_EQ(engine.requests.size(), 1U);
+    EXPECT_EQ(result.status, 504);
+    EXPECT_LT(result.ms, 2300);
+}
+
 // Guards against oversized headers and bodies that reach an endpoint.
 TEST_F(edge_daemon_test, rejects_oversized_headers_and_bodies)
 {
