Bound the time for which two engines have one stream

Found in review of the takeover: a dropped takeover whose head arrived in the same turn still cancelled the sound engine; two engines could work on one stream until the second one answered; a refusal of the first engine vouched for the second; a takeover during a retry took no retry from the budget; engines that went on stayed excluded; crashes in a takeover were not counted.

A cancelled exchange sends nothing and has no head.

Tests: stream_forward.a_silent_engine_is_left_soon_after_another_has_accepted_its_stream, .a_refusal_of_the_silent_engine_does_not_vouch_for_the_other, http_client_test.an_exchange_that_was_cancelled_before_it_began_sends_nothing.

--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -270,7 +270,9 @@
     {
         const answer_deadline answerDeadline(engine, now + std::chrono::milliseconds(std::lround(3 * placement.firstEventMs + 100)));
         m_awaitsHead = true;
+        const bool acquired = std::exchange(m_retryAcquired, false);
         state = co_await exchange->begin(message);
+        m_retryAcquired = m_retryAcquired || (acquired && state == exchange_state::NotSent);
         m_awaitsHead = false;
     }
     if (hasHead(state)) {
@@ -283,13 +285,11 @@
     auto result = co_await handleResponse(engine, exchange, state, reservation);
     while (result == step::TakenOver) {
         const auto silentEngine = std::exchange(engine, m_takeover->engine);
+        reservation.release();
         result = co_await adoptTakeover(silentEngine);
     }
     m_silence.cancel();
-    if (m_takeover) {
-        m_takeover->exchange->cancel();
-        dropTakeover();
-    }
+    dropTakeover();
     m_request.reply->onDisconnect(nullptr);
     co_return result;
 }
@@ -308,11 +308,10 @@
         return;
     }
     m_silence.start(time, [this, exchange = std::move(exchange), engine] {
-        m_failed.insert(engine->entry.id);
         if (m_takeover && m_takeover->ended && !m_takeover->begun) {
             dropTakeover();
         }
-        if (m_outcome.attempts + (m_awaitsHead ? 1 : 0) < m_route.maxAttempts) {
+        if (m_outcome.attempts + (m_awaitsHead ? 1 : 0) < m_route.maxAttempts && m_unreachable <= maxUnreachableEngines) {
             if (!m_takeover) {
                 startTakeover(exchange);
             }
@@ -330,10 +329,9 @@
     auto input = makePlacementInput(engines);
     input.mayDisaggregate = false;
     for (auto &candidate : input.engines) {
-        candidate.excluded = candidate.excluded || candidate.heldMs > 0;
+        candidate.excluded = candidate.excluded || candidate.heldMs > 0 || candidate.id == m_outcome.endpoint;
     }
     const auto placement = placeGeneration(input, m_context.settings.engines);
-    logDecision(input, placement);
     if (placement.decodeIndex < 0 || !acquireRetry(m_retryAcquired)) {
         return;
     }
@@ -343,7 +341,9 @@
         return;
     }
     m_retryAcquired = false;
-    auto message = makeForwardedRequest(m_context, m_request, engine->entry, bootNow());
+    logDecision(input, placement);
+    const instant now = bootNow();
+    auto message = makeForwardedRequest(m_context, m_request, engine->entry, now);
     if (placement.kvSourceIndex >= 0) {
         m_context.platform.wire.engine.fetchCachedPrefix(message, engines[static_cast<std::size_t>(placement.kvSourceIndex)]->entry);
     }
@@ -352,7 +352,10 @@
     }
     const double cachedTokens = input.engines[static_cast<std::size_t>(placement.decodeIndex)].cachedTokens;
     m_takeover = std::make_shared<stream_takeover>(m_context.loop, engine, std::max(0.0, input.promptTokens - cachedTokens));
-    m_takeover->exchange = std::make_shared<client_exchange>(m_context.pool, *address, forwardOptions(m_context, m_request, m_request.deadline));
+    const bool isLast = m_outcome.attempts + (m_awaitsHead ? 1 : 0) + 1 >= m_route.maxAttempts;
+    const auto limit = firstEventTimeout + std::chrono::milliseconds(std::lround(2 * placement.firstEventMs));
+    const instant deadline = isLast ? m_request.deadline : std::min<instant>(m_request.deadline, now + limit);
+    m_takeover->exchange = std::make_shared<client_exchange>(m_context.pool, *address, forwardOptions(m_context, m_request, deadline));
     m_request.reply->onDisconnect([exchange, other = m_takeover->exchange] {
         exchange->cancel();
         other->cancel();
@@ -369,11 +372,25 @@
     if (!m_takeover) {
         return;
     }
-    if (m_takeover->state != exchange_state::NotSent || !m_takeover->ended) {
-        ++m_outcome.attempts;
+    const auto takeover = std::exchange(m_takeover, nullptr);
+    const bool sent = takeover->exchange->requestSent();
+    takeover->dropped = true;
+    if (!takeover->ended || takeover->begun) {
+        takeover->exchange->cancel();
+    } else {
+        m_failed.insert(takeover->engine->entry.id);
+        if (takeover->state == exchange_state::Lost || takeover->state == exchange_state::Malformed) {
+            checkForCrash(m_context, *takeover->engine, m_request);
+        }
+    }
+    if (!sent) {
+        m_retryAcquired = true;
+        ++m_unreachable;
+        return;
     }
-    m_failed.insert(m_takeover->engine->entry.id);
-    m_takeover.reset();
+    ++m_outcome.attempts;
+    const bool refused = takeover->ended && hasHead(takeover->state) && isMarkedNotExecuted(m_context, takeover->exchange->head());
+    m_mayHaveRun = m_mayHaveRun || !refused;
 }
 
 task<bool> stream_session::isTakenOver()
@@ -394,6 +411,7 @@
 {
     const auto takeover = std::exchange(m_takeover, nullptr);
     m_context.endpoints.noteResult(*silentEngine, attempt_result::NoAnswer, bootNow());
+    m_failed.insert(silentEngine->entry.id);
     m_outcome.endpoint = takeover->engine->entry.id;
     m_request.reply->onDisconnect([exchange = takeover->exchange] {
         exchange->cancel();
@@ -490,11 +508,17 @@
     const bool streams = hasHead(state) && !isMarkedNotExecuted(m_context, exchange->head()) && exchange->head().result() == http::status::ok
         && isSealed(m_context, exchange->head()) && (!m_streaming || bodyKind(exchange->head()) != body_kind::Other);
     if (!streams && co_await isTakenOver()) {
+        if (state == exchange_state::Lost) {
+            checkForCrash(m_context, *engine, m_request);
+        }
         ++m_outcome.attempts;
         m_mayHaveRun = true;
         co_return step::TakenOver;
     }
     const instant now = bootNow();
+    if (state == exchange_state::Cancelled && !m_request.reply->gone()) {
+        state = exchange_state::TimedOut; // It was given up for an engine that failed later.
+    }
     if (state == exchange_state::Cancelled) {
         m_outcome.reason = "caller_gone";
         co_return step::Done;
@@ -508,7 +532,6 @@
         co_return step::Retry;
     }
     ++m_outcome.attempts;
-    m_retryAcquired = false;
     const bool answered = hasHead(state);
     if (answered) {
         if (isMarkedNotExecuted(m_context, exchange->head())) {
@@ -600,8 +623,7 @@
                 noteFirstEvent(engine, reservation);
             }
             m_silence.cancel(); // The engine is not silent while the caller takes the events.
-            if (m_takeover && !m_takeover->begun) {
-                m_takeover->exchange->cancel();
+            if (m_takeover && !m_takeover->final) {
                 dropTakeover();
             }
             if (!m_streaming) {
@@ -636,15 +658,20 @@
         co_await m_request.reply->endStream();
         co_return step::Done;
     }
+    const bool broken = state == exchange_state::Lost || state == exchange_state::Malformed;
     if (co_await isTakenOver()) {
+        if (broken) {
+            checkForCrash(m_context, *engine, m_request);
+        }
         co_return step::TakenOver;
     }
-    if (state == exchange_state::Cancelled || m_request.reply->gone()) {
+    if (m_request.reply->gone()) {
         m_outcome.reason = "caller_gone";
         co_return step::Done;
     }
-    m_context.endpoints.noteResult(*engine, state == exchange_state::TimedOut ? attempt_result::NoAnswer : attempt_result::ConnectionLost, now);
-    if (state != exchange_state::TimedOut) {
+    const bool silent = state == exchange_state::TimedOut || state == exchange_state::Cancelled; // Cancelled for an engine that failed later.
+    m_context.endpoints.noteResult(*engine, silent ? attempt_result::NoAnswer : attempt_result::ConnectionLost, now);
+    if (!silent) {
         checkForCrash(m_context, *engine, m_request);
     }
     m_failed.insert(engine->entry.id);
@@ -652,7 +679,7 @@
     if (mayRetry()) {
         co_return step::Retry;
     }
-    co_return co_await fail(state == exchange_state::TimedOut ? http::status::gateway_timeout : http::status::bad_gateway, "stream_broken");
+    co_return co_await fail(silent ? http::status::gateway_timeout : http::status::bad_gateway, "stream_broken");
 }
 
 void stream_session::noteFirstEvent(const endpoint_ptr &engine, load_reservation &reservation)
--- a/src/serving/stream_takeover.cpp
+++ b/src/serving/stream_takeover.cpp
@@ -4,6 +4,8 @@
 #include "serving/event_stream.h"
 #include "transport/boot_clock.h"
 
+#include <absl/cleanup/cleanup.h>
+
 namespace lacewinglock
 {
 
@@ -30,24 +32,49 @@
     }
 }
 
+// The action refers to the takeover weakly, because the takeover owns the timer.
+void limitOverlap(const std::shared_ptr<stream_takeover> &takeover, const std::shared_ptr<client_exchange> &silent, duration time)
+{
+    takeover->overlap.start(time, [weak = std::weak_ptr(takeover), silent] {
+        const auto self = weak.lock();
+        if (!self || self->ended || self->dropped) {
+            return;
+        }
+        if (self->exchange->requestSent()) {
+            self->final = true;
+            silent->cancel();
+        } else {
+            limitOverlap(self, silent, maxTakeoverOverlap);
+        }
+    });
+}
+
 }
 
 task<void> runTakeover(edge_context &context, std::shared_ptr<stream_takeover> takeover, http_request message, std::shared_ptr<client_exchange> silent)
 {
     const instant sentAt = bootNow();
+    const auto wake = absl::MakeCleanup([&takeover] {
+        takeover->ended = true;
+        takeover->changed.cancel();
+    });
+    limitOverlap(takeover, silent, maxTakeoverOverlap);
     takeover->state = co_await takeover->exchange->begin(message);
-    takeover->ended = true;
+    takeover->overlap.cancel();
+    if (takeover->dropped) {
+        co_return;
+    }
     if (hasHead(takeover->state)) {
         noteAnswer(context, *takeover->engine, takeover->exchange->head(), sentAt);
         takeover->begun = isStream(context, takeover->exchange->head());
     }
     if (takeover->begun) {
+        takeover->final = true;
         silent->cancel();
     } else if (takeover->state != exchange_state::Cancelled) {
         context.endpoints.noteResult(*takeover->engine, classifyFailure(context, *takeover), bootNow());
         takeover->exchange->cancel();
     }
-    takeover->changed.cancel();
 }
 
 task<void> awaitTakeover(std::shared_ptr<stream_takeover> takeover)
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -246,6 +246,21 @@
 task<exchange_state> client_exchange::begin(const http_request &request)
 {
     const auto self = shared_from_this();
+    if (m_cancelled) {
+        m_done = true;
+        co_return exchange_state::Cancelled;
+    }
+    const auto state = co_await send(request);
+    // The head may have been read before the cancellation closed the connection.
+    if (m_cancelled && hasHead(state)) {
+        m_done = true;
+        co_return exchange_state::Cancelled;
+    }
+    co_return state;
+}
+
+task<exchange_state> client_exchange::send(const http_request &request)
+{
     armTimer(m_options.deadline - bootNow());
     if (!m_options.responseIdField.empty()) {
         m_responseId = toView(request[fromView(m_options.responseIdField)]);
@@ -416,6 +431,11 @@
     m_pool.put(m_server, m_connection);
 }
 
+bool client_exchange::requestSent() const
+{
+    return m_requestWritten;
+}
+
 const http::response_header<> &client_exchange::head() const
 {
     return m_parser->get();
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -116,12 +116,15 @@
     /// Replaces the deadline, also for a pending call.
     void setDeadline(instant deadline);
 
+    /// True once the whole request was written.
+    bool requestSent() const;
     /// Response header; valid after a successful begin().
     const http::response_header<> &head() const;
     /// True when the response has neither a length nor chunks and ends with its connection; valid after a successful begin().
     bool endsWithConnection() const;
 
 private:
+    task<exchange_state> send(const http_request &request);
     task<exchange_state> connect();
     task<exchange_state> readHead(bool skipBody);
     task<void> writeRequest(std::shared_ptr<const http_request> request);
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -77,6 +77,33 @@
     EXPECT_EQ(server.requests.size(), 1U);
 }
 
+TEST_F(http_client_test, an_exchange_that_was_cancelled_before_it_began_sends_nothing)
+{
+    scripted_server server(loop, [](const http_request &request, int) {
+        return scripted_answer{.bytes = wholeAnswer(request, 200, "{}")};
+    });
+    const auto address = *parseAddress(server.address());
+    ASSERT_EQ(exchange(address, {.deadline = bootNow() + 1s}), exchange_state::Complete);
+    const exchange_options options{.deadline = bootNow() + 1s};
+    const auto cancelled = std::make_shared<client_exchange>(context->pool, address, options);
+    cancelled->cancel();
+    std::optional<exchange_state> state;
+    const http_request request(http::verb::get, "/", 11);
+    asio::co_spawn(
+        loop,
+        [&]() -> task<void> {
+            state = co_await cancelled->begin(request);
+        },
+        asio::detached);
+    runUntil(
+        [&] {
+            return state.has_value();
+        },
+        1s);
+    EXPECT_EQ(state, exchange_state::Cancelled);
+    EXPECT_EQ(server.requests.size(), 1U);
+}
+
 // Guards against bytes of an order that was given up and that arrive later.
 TEST_F(http_client_test, resets_the_connection_of_an_order_that_is_given_up)
 {
--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -801,4 +801,59 @@
         std::chrono::milliseconds(400)));
 }
 
+// Guards against two engines that work on one stream until the second one answers.
+TEST_F(stream_forward, a_silent_engine_is_left_soon_after_another_has_accepted_its_stream)
+{
+    std::vector<instant> askedAt;
+    const auto script = [&askedAt](const http_request &request, int) {
+        askedAt.push_back(bootNow());
+        if (askedAt.size() == 1) {
+            return scripted_answer{.bytes = streamHead(request) + chunk(event(1)), .silent = true};
+        }
+        return scripted_answer{.bytes = streamHead(request) + chunk(event(2)) + "0\r\n\r\n", .delay = std::chrono::milliseconds(900)};
+    };
+    scripted_server first(loop, script);
+    scripted_server second(loop, script);
+    configure({streamRoute(true)});
+    addEndpoint("e1", "engines", first.address(), endpoint_role::Decode);
+    addEndpoint("e2", "engines", second.address(), endpoint_role::Decode);
+    caller_result result;
+    bool done = false;
+    startCall(generation(), result, done);
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return first.closedByPeer + second.closedByPeer == 1;
+        },
+        std::chrono::seconds(3)));
+    ASSERT_EQ(askedAt.size(), 2U);
+    EXPECT_LT(toMs(bootNow() - askedAt[1]), 400);
+    EXPECT_TRUE(runUntil(
+        [&] {
+            return done;
+        },
+        std::chrono::seconds(3)));
+    EXPECT_TRUE(result.whole);
+    EXPECT_EQ(result.body, event(1) + event(2));
+}
+
+// Guards against "not run" for a request that the second engine may have run before its connection broke.
+TEST_F(stream_forward, a_refusal_of_the_silent_engine_does_not_vouch_for_the_other)
+{
+    int calls = 0;
+    const auto script = [&calls](const http_request &request, int) {
+        if (++calls == 1) {
+            return scripted_answer{.bytes = wholeAnswer(request, 503, "full", "X-Not-Executed: true\r\n"), .delay = std::chrono::milliseconds(2500)};
+        }
+        return scripted_answer{.reset = true};
+    };
+    scripted_server first(loop, script);
+    scripted_server second(loop, script);
+    configure({streamRoute(true)});
+    addEndpoint("e1", "engines", first.address(), endpoint_role::Decode);
+    addEndpoint("e2", "engines", second.address(), endpoint_role::Decode);
+    const auto result = call(generation(), std::chrono::seconds(4));
+    EXPECT_EQ(calls, 2);
+    EXPECT_EQ(result.status, 502);
+}
+
 }
