Bound the values of odd rows in the tables that others write

What operators see: another writer leaves one odd entry among the servers, and the daemons end again and again, or an entry that was odd once is not followed any more although its server writes proper ones.

Cause: the row parsers checked the type of a number, not its range, and nothing of a key. - A key of 70,000 bytes became an endpoint. Setting the header field with it throws ("field value too large"); in the duty that changes an engine's role, that ends the process. A key with CR LF put a header field of its own into the request to the server. - A "born" that is too large outdated all later entries with the same key. - "slots" of 4,294,967,297 became 1; counts and priorities of the configuration were cut likewise. Durations of 1e300 ms and a tenant's priority of 1e300 were converted out of range, which is undefined. A header limit of 2^32 bytes and a member's capacity of 1e300, 0 or -1 were accepted, and so were addresses with a zero byte or with a port of 70,000 digits. Ports out of range, 1e400 and 60,000 nested arrays cost only their row before.

Why it works: each number has a generous bound, checked before it is converted, and the error names the field and the bound. A key has 1 to 1024 printable ASCII characters, an address at most the length of the longest IP:port. A row outside is unreadable by itself; the rows beside it and the feed are read on. A configuration with such a value is unreadable as a whole, as it was before for wrong types.

--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -25,6 +25,7 @@
 constexpr auto memberReadInterval = std::chrono::seconds(10); // Finds members whose summaries never arrive; the first summary of others causes a read.
 constexpr auto memberRewriteTime = std::chrono::seconds(5); // Within it, daemons that reach a restored store write their rows again.
 constexpr auto memberCheckInterval = std::chrono::milliseconds(500);
+constexpr double maxCapacity = 1e6; // Of a member; its settings have the same bound.
 const std::string memberPrefix = "member/";
 
 nlohmann::json encodeMember(const edge_context &context)
@@ -48,7 +49,11 @@
         || !value["capacity"].is_number()) {
         return std::nullopt;
     }
-    return member_entry{value["address"], value["caller_address"], value["failure_domain"], value["capacity"]};
+    const double capacity = value["capacity"];
+    if (!(capacity > 0 && capacity <= maxCapacity)) {
+        return std::nullopt;
+    }
+    return member_entry{value["address"], value["caller_address"], value["failure_domain"], capacity};
 }
 
 // Fractions of the bound.
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t inlineWriteBytes = 8U << 10U; // Fits into the socket buffer. Longer bodies are written concurrently with reading the response.
 constexpr std::size_t maxControlResponseBytes = 16U << 20U; // Above the size of the largest page of the table service or of a list.
 constexpr std::size_t maxIdlePerServer = 64;
+constexpr std::size_t maxAddressBytes = sizeof("255.255.255.255:65535") - 1;
 constexpr int maxSkippedResponses = 3; // More interim responses and responses to other requests than this mean that the connection can not be used.
 constexpr auto maxTimerDelay = std::chrono::milliseconds(20); // A timer that is later than this shows that the process did not run.
 constexpr auto lateReadTime = std::chrono::milliseconds(20); // After the deadline, for bytes that arrived while the process did not run.
@@ -128,7 +129,9 @@
     const auto colon = text.rfind(':');
     boost::system::error_code error;
     unsigned port = 0;
-    if (colon != std::string_view::npos) {
+    // The conversion of the address ends at a zero byte, and the conversion of the port skips any number of leading zeros.
+    const bool plain = text.size() <= maxAddressBytes && text.find('\0') == std::string_view::npos;
+    if (plain && colon != std::string_view::npos) {
         const auto address = asio::ip::make_address_v4(std::string(text.substr(0, colon)), error);
         const auto digits = text.substr(colon + 1);
         const auto [end, portError] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
@@ -136,7 +139,7 @@
             return tcp::endpoint(address, static_cast<unsigned short>(port));
         }
     }
-    return absl::InvalidArgumentError("address \"" + std::string(text) + "\" is not IP:port");
+    return absl::InvalidArgumentError("address \"" + std::string(text.substr(0, 2 * maxAddressBytes)) + "\" is not IP:port");
 }
 
 client_exchange::client_exchange(connection_pool &pool, tcp::endpoint server, exchange_options options)
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,8 +1,12 @@
 #include "edge_fixture.h"
 
+#include "protocol/relayed_feed.h"
 #include "serving/table_follower.h"
+#include "transport/spawn.h"
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/str_replace.h>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace lacewinglock
@@ -125,6 +129,42 @@
     EXPECT_TRUE(parsed->draining);
 }
 
+// Guards against a value that is cut to a smaller type, and against an entry that is deeply nested or has an address that no endpoint can have.
+TEST(server_rows, rejects_values_outside_their_bounds)
+{
+    const auto errorWith = [](const char *field, const json &value) {
+        auto odd = validServer();
+        odd[field] = value;
+        return std::string(parsers.endpoint("i-1", odd.dump()).status().message());
+    };
+    for (const json &value : {json(1'000'001), json(4'294'967'295U), json(4'294'967'297U), json(std::numeric_limits<std::uint64_t>::max()), json(1e300)}) {
+        EXPECT_NE(errorWith("slots", value).find("\"slots\""), std::string::npos) << value;
+    }
+    for (const json &value : {json(4'102'444'800'001), json(std::uint64_t{1} << 63U), json(std::numeric_limits<std::uint64_t>::max()), json(1e300)}) {
+        EXPECT_NE(errorWith("born", value).find("\"born\""), std::string::npos) << value;
+    }
+    EXPECT_NE(errorWith("slots", 4'294'967'297U).find("1000000"), std::string::npos);
+    const std::vector<std::string> addresses{
+        "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:4294967376", "10.0.0.1:99999999999999999999", "10.0.0.1:"};
+    for (const auto &address : addresses) {
+        EXPECT_FALSE(errorWith("address", address).empty()) << address;
+    }
+    EXPECT_FALSE(errorWith("address", std::string("10.0.0.1\0x:80", 13)).empty());
+    EXPECT_FALSE(errorWith("address", "10.0.0.1:" + std::string(70'000, '0') + "80").empty());
+    for (const auto &key : {std::string(), std::string("i-1\r\nX-Api-Key: k"), std::string("i\0", 2), std::string("i-\xc3\xa9"), std::string(70'000, 'i')}) {
+        EXPECT_FALSE(parsers.endpoint(key, validServer().dump()).ok()) << key.substr(0, 20);
+    }
+    const std::string nested = std::string(60'000, '[') + std::string(60'000, ']');
+    EXPECT_FALSE(parsers.endpoint("i-1", nested).ok());
+    EXPECT_FALSE(parsers.endpoint("i-1", std::string(60'000, '[')).ok());
+    EXPECT_FALSE(parsers.endpoint("i-1", R"({"slots":)" + nested + "}").ok());
+    EXPECT_FALSE(parsers.endpoint("i-1", R"({"slots":1e400})").ok());
+    auto greatest = validServer();
+    greatest["slots"] = 1'000'000;
+    greatest["born"] = 4'102'444'800'000;
+    EXPECT_TRUE(parsers.endpoint("i-1", greatest.dump()).ok());
+}
+
 // Guards against a notice that is read from a malformed header field.
 TEST(endpoint_notice, only_well_formed_values_count)
 {
@@ -189,6 +229,46 @@
     EXPECT_FALSE(parsers.configuration("{").ok());
 }
 
+// Guards against a number that is cut to a smaller type or overflows a duration, such as a timeout that has passed before the request begins.
+TEST(configuration_row, rejects_values_outside_their_bounds)
+{
+    const std::vector<std::pair<const char *, std::vector<json>>> odd{
+        {"/version", {std::numeric_limits<std::uint64_t>::max()}},
+        {"/routes/0/max-attempts", {4'294'967'296U}},
+        {"/routes/0/priority", {2'147'483'648U}},
+        {"/routes/0/timeout-ms", {1e300, -1}},
+        {"/routes/0/target-latency-ms", {1e300, -1}},
+        {"/routes/0/target-gap-ms", {1e300}},
+        {"/routes/0/weighted-services/0/weight", {1e300, -1}},
+        {"/services/0/max-connections", {4'294'967'296U}},
+        {"/services/0/engine/slots", {4'294'967'295U}},
+        {"/services/0/engine/kv-tokens", {1e300, -1}},
+        {"/services/0/engine/link-mbps", {1e300, -1}},
+        {"/services/0/engine/handle-ttl-s", {1e300, -1}},
+        {"/services/0/scaling/min", {4'294'967'295U}},
+        {"/services/0/scaling/max", {4'294'967'295U}},
+        {"/services/0/scaling/boot-s", {1e300}},
+        {"/services/0/scaling/spot-price", {1e300, -1}},
+        {"/services/0/scaling/zone-prices/a", {1e300, -1}},
+        {"/limits/max-header-bytes", {std::uint64_t{1} << 32U}},
+        {"/limits/max-body-bytes", {std::numeric_limits<std::uint64_t>::max()}},
+        {"/limits/header-timeout-ms", {1e300}},
+        {"/limits/idle-timeout-ms", {1e300, -1}},
+        {"/tenants/0/priority", {1e300, -1e300, 4'294'967'296U}},
+    };
+    for (const auto &[path, values] : odd) {
+        const json::json_pointer field(path);
+        for (const auto &value : values) {
+            auto document = validConfiguration();
+            document[field] = value;
+            const auto parsed = parsers.configuration(document.dump());
+            EXPECT_FALSE(parsed.ok()) << path << " " << value;
+            EXPECT_NE(parsed.status().message().find(absl::StrCat("\"", field.back(), "\"")), absl::string_view::npos) << parsed.status();
+        }
+    }
+    EXPECT_FALSE(parsers.configuration(std::string(60'000, '[') + std::string(60'000, ']')).ok());
+}
+
 // Guards against an uncertain commit that is reported as committed or rejected: after a lost answer the outcome is unknown.
 TEST_F(platform_store_test, distinguishes_definite_from_unknown_outcomes)
 {
@@ -355,6 +435,105 @@
     EXPECT_EQ(*context->configurationRequestedAt, requestedAt);
 }
 
+// Guards against an odd entry that ends a daemon, or that keeps it from using the good entries beside it and those that follow.
+TEST_F(platform_store_test, an_odd_entry_costs_only_itself)
+{
+    const std::string nested = std::string(60'000, '[') + std::string(60'000, ']');
+    const auto serverWith = [](const char *field, const json &value) {
+        auto out = validServer();
+        out[field] = value;
+        return out.dump();
+    };
+    const auto oddRows = [&](int version) {
+        json rows = json::array();
+        for (const auto &value : {nested, R"({"slots":)" + nested + "}", std::string(R"({"slots":1e400})"), std::string("\xff")}) {
+            rows.push_back(storedRow(absl::StrCat("odd-", rows.size()), value, version));
+        }
+        rows.push_back(storedRow("odd-port", serverWith("address", "10.0.0.1:65536"), version));
+        rows.push_back(storedRow("odd-slots", serverWith("slots", 4'294'967'297U), version));
+        rows.push_back(storedRow("odd\r\nkey", validServer().dump(), version));
+        rows.push_back(storedRow("odd-row", "", version));
+        rows.back()["value"] = "nested";
+        return rows;
+    };
+    const auto withGood = [&](json rows, const std::string &key, int version) {
+        rows.insert(rows.begin(), storedRow(key + "-first", validServer().dump(), version));
+        rows.push_back(storedRow(key + "-last", validServer().dump(), version));
+        return rows;
+    };
+    auto start = withGood(oddRows(1), "start", 1);
+    start.push_back(storedRow("later", serverWith("born", std::numeric_limits<std::int64_t>::max()), 1));
+    auto feed = withGood(oddRows(2), "feed", 2);
+    feed.push_back(storedRow("later", serverWith("zone", "b"), 2));
+    // The library that writes JSON recurses, so the nested value is put into the text.
+    const auto answer = [&](const http_request &request, const json &rows, int version) {
+        const auto text = json{{"rows", rows}, {"has-more", false}, {"ver", version}}.dump();
+        return scripted_answer{.bytes = wholeAnswer(request, 200, absl::StrReplaceAll(text, {{R"("nested")", nested}}))};
+    };
+    storeScript = [&](const http_request &request, int number) {
+        switch (number) {
+        case 1:
+            return answer(request, start, 1);
+        case 2:
+            return answer(request, feed, 2);
+        case 3:
+            return answer(request, json::array({storedRow("after", validServer().dump(), 3)}), 3);
+        default:
+            return scripted_answer{.silent = true};
+        }
+    };
+    spawnDuty(loop, followEndpoints(*context), "follow_endpoints");
+    EXPECT_TRUE(runUntil(
+        [&] {
+            return context->endpoints.find("after") != nullptr;
+        },
+        3s));
+    for (const auto *id : {"start-first", "start-last", "feed-first", "feed-last", "later"}) {
+        EXPECT_TRUE(context->endpoints.find(id)) << id;
+    }
+    const auto later = context->endpoints.find("later");
+    EXPECT_TRUE(later && later->entry.failureDomain == "b");
+    for (const auto *id : {"odd-0", "odd-1", "odd-2", "odd-3", "odd-port", "odd-slots", "odd\r\nkey", "odd-row"}) {
+        EXPECT_FALSE(context->endpoints.find(id)) << id;
+    }
+}
+
+// Guards against a daemon that counts with the capacity of an odd member, or learns of no member because of it.
+TEST_F(platform_store_test, an_odd_member_costs_only_itself)
+{
+    const auto member = [](const json &capacity) {
+        return json{{"address", "10.0.0.1:1"}, {"caller_address", "10.0.0.1:2"}, {"failure_domain", "a"}, {"capacity", capacity}}.dump();
+    };
+    json rows = json::array();
+    for (const auto &value : {std::string(60'000, '[') + std::string(60'000, ']'), member(1e300), member(-1), member(0), member("1"), std::string("\xff")}) {
+        rows.push_back(storedRow(absl::StrCat("member/odd-", rows.size()), value, 1));
+    }
+    rows.push_back(storedRow("member/p", member(2), 1));
+    storeScript = [&](const http_request &, int) {
+        return scripted_answer{.bytes = body({{"rows", rows}, {"has-more", false}, {"ver", 1}, {"now-ms", 1}})};
+    };
+    spawnDuty(loop, maintainMembership(*context), "maintain_membership");
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return !context->members.empty();
+        },
+        2s));
+    ASSERT_EQ(context->members.size(), 1U);
+    EXPECT_EQ(context->members.begin()->first, "p");
+}
+
+// Guards against a relay whose message is lost because of one odd entry in it.
+TEST(relayed_rows, an_odd_entry_costs_only_itself)
+{
+    const std::string nested = std::string(60'000, '[') + std::string(60'000, ']');
+    const auto feed = parseFeed(encodeFeed({.version = 2, .rows = {{"odd", nested}, {"odd-text", "\xff"}, {"i-1", validServer().dump()}}}));
+    ASSERT_TRUE(feed.ok()) << feed.status();
+    ASSERT_EQ(feed->rows.size(), 3U);
+    EXPECT_FALSE(parsers.endpoint(feed->rows[0].key, feed->rows[0].value).ok());
+    EXPECT_FALSE(parsers.endpoint(feed->rows[1].key, feed->rows[1].value).ok());
+    EXPECT_TRUE(parsers.endpoint(feed->rows[2].key, feed->rows[2].value).ok());
+}
+
 // Guards against a fleet that learns nothing from a restored store until its versions have passed the old ones, and against the older configuration.
 TEST_F(platform_store_test, a_follower_goes_on_with_a_restored_store)
 {
