Tell daemons that start after a restore what was reported

For 30 s after a restore, daemons announce the window before which usage may have been reported with their summaries; it passes on through the aggregators. Test: usage_relay_test.a_daemon_that_knows_of_a_restore_tells_the_others_what_was_reported.

--- a/src/protocol/exchange.capnp
+++ b/src/protocol/exchange.capnp
@@ -26,6 +26,7 @@
   reserved @9 :List(UInt64);  # Hashes of engines whose role the sender is changing.
   position @10 :Position;  # Set if the sender asks for the tables.
   notices @11 :List(Notice);
+  reportedBefore @12 :Int64;  # Usage of the windows before this one may have been reported; 0 unless the store was restored recently.
 }
 
 struct Poll {  # Asks an aggregator of another failure domain for the tables of its domain.
@@ -70,6 +71,7 @@
   serving @2 :Bool;
   holdsLease @3 :Bool;
   clockDifferenceMs @4 :Int32;  # Wall clock of the daemon minus that of the sender of the message.
+  reportedBefore @5 :Int64;  # As in Summary.
 }
 
 struct PrefixUse {  # A prefix block of a prompt that was sent to an engine.
--- a/src/protocol/exchange.capnp.h
+++ b/src/protocol/exchange.capnp.h
@@ -61,7 +61,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ade242389165d0a1, 4, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(ade242389165d0a1, 5, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -136,7 +136,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c3c04a06b3d7430e, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c3c04a06b3d7430e, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -347,6 +347,8 @@
   inline bool hasNotices() const;
   inline  ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>::Reader getNotices() const;
 
+  inline  ::int64_t getReportedBefore() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -440,6 +442,9 @@
   inline void adoptNotices(::capnp::Orphan< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::lacewinglock::wire::Notice,  ::capnp::Kind::STRUCT>> disownNotices();
 
+  inline  ::int64_t getReportedBefore();
+  inline void setReportedBefore( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -952,6 +957,8 @@
 
   inline  ::int32_t getClockDifferenceMs() const;
 
+  inline  ::int64_t getReportedBefore() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -999,6 +1006,9 @@
   inline  ::int32_t getClockDifferenceMs();
   inline void setClockDifferenceMs( ::int32_t value);
 
+  inline  ::int64_t getReportedBefore();
+  inline void setReportedBefore( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1815,6 +1825,20 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t Summary::Reader::getReportedBefore() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Summary::Builder::getReportedBefore() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Summary::Builder::setReportedBefore( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Poll::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2455,6 +2479,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Daemon::Reader::getReportedBefore() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Daemon::Builder::getReportedBefore() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Daemon::Builder::setReportedBefore( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PrefixUse::Reader::getBlock() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/protocol/exchange_messages.cpp
+++ b/src/protocol/exchange_messages.cpp
@@ -134,6 +134,7 @@
         out.setServing(summary.serving);
         out.setHoldsLease(summary.holdsLease);
         out.setWallMs(summary.wallMs);
+        out.setReportedBefore(summary.reportedBefore);
         writeLists(out, summary);
         if (const auto &poll = summary.poll) {
             write(out.initPosition(), *poll);
@@ -169,6 +170,7 @@
                 daemons[i].setServing(status->serving);
                 daemons[i].setHoldsLease(status->holdsLease);
                 daemons[i].setClockDifferenceMs(clampTo<std::int32_t>(static_cast<double>(status->clockDifferenceMs)));
+                daemons[i].setReportedBefore(status->reportedBefore);
             }
         }
     }
@@ -183,6 +185,7 @@
         .serving = in.getServing(),
         .holdsLease = in.getHoldsLease(),
         .wallMs = in.getWallMs(),
+        .reportedBefore = in.getReportedBefore(),
     };
     readLists(in, out);
     if (in.hasPosition()) {
--- a/src/protocol/exchange_messages.h
+++ b/src/protocol/exchange_messages.h
@@ -66,6 +66,7 @@
     bool serving = false; ///< Ready and not draining.
     bool holdsLease = false; ///< Holds the lease of the duties that one daemon does at a time.
     std::int64_t clockDifferenceMs = 0; ///< Wall clock of the daemon minus that of the reporting daemon.
+    std::int64_t reportedBefore = 0; ///< Usage of the windows before this one may have been reported; 0 unless the store was restored recently.
 
     bool operator==(const daemon_status &) const = default;
 };
@@ -97,6 +98,7 @@
     bool serving = false;
     bool holdsLease = false;
     std::int64_t wallMs = 0; ///< Wall clock of the sender at sending time.
+    std::int64_t reportedBefore = 0; ///< As in daemon_status.
     std::vector<load_entry> loads;
     std::vector<prefix_use> prefixUses; ///< Since the last summary.
     std::vector<suspect_report> suspects;
--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -101,6 +101,7 @@
     retry_budget retryBudget;
     suspect_requests suspects;
     usage_windows usage;
+    std::int64_t reportedBefore = 0; ///< Windows before this one may have been reported although a restored store lacks their frozen rows.
     std::map<std::int64_t, usage_counts> frozenUsage; ///< Reported counts of recent windows, as far as this daemon knows them.
     std::map<std::string, double> workMs; ///< Moving average of the processing time, by route name.
 
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -14,6 +14,7 @@
 namespace
 {
 
+constexpr auto reportedBeforeTime = std::chrono::seconds(30); // Longer than a window can be reported for.
 constexpr auto retryPause = std::chrono::milliseconds(50); // After a socket error.
 constexpr double loadUpdateTokens = 1000; // The prefill of a shorter prompt takes less time than an early update would save.
 constexpr double announcedPrefixTokens = 1000; // Prefill of a shorter prefix costs less than its announcement to all daemons.
@@ -62,6 +63,7 @@
         if (!context.members.contains(entry.id)) {
             context.unknownSender = true;
         }
+        context.reportedBefore = std::max(context.reportedBefore, entry.status->reportedBefore);
         if (const auto [found, added] = context.peers.insert_or_assign(entry.id, *entry.status); added) {
             auto line = context.line("peer_heard");
             line.add("peer", entry.id).add("serving", entry.status->serving);
@@ -143,6 +145,10 @@
 daemon_summary makeSummary(edge_context &context)
 {
     daemon_summary out{.serving = context.serving(), .holdsLease = context.holdsLease, .wallMs = wallMs()};
+    // Daemons that start after a restore can't learn it from the store.
+    if (context.storeRestoredAt != instant{} && bootNow() - context.storeRestoredAt < reportedBeforeTime) {
+        out.reportedBefore = context.reportedBefore;
+    }
     for (const auto &endpoint : context.endpoints.all()) {
         if (!isEmpty(endpoint->own)) {
             // Whole tokens, so that sums of many loads are exact.
--- a/src/serving/state_exchange.cpp
+++ b/src/serving/state_exchange.cpp
@@ -43,7 +43,7 @@
 
 bool isSimilar(const std::optional<daemon_status> &left, const std::optional<daemon_status> &right)
 {
-    return left && right && left->serving == right->serving && left->holdsLease == right->holdsLease
+    return left && right && left->serving == right->serving && left->holdsLease == right->holdsLease && left->reportedBefore == right->reportedBefore
         && std::abs(left->clockDifferenceMs - right->clockDifferenceMs) <= clockTolerance;
 }
 
@@ -334,7 +334,8 @@
     }
     sender.receivedAt = now;
     sender.reserved = summary.reserved;
-    daemon_status status{.serving = summary.serving, .holdsLease = summary.holdsLease, .clockDifferenceMs = summary.wallMs - wallMs};
+    daemon_status status{
+        .serving = summary.serving, .holdsLease = summary.holdsLease, .clockDifferenceMs = summary.wallMs - wallMs, .reportedBefore = summary.reportedBefore};
     if (summary.sender == m_id) {
         status.clockDifferenceMs = 0;
     }
--- a/src/serving/usage_duty.cpp
+++ b/src/serving/usage_duty.cpp
@@ -69,13 +69,12 @@
 
 // The frozen row of a window that ended before the store came back from an older copy may be lost. Whether another daemon has reported the window is
 // unknown then, and no report is better than a second one with other counts.
-bool mayBeReported(const edge_context &context, std::int64_t window)
+void noteRestore(edge_context &context)
 {
-    if (context.storeRestoredAt == instant{}) {
-        return false;
+    if (context.storeRestoredAt != instant{}) {
+        const auto sinceRestore = std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - context.storeRestoredAt);
+        context.reportedBefore = std::max(context.reportedBefore, context.usage.windowAt(context.correctedTimeMs() - sinceRestore.count()));
     }
-    const double sinceRestoreMs = toMs(bootNow() - context.storeRestoredAt);
-    return static_cast<double>(context.usage.windowEndMs(window)) < static_cast<double>(context.correctedTimeMs()) - sinceRestoreMs;
 }
 
 /// Returns the counts to report: those of the frozen row, which this or an earlier lease holder wrote. Returns nullopt when the store does not
@@ -106,7 +105,7 @@
             context.counters.count(metric_counter::StoreWrites);
             co_return counts;
         }
-        if (mayBeReported(context, window)) {
+        if (window < context.reportedBefore) {
             auto line = context.line("usage_withheld");
             line.add("window", window).add("epoch", epoch);
             context.log.write(line);
@@ -216,6 +215,7 @@
             context.usage.markAllUnstored();
             history = newest;
         }
+        noteRestore(context);
         const auto interval = std::max<duration>(minStoreInterval, storeIntervalPerDaemon * static_cast<int>(context.daemons()));
         const bool storeAll = bootNow() - lastFullStore >= interval;
         for (auto &change : context.usage.unstored(context.correctedTimeMs())) {
--- a/tests/usage_relay_test.cpp
+++ b/tests/usage_relay_test.cpp
@@ -2,6 +2,7 @@
 #include "store_executor.h"
 
 #include "serving/feed_relay.h"
+#include "serving/peer_exchange.h"
 #include "serving/store_batch.h"
 #include "serving/usage_duty.h"
 #include "serving/usage_relay.h"
@@ -327,4 +328,31 @@
     EXPECT_GE(*reports.begin(), current);
 }
 
+// Guards against the same by a daemon that was started after the restore: it hears of the reported windows from the others.
+TEST_F(usage_relay_test, a_daemon_that_knows_of_a_restore_tells_the_others_what_was_reported)
+{
+    asio::co_spawn(loop, storeUsage(*context), asio::detached);
+    EXPECT_EQ(makeSummary(*context).reportedBefore, 0);
+    context->storeRestoredAt = bootNow();
+    const std::int64_t current = context->usage.windowAt(context->correctedTimeMs());
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return makeSummary(*context).reportedBefore >= current;
+        },
+        2s));
+    const auto summary = makeSummary(*context);
+    const auto decoded = parseExchange(encodeExchange(summary));
+    ASSERT_TRUE(decoded.ok());
+    EXPECT_EQ(std::get<daemon_summary>(*decoded).reportedBefore, summary.reportedBefore);
+    // The aggregator of its domain passes it on.
+    relay->exchange.setMembers({{"relay", "domain-a", 1}, {settings.id, "domain-a", 1}}, bootNow());
+    auto received = std::get<daemon_summary>(*decoded);
+    received.sender = settings.id;
+    received.sequence = 1;
+    received.incarnation = 1;
+    relay->exchange.receive(received, bootNow(), wallMs());
+    applyExchangeEvents(*relay);
+    EXPECT_EQ(relay->reportedBefore, summary.reportedBefore);
+}
+
 }
