--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -50,7 +50,7 @@
         return std::nullopt;
     }
     const double capacity = value["capacity"];
-    if (!(capacity > 0 && capacity <= maxCapacity)) {
+    if (capacity <= 0 || capacity > maxCapacity) {
         return std::nullopt;
     }
     return member_entry{value["address"], value["caller_address"], value["failure_domain"], capacity};
