--- a/src/serving/event_stream.cpp
+++ b/src/serving/event_stream.cpp
@@ -54,15 +54,6 @@
 
 }
 
-body_kind bodyKind(const http::response_header<> &head)
-{
-    const auto type = toView(head[http::field::content_type]);
-    if (type.empty()) {
-        return body_kind::Unknown;
-    }
-    return type.starts_with("text/event-stream") ? body_kind::Events : body_kind::Other;
-}
-
 void event_splitter::feed(std::string_view bytes)
 {
     m_buffer.erase(0, m_begin);
--- a/src/serving/event_stream.h
+++ b/src/serving/event_stream.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "transport/asio.h"
-
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -10,15 +8,6 @@
 namespace lacewinglock
 {
 
-/// What the head of a response says of its body.
-enum class body_kind {
-    Unknown, ///< No type is named.
-    Events,
-    Other,
-};
-
-body_kind bodyKind(const http::response_header<> &head);
-
 /// One complete event of a text/event-stream response.
 struct stream_event
 {
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -1,5 +1,6 @@
 #include "serving/caller_exchange.h"
 
+#include "serving/body_kind.h"
 #include "serving/endpoint_turn.h"
 #include "serving/event_stream.h"
 #include "serving/peer_exchange.h"
--- a/src/serving/stream_takeover.cpp
+++ b/src/serving/stream_takeover.cpp
@@ -1,7 +1,7 @@
 #include "serving/stream_takeover.h"
 
+#include "serving/body_kind.h"
 #include "serving/caller_exchange.h"
-#include "serving/event_stream.h"
 #include "transport/boot_clock.h"
 
 #include <absl/cleanup/cleanup.h>
