The failing store of spawn_test has a history

The interface of the store has gained a function that every adapter provides. The test's stand-in had none, so the daemon ended by that and not by the failing read that the test is about. Its check is unchanged.

--- a/tests/spawn_test.cpp
+++ b/tests/spawn_test.cpp
@@ -51,6 +51,9 @@
 platform_port makeFailingPort(connection_pool & /*pool*/, const edge_settings & /*settings*/)
 {
     platform_port port;
+    port.store.history = [] {
+        return std::uint64_t{0};
+    };
     port.store.readAll = [](platform_table table) -> task<absl::StatusOr<table_changes>> {
         co_await sleepFor(std::chrono::milliseconds(20));
         if (table == platform_table::Configuration) {
