Do not cut streams of a stop long before the process ends

A stop is dated at most 1 s back: after a freeze, a daemon took the whole pause for a part of its grace period and could end at once.

edge_daemon_test.a_stream_accepted_during_a_stop_is_not_cut_long_before_the_end failed before. The bound on the date has no test of its own.

--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -31,6 +31,7 @@
 // and the target of a stream covers its first event only.
 constexpr auto callersLeaveTime = std::chrono::seconds(2);
 constexpr auto shutdownMargin = std::chrono::milliseconds(1500); // Time between the last answer and the forced end of the process.
+constexpr auto lastAnswerMargin = std::chrono::milliseconds(900); // The process ends 700 ms before it is killed.
 
 bool sameHeaderName(std::string_view left, std::string_view right)
 {
@@ -206,7 +207,7 @@
         if (now + (early ? std::min<duration>(remaining, 4 * request.route->target) : remaining) + shutdownMargin > killedAt) {
             return request_refusal{http::status::service_unavailable, "stopping", "the daemon is shutting down", stoppingRetryAfterMs};
         }
-        request.deadline = std::min<instant>(request.deadline, killedAt - shutdownMargin); // An error is better than a closed connection.
+        request.deadline = std::min<instant>(request.deadline, killedAt - lastAnswerMargin); // An error is better than a closed connection.
     }
     request.fingerprint = fingerprintOf(request);
     request.prompt = context.platform.wire.parsePrompt(message);
--- a/src/serving/edge_daemon.cpp
+++ b/src/serving/edge_daemon.cpp
@@ -30,6 +30,7 @@
 // An endpoint whose row expired during a store outage may be leaving. It is removed this long before the drain bound ends, so that it gets no new
 // requests beyond the bound.
 constexpr auto missingEntryMargin = std::chrono::milliseconds(600);
+constexpr duration maxSignalDelay = std::chrono::seconds(1); // Less than the margin with which requests are accepted during a stop.
 constexpr auto exitMargin = std::chrono::milliseconds(700); // Time from the last response to SIGKILL, for handing over leases.
 constexpr auto callerDisconnectTime = std::chrono::milliseconds(3500); // Callers use an address response for its lifetime, some of them longer.
 
@@ -261,7 +262,8 @@
             reload();
         } else if (!m_context.stopping) {
             m_context.stopping = true;
-            m_context.stoppingSince = m_lastHousekeeping; // The signal may have come at any time since the last turn without it.
+            // The signal may have come at any time since the last turn without it. After a longer pause, its time is unknown.
+            m_context.stoppingSince = std::max(m_lastHousekeeping, bootNow() - maxSignalDelay);
             spawnDuty(m_context.loop, stop(), "stop");
         }
     }
--- a/tests/edge_daemon_test.cpp
+++ b/tests/edge_daemon_test.cpp
@@ -190,6 +190,26 @@
     EXPECT_LT(result.ms, 2300);
 }
 
+TEST_F(edge_daemon_test, a_stream_accepted_during_a_stop_is_not_cut_long_before_the_end)
+{
+    auto route = makeRoute("/read/", "engines");
+    route.stream = true;
+    route.timeout = std::chrono::seconds(8);
+    route.target = std::chrono::milliseconds(300);
+    configure({route});
+    scripted_server engine(loop, [](const http_request &request, int) {
+        return scripted_answer{
+            .bytes = streamHead(request) + chunk(event(1)), .rest = chunk(event(2)) + "0\r\n\r\n", .pause = std::chrono::milliseconds(1800)};
+    });
+    addEndpoint("e1", "engines", engine.address());
+    context->settings.shutdownGrace = std::chrono::milliseconds(4500);
+    context->stopping = true;
+    context->stoppingSince = bootNow() - std::chrono::milliseconds(1500);
+    const auto result = call(post("/read/1", "x"));
+    EXPECT_TRUE(result.whole);
+    EXPECT_EQ(result.body, event(1) + event(2));
+}
+
 // Guards against oversized headers and bodies that reach an endpoint.
 TEST_F(edge_daemon_test, rejects_oversized_headers_and_bodies)
 {
