--- a/tests/edge_daemon_test.cpp
+++ b/tests/edge_daemon_test.cpp
@@ -198,8 +198,7 @@
     route.target = std::chrono::milliseconds(300);
     configure({route});
     scripted_server engine(loop, [](const http_request &request, int) {
-        return scripted_answer{
-            .bytes = streamHead(request) + chunk(event(1)), .rest = chunk(event(2)) + "0\r\n\r\n", .pause = std::chrono::milliseconds(1800)};
+        return scripted_answer{.bytes = streamHead(request) + chunk(event(1)), .rest = chunk(event(2)) + "0\r\n\r\n", .pause = std::chrono::milliseconds(1800)};
     });
     addEndpoint("e1", "engines", engine.address());
     context->settings.shutdownGrace = std::chrono::milliseconds(4500);
