Know of a restore from any answer of the store

A restore counted from the moment at which a follower had read a table again. Until then, up to a wait at the store or at a relay later, the holder of the lease could report windows whose frozen rows were lost, and the list of members dropped those whose rows were. Each answer carries the history, so the next reader of it notes the restore.

usage_relay_test.a_restore_is_known_before_the_tables_are_read_again failed before, with the new function declared and not called.

--- a/src/serving/edge_context.cpp
+++ b/src/serving/edge_context.cpp
@@ -75,4 +75,19 @@
     return configurationRequestedAt && now - *configurationRequestedAt < settings.revokeBound - keyMargin;
 }
 
+void noteHistory(edge_context &context)
+{
+    const auto newest = context.platform.store.history();
+    if (newest == context.storeHistory) {
+        return;
+    }
+    if (context.storeHistory != 0) {
+        context.storeRestoredAt = bootNow();
+        auto line = context.line("store_restored");
+        line.add("from_history", context.storeHistory).add("to_history", newest);
+        context.log.write(line);
+    }
+    context.storeHistory = newest;
+}
+
 }
--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -60,6 +60,11 @@
 /// Creates the platform adapter, which uses the connection pool of this daemon.
 using platform_factory = std::function<platform_port(connection_pool &pool, const edge_settings &settings)>;
 
+struct edge_context;
+
+/// Call after an answer of the store: notes when another history of the store is met.
+void noteHistory(edge_context &context);
+
 /// State shared by the coroutines of an edge daemon. They all run on one event loop, so there are no locks.
 struct edge_context
 {
@@ -93,7 +98,8 @@
     std::uint64_t configurationHash = 0; ///< Of the row that it was read from.
     bool configurationConfirmed = true; ///< The store lists this configuration or a newer one.
     bool endpointsListed = false; ///< The endpoints table was read.
-    instant storeRestoredAt; ///< When this daemon last read a table after the store came back from an older copy; the epoch of the clock if never.
+    std::uint64_t storeHistory = 0; ///< The newest that noteHistory() has met.
+    instant storeRestoredAt; ///< When this daemon met the newest history after another one; the epoch of the clock if never.
     instant storeFailedAt; ///< Last failed call to the store by this daemon or a relay that it queried; the epoch of the clock if none failed.
 
     endpoint_registry endpoints;
--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -182,6 +182,7 @@
             answer = co_await context.platform.store.changes(table, *version, storeWait(context, table, role));
         }
         context.counters.count(metric_counter::StoreReads);
+        noteHistory(context);
         if (!answer.ok()) {
             if (answer.status().code() == absl::StatusCode::kOutOfRange) {
                 snapshot = true;
@@ -202,13 +203,6 @@
         }
         noteStoreSuccess(context, handler.name, failing);
         const bool restored = version && snapshot && history != context.platform.store.history();
-        if (restored) {
-            context.storeRestoredAt = bootNow();
-            auto line = context.line("store_restored");
-            line.add("step", handler.name).add("from_history", history).add("to_history", context.platform.store.history());
-            line.add("from", *version).add("to", answer->version);
-            context.log.write(line);
-        }
         if (snapshot) {
             history = context.platform.store.history();
         }
@@ -363,6 +357,7 @@
         }
         const auto rows = co_await context.platform.store.scan(memberPrefix);
         context.counters.count(metric_counter::StoreReads);
+        noteHistory(context);
         if (!rows.ok()) {
             noteStoreFailure(context, "read_members", rows.status(), failing);
             co_await sleepFor(retryPause);
--- a/src/serving/usage_duty.cpp
+++ b/src/serving/usage_duty.cpp
@@ -71,6 +71,7 @@
 // unknown then, and no report is better than a second one with other counts.
 void noteRestore(edge_context &context)
 {
+    noteHistory(context);
     if (context.storeRestoredAt != instant{}) {
         const auto sinceRestore = std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - context.storeRestoredAt);
         context.reportedBefore = std::max(context.reportedBefore, context.usage.windowAt(context.correctedTimeMs() - sinceRestore.count()));
@@ -84,6 +85,7 @@
     const std::string key = frozenKey(window);
     for (int attempt = 0; attempt < 2; ++attempt) {
         const auto frozen = co_await context.platform.store.read(key);
+        noteRestore(context);
         if (!frozen.ok()) {
             co_return std::nullopt;
         }
--- a/tests/usage_relay_test.cpp
+++ b/tests/usage_relay_test.cpp
@@ -328,6 +328,38 @@
     EXPECT_GE(*reports.begin(), current);
 }
 
+// Guards against the same while the followers have not read the restored tables yet: any answer of the store shows the other history.
+TEST_F(usage_relay_test, a_restore_is_known_before_the_tables_are_read_again)
+{
+    std::uint64_t history = 1;
+    context->platform.store.history = [&history] {
+        return history;
+    };
+    std::set<std::int64_t> reports;
+    context->platform.orders.reportUsage = [&reports](order_authority, std::int64_t window, usage_counts) -> task<delivery_outcome> {
+        reports.insert(window);
+        co_return delivery_outcome::Accepted;
+    };
+    context->members = {{settings.id, {.address = "127.0.0.1:1", .failureDomain = "domain-a"}}};
+    context->peers.clear();
+    const std::int64_t current = wallMs() / 5000;
+    for (std::int64_t window = current - 2; window <= current + 8; ++window) {
+        context->usage.countRequest("o", context->usage.windowEndMs(window) - 1);
+    }
+    noteHistory(*context);
+    history = 2;
+    lease_runner lease(*context, "platform");
+    asio::co_spawn(loop, lease.run(), asio::detached);
+    asio::co_spawn(loop, reportUsage(*context, lease), asio::detached);
+    asio::co_spawn(loop, storeUsage(*context), asio::detached);
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return !reports.empty();
+        },
+        20s));
+    EXPECT_GE(*reports.begin(), current);
+}
+
 // Guards against the same by a daemon that was started after the restore: it hears of the reported windows from the others.
 TEST_F(usage_relay_test, a_daemon_that_knows_of_a_restore_tells_the_others_what_was_reported)
 {
