Take the frozen row of another holder over one that is known

When a frozen row that is written again meets one of another holder, the row counts, as it does elsewhere. Found by reading; no test of its own.

--- a/src/serving/usage_duty.cpp
+++ b/src/serving/usage_duty.cpp
@@ -103,8 +103,11 @@
         if (const auto known = context.frozenUsage.find(window); known != context.frozenUsage.end()) {
             const usage_counts counts = known->second;
             transaction again{.conditions = {{.key = key, .version = 0}}, .writes = {{.key = key, .value = encodeCounts(counts)}}};
-            co_await context.platform.store.commit(std::move(again));
+            const auto outcome = co_await context.platform.store.commit(std::move(again));
             context.counters.count(metric_counter::StoreWrites);
+            if (outcome == commit_outcome::Conflict) {
+                continue;
+            }
             co_return counts;
         }
         if (window < context.reportedBefore) {
