--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -588,6 +588,16 @@
     EXPECT_GT(*context->configurationRequestedAt, confirmedAt);
 }
 
+// Guards against rows of two histories in one result.
+TEST_F(platform_store_test, a_restore_between_two_pages_fails_the_read)
+{
+    storeScript = [&](const http_request &request, int number) {
+        const json page{{"rows", json::array({storedRow(number == 1 ? "member/a" : "member/b", "x", 1)})}, {"has-more", number == 1}, {"ver", 8}};
+        return scripted_answer{.bytes = wholeAnswer(request, 200, page.dump(), absl::StrCat("Store-Era: ", number, "\r\n"))};
+    };
+    EXPECT_FALSE(await(context->platform.store.scan("member/")).ok());
+}
+
 // Guards against a daemon that drops out of the fleet because a restored store lacks its row.
 TEST_F(platform_store_test, a_member_writes_its_row_again_to_a_restored_store)
 {
