Do not take a released lease at once in a history that was met first

A daemon that starts after a restore has met one history only, and took a lease that the older row shows as free while its holder could still act. It waits for a term now, unless there is no row. lease_keeper_test.a_daemon_that_starts_in_a_later_history_does_not_take_a_released_lease_at_once failed before.

--- a/src/coordination/lease_keeper.cpp
+++ b/src/coordination/lease_keeper.cpp
@@ -77,8 +77,9 @@
     if (history == m_history) {
         return;
     }
+    m_enteredAt = now;
     if (m_history != 0) {
-        m_enteredAt = now;
+        m_hasChanged = true;
         m_reclaimUntil = m_held ? m_grant.validUntil : instant{};
         m_nextReadAt = now;
         m_nextCommitAt = now;
@@ -198,8 +199,10 @@
         return true;
     }
     const duration rankDelay = tunables::leaseRankDelay * static_cast<int>(m_rank);
-    // A lease that the older row shows as free may have been acquired since, in the history before.
-    const bool isFree = m_row.holder.empty() && (!m_enteredAt || m_readSentAt >= *m_enteredAt + tunables::leaseTerm);
+    // A lease that an older row shows as free may have been acquired since, in the history before. That a row is older is unknown to a process that has
+    // met one history only; without a row, the system starts for the first time.
+    const bool mayBeOlder = m_enteredAt && (m_hasChanged || m_rowVersion != 0) && m_readSentAt < *m_enteredAt + tunables::leaseTerm;
+    const bool isFree = m_row.holder.empty() && !mayBeOlder;
     const duration wait = isFree ? rankDelay : tunables::leaseTerm + rankDelay;
     return m_unchangedSince && (wait == duration::zero() || m_readSentAt >= *m_unchangedSince + wait);
 }
--- a/src/coordination/lease_keeper.h
+++ b/src/coordination/lease_keeper.h
@@ -95,7 +95,8 @@
     std::map<std::string, own_commit> m_ownCommits; ///< By nonce.
 
     std::uint64_t m_history = 0;
-    std::optional<instant> m_enteredAt; ///< When another history was met; none before the first change.
+    std::optional<instant> m_enteredAt; ///< When this history was met; none if the store has no histories.
+    bool m_hasChanged = false; ///< Another history was met before.
     instant m_reclaimUntil; ///< End of the lease that this process held in the history before.
 
     bool m_held = false;
--- a/tests/lease_keeper_test.cpp
+++ b/tests/lease_keeper_test.cpp
@@ -245,4 +245,18 @@
     EXPECT_GT(first.grant(at(40))->epoch, epoch);
 }
 
+// Guards against a daemon that starts after a restore and takes a lease that the older row shows as free, while its holder still acts.
+TEST_F(lease_keeper_test, a_daemon_that_starts_in_a_later_history_does_not_take_a_released_lease_at_once)
+{
+    first.enterHistory(1, at(1));
+    tickRange(first, 1, 3);
+    const transaction free{.writes = {{.key = "lease/main/orders", .value = R"({"holder":"","epoch":1,"renewals":1,"nonce":""})"}}};
+    table.commit(free);
+    second.enterHistory(2, at(3));
+    tickRange(second, 3, 5);
+    EXPECT_FALSE(second.grant(at(5)));
+    tickRange(second, 5, 15);
+    EXPECT_TRUE(second.grant(at(15)));
+}
+
 }
