Give up a call to a silent service only when another endpoint can take it

The cause of the cut streams stood in plain services too: a repeatable call was cut at 1.25 times its target, also with no other endpoint free or no retry left in the budget, and its caller got 504 where an answer would have come.

The attempt now goes on, up to the deadline of the request, until another endpoint can take the call and a retry for it has been acquired; this is tried each 100 ms. A refusal by that endpoint still ends the call.

service_forward.a_silent_endpoint_keeps_a_call_when_there_is_no_other and .a_silent_endpoint_keeps_a_call_when_the_retry_budget_is_used_up failed before.

--- a/src/serving/service_forward.cpp
+++ b/src/serving/service_forward.cpp
@@ -3,8 +3,10 @@
 #include "serving/endpoint_turn.h"
 #include "serving/placement_log.h"
 #include "transport/boot_clock.h"
+#include "transport/timeout.h"
 
 #include <algorithm>
+#include <functional>
 #include <set>
 
 namespace lacewinglock
@@ -18,6 +20,7 @@
 constexpr std::size_t maxAnswerBytes = 64U << 20U; // A larger answer would occupy a quarter of a small machine's memory.
 constexpr int maxUnreachableEndpoints = 4; // Endpoints that one request tries although they can't be reached.
 constexpr double attemptTimeoutFactor = 1.25; // A repeatable call is sent elsewhere after this multiple of the route's latency target.
+constexpr auto elsewhereRetryInterval = std::chrono::milliseconds(100); // Until it is tried again to send it elsewhere.
 
 /// One dispatch of the request to an endpoint and its result.
 struct attempt
@@ -60,7 +63,28 @@
     return input;
 }
 
-task<attempt> send(edge_context &context, const caller_request &request, const endpoint_ptr &endpoint, duration attemptTime, double predictedMs)
+/// When an attempt is given up before the request's deadline.
+struct attempt_limit
+{
+    duration time; ///< From the dispatch.
+    std::function<bool()> mayGoElsewhere; ///< Whether the call can be sent to another endpoint now. If not, the attempt goes on. Empty: no limit.
+};
+
+// Times out the exchange at `dueAt`, or at a later check if the call can't go elsewhere. The deadline is the time of the check, so that an answer that
+// arrived before it is still read after a pause.
+void limitAttempt(timeout &timer, client_exchange &exchange, const attempt_limit &limit, instant dueAt)
+{
+    timer.start(dueAt - bootNow(), [&timer, &exchange, &limit, dueAt] {
+        // The exchange sets its own deadline while it connects.
+        if (!exchange.connecting() && limit.mayGoElsewhere()) {
+            exchange.setDeadline(dueAt);
+        } else {
+            limitAttempt(timer, exchange, limit, bootNow() + elsewhereRetryInterval);
+        }
+    });
+}
+
+task<attempt> send(edge_context &context, const caller_request &request, const endpoint_ptr &endpoint, const attempt_limit &limit, double predictedMs)
 {
     attempt out;
     const auto address = parseAddress(endpoint->entry.address);
@@ -74,12 +98,15 @@
         co_return out;
     }
     const instant now = bootNow();
-    const instant deadline = std::min(request.deadline, now + attemptTime);
     const answer_deadline answerDeadline(endpoint, now + std::chrono::milliseconds(std::lround(3 * predictedMs)));
-    out.exchange = std::make_shared<client_exchange>(context.pool, *address, forwardOptions(context, request, deadline));
+    out.exchange = std::make_shared<client_exchange>(context.pool, *address, forwardOptions(context, request, request.deadline));
     request.reply->onDisconnect([exchange = out.exchange] {
         exchange->cancel();
     });
+    timeout timer(context.loop); // Ends before what its action refers to.
+    if (limit.mayGoElsewhere) {
+        limitAttempt(timer, *out.exchange, limit, now + limit.time);
+    }
     out.state = co_await out.exchange->begin(makeForwardedRequest(context, request, endpoint->entry, now));
     if (hasHead(out.state)) {
         noteAnswer(context, *endpoint, out.exchange->head(), now);
@@ -153,8 +180,20 @@
         }
         const auto &endpoint = endpoints[static_cast<std::size_t>(placement.endpoint)];
         const bool lastTry = outcome.attempts + 1 >= route.maxAttempts || !route.repeatable;
-        const auto attemptTime = lastTry ? request.deadline - now : std::chrono::duration_cast<duration>(route.target * attemptTimeoutFactor);
-        auto result = co_await send(context, request, endpoint, attemptTime, placement.predictedMs);
+        bool nextAcquired = false;
+        attempt_limit limit{.time = std::chrono::duration_cast<duration>(route.target * attemptTimeoutFactor)};
+        if (!lastTry) {
+            limit.mayGoElsewhere = [&] {
+                auto failed = failedEndpoints;
+                failed.insert(endpoint->entry.id);
+                const auto others = context.endpoints.ofService(request.service);
+                const auto next = placeService(makePlacementInput(context, request, others, failed));
+                nextAcquired = next.verdict != placement_verdict::Refuse && !crashesEndpoints(context, request)
+                    && context.retryBudget.tryAcquire(request.service, context.daemons(), bootNow());
+                return nextAcquired;
+            };
+        }
+        auto result = co_await send(context, request, endpoint, limit, placement.predictedMs);
         if (result.placeAgain) {
             ++unreachable;
             code = "endpoint_limited";
@@ -175,7 +214,7 @@
             continue;
         }
         ++outcome.attempts;
-        retryAcquired = false;
+        retryAcquired = nextAcquired;
         if (notRun) {
             code = "endpoint_full";
             continue;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -270,8 +270,11 @@
         // Without an ID, a late copy of an earlier response would pass for the response to this request.
         m_options.reuseConnection = m_options.reuseConnection && !m_responseId.empty();
     }
-    if (const auto state = co_await connect(); state != exchange_state::InProgress) {
-        co_return state;
+    m_connecting = true;
+    const auto connected = co_await connect();
+    m_connecting = false;
+    if (connected != exchange_state::InProgress) {
+        co_return connected;
     }
     // The timer runs on a clock that stands still while the machine is suspended, so it may not have expired.
     if (bootNow() >= m_options.deadline) {
@@ -434,6 +437,11 @@
     m_pool.put(m_server, m_connection);
 }
 
+bool client_exchange::connecting() const
+{
+    return m_connecting;
+}
+
 bool client_exchange::requestSent() const
 {
     return m_requestWritten;
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -116,6 +116,8 @@
     /// Replaces the deadline, also for a pending call.
     void setDeadline(instant deadline);
 
+    /// True from begin() until the connection is open.
+    bool connecting() const;
     /// True once the whole request was written.
     bool requestSent() const;
     /// Response header; valid after a successful begin().
@@ -142,6 +144,7 @@
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     timeout m_timer;
     std::string m_responseId;
+    bool m_connecting = false;
     bool m_reused = false; ///< The connection has carried an exchange before.
     bool m_timedOut = false;
     bool m_lateReads = false; ///< Reads are allowed after the deadline for a short time.
--- a/tests/service_forward_test.cpp
+++ b/tests/service_forward_test.cpp
@@ -227,6 +227,54 @@
         std::chrono::milliseconds(400)));
 }
 
+// Guards against a failure of a call whose endpoint is silent for a while, when no other one can take it.
+TEST_F(service_forward, a_silent_endpoint_keeps_a_call_when_there_is_no_other)
+{
+    scripted_server endpoint(loop, [](const http_request &request, int) {
+        return scripted_answer{.bytes = wholeAnswer(request, 200, "stock"), .delay = std::chrono::milliseconds(600)};
+    });
+    configure({repeatableRoute()});
+    addEndpoint("e1", "desk", endpoint.address());
+    const auto result = call(get("/read/1"));
+    EXPECT_EQ(result.status, 200);
+    EXPECT_EQ(result.body, "stock");
+    EXPECT_EQ(endpoint.requests.size(), 1U);
+}
+
+TEST_F(service_forward, a_silent_endpoint_keeps_a_call_when_the_retry_budget_is_used_up)
+{
+    context->retryBudget = retry_budget({.ratio = 0, .slack = 0, .window = std::chrono::seconds(10)});
+    const auto script = [](const http_request &request, int) {
+        return scripted_answer{.bytes = wholeAnswer(request, 200, "stock"), .delay = std::chrono::milliseconds(600)};
+    };
+    scripted_server first(loop, script);
+    scripted_server second(loop, script);
+    configure({repeatableRoute()});
+    addEndpoint("e1", "desk", first.address());
+    addEndpoint("e2", "desk", second.address());
+    const auto result = call(get("/read/1"));
+    EXPECT_EQ(result.status, 200);
+    EXPECT_EQ(first.requests.size() + second.requests.size(), 1U);
+}
+
+// Guards against a call that waits for a silent endpoint although another one is free.
+TEST_F(service_forward, another_endpoint_gets_the_call_of_a_silent_one)
+{
+    int calls = 0;
+    const auto script = [&calls](const http_request &request, int) {
+        return ++calls == 1 ? scripted_answer{.silent = true} : scripted_answer{.bytes = wholeAnswer(request, 200, "stock")};
+    };
+    scripted_server first(loop, script);
+    scripted_server second(loop, script);
+    configure({repeatableRoute()});
+    addEndpoint("e1", "desk", first.address());
+    addEndpoint("e2", "desk", second.address());
+    const auto result = call(get("/read/1"));
+    EXPECT_EQ(result.status, 200);
+    EXPECT_LT(result.ms, 600);
+    EXPECT_EQ(first.closedByPeer + second.closedByPeer, 1);
+}
+
 // Guards against a caller that waits past its route's timeout for a silent endpoint.
 TEST_F(service_forward, answers_when_the_timeout_is_over)
 {
