--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -598,6 +598,21 @@
     EXPECT_FALSE(await(context->platform.store.scan("member/")).ok());
 }
 
+// Guards against a caller whose absurd counts make an engine look busy for hours to all daemons.
+TEST(prompt_headers, absurd_counts_of_tokens_are_malformed)
+{
+    const auto wire = platform::makeWire();
+    http_request request;
+    request.set("X-Model-Name", "m");
+    request.set("X-Token-Counts", "18446744073709551615,20");
+    request.set("X-Prefix-Hash", "a1:200,b2:18446744073709551615,c3:100");
+    const auto prompt = wire.parsePrompt(request);
+    ASSERT_TRUE(prompt);
+    EXPECT_EQ(prompt->promptTokens, 0);
+    EXPECT_EQ(prompt->maxOutputTokens, 20);
+    EXPECT_EQ(prompt->prefixBlocks.size(), 1U);
+}
+
 // Guards against a daemon that drops out of the fleet because a restored store lacks its row.
 TEST_F(platform_store_test, a_member_writes_its_row_again_to_a_restored_store)
 {
