--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -624,7 +624,7 @@
                 noteFirstEvent(engine, reservation);
             }
             m_silence.cancel(); // The engine is not silent while the caller takes the events.
-            if (m_takeover && !m_takeover->final) {
+            if (m_takeover && !m_takeover->committed) {
                 dropTakeover();
             }
             if (!m_streaming) {
--- a/src/serving/stream_takeover.cpp
+++ b/src/serving/stream_takeover.cpp
@@ -41,7 +41,7 @@
             return;
         }
         if (self->exchange->requestSent()) {
-            self->final = true;
+            self->committed = true;
             silent->cancel();
         } else {
             limitOverlap(self, silent, maxTakeoverOverlap);
@@ -69,7 +69,7 @@
         takeover->begun = isStream(context, takeover->exchange->head());
     }
     if (takeover->begun) {
-        takeover->final = true;
+        takeover->committed = true;
         silent->cancel();
     } else if (takeover->state != exchange_state::Cancelled) {
         context.endpoints.noteResult(*takeover->engine, classifyFailure(context, *takeover), bootNow());
--- a/src/serving/stream_takeover.h
+++ b/src/serving/stream_takeover.h
@@ -28,7 +28,7 @@
     exchange_state state = exchange_state::NotSent; ///< Result of client_exchange::begin(), once `ended` is set.
     bool ended = false; ///< The engine has answered, or the exchange failed.
     bool begun = false; ///< The engine answers with the stream.
-    bool final = false; ///< The exchange of the silent engine was cancelled.
+    bool committed = false; ///< The exchange of the silent engine was cancelled.
     bool dropped = false; ///< The silent engine has gone on, or the request has ended.
     asio::steady_timer changed; ///< Cancelled when `ended` is set.
     timeout overlap;
--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -50,6 +50,16 @@
         }
     }
 
+    /// Two decode engines with the same script behind a resumable route.
+    std::pair<scripted_server, scripted_server> &startPair(const scripted_server::script &script)
+    {
+        pair.emplace(std::piecewise_construct, std::forward_as_tuple(loop, script), std::forward_as_tuple(loop, script));
+        configure({streamRoute(true)});
+        addEndpoint("e1", "engines", pair->first.address(), endpoint_role::Decode);
+        addEndpoint("e2", "engines", pair->second.address(), endpoint_role::Decode);
+        return *pair;
+    }
+
     void pause(std::chrono::milliseconds time)
     {
         runUntil(
@@ -77,6 +87,7 @@
     }
 
     std::vector<std::unique_ptr<scripted_server>> engines;
+    std::optional<std::pair<scripted_server, scripted_server>> pair;
     int crashedEngines = 0;
 };
 
@@ -716,11 +727,7 @@
         }
         return scripted_answer{.bytes = streamHead(request, "second") + chunk(event(1) + event(2) + event(3)) + "0\r\n\r\n"};
     };
-    scripted_server first(loop, script);
-    scripted_server second(loop, script);
-    configure({streamRoute(true)});
-    addEndpoint("e1", "engines", first.address(), endpoint_role::Decode);
-    addEndpoint("e2", "engines", second.address(), endpoint_role::Decode);
+    auto &[first, second] = startPair(script);
     const auto result = call(generation(), std::chrono::seconds(4));
     EXPECT_TRUE(result.whole);
     EXPECT_EQ(result.body, event(1) + event(2) + event(3));
@@ -740,11 +747,7 @@
         }
         return scripted_answer{.bytes = streamHead(request, "second") + chunk(event(2)) + "0\r\n\r\n", .delay = std::chrono::milliseconds(600)};
     };
-    scripted_server first(loop, script);
-    scripted_server second(loop, script);
-    configure({streamRoute(true)});
-    addEndpoint("e1", "engines", first.address(), endpoint_role::Decode);
-    addEndpoint("e2", "engines", second.address(), endpoint_role::Decode);
+    auto &[first, second] = startPair(script);
     const auto result = call(generation(), std::chrono::seconds(4));
     EXPECT_TRUE(result.whole);
     EXPECT_EQ(result.body, event(1) + event(2));
@@ -763,11 +766,7 @@
         }
         return scripted_answer{.bytes = streamHead(request, "second") + chunk(event(2)) + "0\r\n\r\n", .delay = std::chrono::milliseconds(600)};
     };
-    scripted_server first(loop, script);
-    scripted_server second(loop, script);
-    configure({streamRoute(true)});
-    addEndpoint("e1", "engines", first.address(), endpoint_role::Decode);
-    addEndpoint("e2", "engines", second.address(), endpoint_role::Decode);
+    auto &[first, second] = startPair(script);
     const auto result = call(generation(), std::chrono::seconds(4));
     EXPECT_TRUE(result.whole);
     EXPECT_EQ(result.body, event(1) + event(2));
@@ -780,11 +779,7 @@
     const auto script = [&calls](const http_request &request, int) {
         return scripted_answer{.bytes = ++calls == 1 ? streamHead(request) + chunk(event(1)) : std::string(), .silent = true};
     };
-    scripted_server first(loop, script);
-    scripted_server second(loop, script);
-    configure({streamRoute(true)});
-    addEndpoint("e1", "engines", first.address(), endpoint_role::Decode);
-    addEndpoint("e2", "engines", second.address(), endpoint_role::Decode);
+    auto &[first, second] = startPair(script);
     tcp::socket caller(loop);
     caller.connect(callers);
     asio::write(caller, asio::buffer(generation()));
@@ -812,11 +807,7 @@
         }
         return scripted_answer{.bytes = streamHead(request) + chunk(event(2)) + "0\r\n\r\n", .delay = std::chrono::milliseconds(900)};
     };
-    scripted_server first(loop, script);
-    scripted_server second(loop, script);
-    configure({streamRoute(true)});
-    addEndpoint("e1", "engines", first.address(), endpoint_role::Decode);
-    addEndpoint("e2", "engines", second.address(), endpoint_role::Decode);
+    auto &[first, second] = startPair(script);
     caller_result result;
     bool done = false;
     startCall(generation(), result, done);
@@ -846,11 +837,7 @@
         }
         return scripted_answer{.reset = true};
     };
-    scripted_server first(loop, script);
-    scripted_server second(loop, script);
-    configure({streamRoute(true)});
-    addEndpoint("e1", "engines", first.address(), endpoint_role::Decode);
-    addEndpoint("e2", "engines", second.address(), endpoint_role::Decode);
+    auto &[first, second] = startPair(script);
     const auto result = call(generation(), std::chrono::seconds(4));
     EXPECT_EQ(calls, 2);
     EXPECT_EQ(result.status, 502);
--- a/tests/usage_relay_test.cpp
+++ b/tests/usage_relay_test.cpp
@@ -112,6 +112,26 @@
         return std::move(*result);
     }
 
+    /// Leaves this daemon alone in the fleet, with a request in each window that ends before or during the test. Returns the current window.
+    std::int64_t countAlone()
+    {
+        context->members = {{settings.id, {.address = "127.0.0.1:1", .failureDomain = "domain-a"}}};
+        context->peers.clear();
+        const std::int64_t current = wallMs() / 5000;
+        for (std::int64_t window = current - 2; window <= current + 8; ++window) {
+            context->usage.countRequest("o", context->usage.windowEndMs(window) - 1);
+        }
+        return current;
+    }
+
+    /// Starts the duties that count and report usage.
+    void startDuties(lease_runner &lease)
+    {
+        asio::co_spawn(loop, lease.run(), asio::detached);
+        asio::co_spawn(loop, storeUsage(*context), asio::detached);
+        asio::co_spawn(loop, reportUsage(*context, lease), asio::detached);
+    }
+
     std::size_t storedRows(const std::string &prefix) const
     {
         return table.scan(prefix, 100000, "")->size();
@@ -267,17 +287,10 @@
         reports[window].insert(encodeCounts(counts));
         co_return delivery_outcome::Accepted;
     };
-    context->members = {{settings.id, {.address = "127.0.0.1:1", .failureDomain = "domain-a"}}};
-    context->peers.clear();
-    const std::int64_t current = wallMs() / 5000;
-    for (std::int64_t window = current - 2; window <= current + 8; ++window) {
-        context->usage.countRequest("o", context->usage.windowEndMs(window) - 1);
-    }
+    countAlone();
     const auto copy = copyRows(table);
     lease_runner lease(*context, "platform");
-    asio::co_spawn(loop, lease.run(), asio::detached);
-    asio::co_spawn(loop, storeUsage(*context), asio::detached);
-    asio::co_spawn(loop, reportUsage(*context, lease), asio::detached);
+    startDuties(lease);
     ASSERT_TRUE(runUntil(
         [&] {
             return reports.size() >= 2;
@@ -309,17 +322,10 @@
         reports.insert(window);
         co_return delivery_outcome::Accepted;
     };
-    context->members = {{settings.id, {.address = "127.0.0.1:1", .failureDomain = "domain-a"}}};
-    context->peers.clear();
     context->storeRestoredAt = bootNow();
-    const std::int64_t current = wallMs() / 5000;
-    for (std::int64_t window = current - 2; window <= current + 8; ++window) {
-        context->usage.countRequest("o", context->usage.windowEndMs(window) - 1);
-    }
+    const std::int64_t current = countAlone();
     lease_runner lease(*context, "platform");
-    asio::co_spawn(loop, lease.run(), asio::detached);
-    asio::co_spawn(loop, storeUsage(*context), asio::detached);
-    asio::co_spawn(loop, reportUsage(*context, lease), asio::detached);
+    startDuties(lease);
     ASSERT_TRUE(runUntil(
         [&] {
             return !reports.empty();
@@ -340,18 +346,11 @@
         reports.insert(window);
         co_return delivery_outcome::Accepted;
     };
-    context->members = {{settings.id, {.address = "127.0.0.1:1", .failureDomain = "domain-a"}}};
-    context->peers.clear();
-    const std::int64_t current = wallMs() / 5000;
-    for (std::int64_t window = current - 2; window <= current + 8; ++window) {
-        context->usage.countRequest("o", context->usage.windowEndMs(window) - 1);
-    }
+    const std::int64_t current = countAlone();
     noteHistory(*context);
     history = 2;
     lease_runner lease(*context, "platform");
-    asio::co_spawn(loop, lease.run(), asio::detached);
-    asio::co_spawn(loop, reportUsage(*context, lease), asio::detached);
-    asio::co_spawn(loop, storeUsage(*context), asio::detached);
+    startDuties(lease);
     ASSERT_TRUE(runUntil(
         [&] {
             return !reports.empty();
