--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -837,7 +837,7 @@
         }
         return scripted_answer{.reset = true};
     };
-    auto &[first, second] = startPair(script);
+    startPair(script);
     const auto result = call(generation(), std::chrono::seconds(4));
     EXPECT_EQ(calls, 2);
     EXPECT_EQ(result.status, 502);
