Do not start by an older configuration than the members hold

Callers saw: keys that had been withdrawn were accepted again. Once a store is back from an older copy, and until the operator has written the configuration again, a daemon that starts read the older one from the store and served by it; it had no other source.

Each member row names the history of the store in which it was written and the version that its daemon held. A daemon that starts reads the members first. It waits, 2 s at most, while rows come from an older history, because their daemons have not met the restore yet, and takes no older version than a member's. A start costs one more call of the store.

Both tests failed before.

--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -34,6 +34,8 @@
     std::string callerAddress;
     std::string failureDomain;
     double capacity = 1; ///< Relative processor and link capacity.
+    std::uint64_t history = 0; ///< Of the store when the daemon wrote the row; 0 if it did not know.
+    std::uint64_t configuration = 0; ///< Version that the daemon held then; 0 for none.
 };
 
 /// Recent changes of a platform table, and the requests of other daemons that wait for the next one.
@@ -97,6 +99,8 @@
     std::optional<instant> configurationRequestedAt; ///< The configuration held contains every change that was acknowledged before this time.
     std::uint64_t configurationHash = 0; ///< Of the row that it was read from.
     bool configurationConfirmed = true; ///< The store lists this configuration or a newer one.
+    std::uint64_t configurationFloor = 0; ///< Newest version that a member held when it met this history of the store.
+    bool membersUnread = false; ///< The configuration is not read before, because only the members know whether a restored store lists an older one.
     bool endpointsListed = false; ///< The endpoints table was read.
     std::uint64_t storeHistory = 0; ///< The newest that noteHistory() has met.
     instant storeRestoredAt; ///< When this daemon met the newest history after another one; the epoch of the clock if never.
--- a/src/serving/edge_daemon.cpp
+++ b/src/serving/edge_daemon.cpp
@@ -167,6 +167,7 @@
     listen(m_metrics, settings.metricsAddress);
     listen(m_feeds, settings.peerAddress);
     auto &loop = m_context.loop;
+    m_context.membersUnread = true;
     spawnDuty(loop, watchSignals(), "watch_signals");
     spawnDuty(loop, followConfiguration(m_context), "follow_configuration");
     spawnDuty(loop, followEndpoints(m_context), "follow_endpoints");
--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -24,6 +24,8 @@
 constexpr auto storeRecoveryTime = std::chrono::milliseconds(2500); // Running endpoints list themselves again within 2 s of the store's return.
 constexpr auto memberReadInterval = std::chrono::seconds(10); // Finds members whose summaries never arrive; the first summary of others causes a read.
 constexpr auto memberRewriteTime = std::chrono::seconds(5); // Within it, daemons that reach a restored store write their rows again.
+constexpr auto maxStartDelay = std::chrono::seconds(2); // Of a daemon that starts, while rows of members are older than the history of the store.
+constexpr auto startCheckInterval = std::chrono::milliseconds(20);
 constexpr auto memberCheckInterval = std::chrono::milliseconds(500);
 constexpr double maxCapacity = 1e6; // Of a member; its settings have the same bound.
 const std::string memberPrefix = "member/";
@@ -35,7 +37,9 @@
             {"caller_address", settings.callerAddress},
             {"failure_domain", settings.failureDomain},
             {"capacity", settings.capacity},
-            {"incarnation", context.incarnation}};
+            {"incarnation", context.incarnation},
+            {"history", context.platform.store.history()},
+            {"configuration", context.configuration ? context.configuration->version : 0}};
 }
 
 // Returns nullopt for a malformed row.
@@ -53,7 +57,10 @@
     if (capacity <= 0 || capacity > maxCapacity) {
         return std::nullopt;
     }
-    return member_entry{value["address"], value["caller_address"], value["failure_domain"], capacity};
+    const auto count = [&](const char *name) -> std::uint64_t {
+        return value.contains(name) && value[name].is_number_unsigned() ? value[name].get<std::uint64_t>() : 0;
+    };
+    return member_entry{value["address"], value["caller_address"], value["failure_domain"], capacity, count("history"), count("configuration")};
 }
 
 // Fractions of the bound.
@@ -92,6 +99,27 @@
     }
 }
 
+// A restored store may list an older configuration than the members hold.
+void noteConfigurations(edge_context &context, const std::map<std::string, member_entry, std::less<>> &members)
+{
+    for (const auto &[id, member] : members) {
+        if (member.history == context.platform.store.history()) {
+            context.configurationFloor = std::max(context.configurationFloor, member.configuration);
+        }
+    }
+    if (context.configuration && context.configuration->version < context.configurationFloor) {
+        context.configurationConfirmed = false;
+    }
+}
+
+// Rows that came back with the copy and that their daemons have not written again.
+bool hasOutdatedRow(const edge_context &context, const std::map<std::string, member_entry, std::less<>> &members)
+{
+    return std::ranges::any_of(members, [&](const auto &member) {
+        return member.second.history != 0 && member.second.history < context.platform.store.history();
+    });
+}
+
 void noteStoreFailure(edge_context &context, std::string_view step, const absl::Status &status, bool &failing)
 {
     context.storeFailedAt = bootNow();
@@ -234,10 +262,16 @@
             continue;
         }
         const std::uint64_t held = context.configuration ? context.configuration->version : 0;
-        context.configurationConfirmed = parsed->version >= held;
+        context.configurationConfirmed = parsed->version >= std::max(held, context.configurationFloor);
+        if (!context.configurationConfirmed) {
+            auto line = context.line("configuration_outdated");
+            line.add("version", parsed->version).add("held", held).add("floor", context.configurationFloor);
+            context.log.write(line);
+            continue;
+        }
         // In another history, the operator may give a version out again.
         const auto hash = XXH3_64bits(changed.value.data(), changed.value.size());
-        if (parsed->version < held || (parsed->version == held && hash == context.configurationHash)) {
+        if (parsed->version == held && hash == context.configurationHash) {
             continue;
         }
         context.configurationHash = hash;
@@ -321,6 +355,9 @@
     table_handler handler{"follow_configuration", [&context](const table_changes &changes, table_scope scope) {
                               applyConfiguration(context, changes, scope);
                           }};
+    while (context.membersUnread) {
+        co_await sleepFor(startCheckInterval);
+    }
     co_await follow(context, platform_table::Configuration, std::move(handler));
 }
 
@@ -337,11 +374,16 @@
     bool failing = false;
     bool stored = false;
     std::uint64_t history = 0; // That the row was written to.
+    instant firstReadAt;
     const auto isLost = [&] {
         return !stored || history != context.platform.store.history();
     };
     while (!context.stopping) {
         if (isLost()) {
+            if (context.platform.store.history() == 0) {
+                co_await context.platform.store.read(memberPrefix + context.settings.id); // The row names the history.
+                context.counters.count(metric_counter::StoreReads);
+            }
             const std::uint64_t before = context.platform.store.history();
             const nlohmann::json value = encodeMember(context);
             transaction change{.writes = {{.key = memberPrefix + context.settings.id, .value = value.dump()}}};
@@ -375,12 +417,18 @@
             }
             members[row.key.substr(memberPrefix.size())] = std::move(*member);
         }
+        noteConfigurations(context, members);
+        const instant readAt = bootNow();
+        firstReadAt = firstReadAt == instant{} ? readAt : firstReadAt;
+        context.membersUnread = context.membersUnread && hasOutdatedRow(context, members) && readAt - firstReadAt < maxStartDelay;
         keepLostMembers(context, members);
         updateMembers(context, std::move(members));
         context.unknownSender = false;
-        const instant readAt = bootNow();
         while (!context.stopping && !isLost() && !context.unknownSender && bootNow() - readAt < memberReadInterval) {
             co_await sleepFor(memberCheckInterval);
+            if (context.membersUnread) {
+                break;
+            }
         }
     }
 }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -588,6 +588,74 @@
     EXPECT_GT(*context->configurationRequestedAt, confirmedAt);
 }
 
+// Guards against a daemon that starts between a restore and the operator's next write, and serves by a configuration that is older than the fleet's.
+TEST_F(platform_store_test, a_daemon_that_starts_after_a_restore_takes_no_older_configuration)
+{
+    const auto member = [](int history, int configuration) {
+        const json value{{"address", "127.0.0.1:1"},
+                         {"caller_address", "127.0.0.1:2"},
+                         {"failure_domain", "a"},
+                         {"capacity", 1},
+                         {"history", history},
+                         {"configuration", configuration}};
+        return json::array({storedRow("member/a", value.dump(), 3)});
+    };
+    const auto configuration = [](int version) {
+        auto value = validConfiguration();
+        value["version"] = version;
+        return json::array({storedRow("config", value.dump(), 4)});
+    };
+    json members = member(1, 5);
+    json configurations = configuration(5);
+    std::string written;
+    storeScript = [&](const http_request &request, int) {
+        const auto target = toView(request.target());
+        const bool ofOperator = target.find("table=op") != std::string_view::npos;
+        const bool feed = target.find("rows-feed") != std::string_view::npos;
+        if (request.method() == http::verb::post) {
+            written = request.body();
+        }
+        const json answer{{"rows", ofOperator ? configurations : members}, {"has-more", false}, {"ver", 4}};
+        return scripted_answer{.bytes = wholeAnswer(request, 200, answer.dump(), "Store-Era: 2\r\n"), .delay = feed ? 50ms : 0ms};
+    };
+    const auto isServing = [&] {
+        return context->configuration != nullptr;
+    };
+    context->membersUnread = true;
+    asio::co_spawn(loop, followConfiguration(*context), asio::detached);
+    asio::co_spawn(loop, maintainMembership(*context), asio::detached);
+    EXPECT_FALSE(runUntil(isServing, 1s)) << "the member has not met the restore yet";
+    members = member(2, 8);
+    EXPECT_FALSE(runUntil(isServing, 1500ms)) << "the member holds a newer configuration";
+    configurations = configuration(8);
+    ASSERT_TRUE(runUntil(isServing, 1s));
+    EXPECT_EQ(context->configuration->version, 8U);
+    std::string row;
+    ASSERT_TRUE(absl::Base64Unescape(json::parse(written)["put"][0]["value"].get<std::string>(), &row));
+    EXPECT_EQ(json::parse(row)["history"], 2);
+}
+
+// Guards against a start that waits for a member that is gone.
+TEST_F(platform_store_test, a_row_that_is_never_written_again_delays_a_start_for_two_seconds)
+{
+    const json gone{
+        {"address", "127.0.0.1:1"}, {"caller_address", "127.0.0.1:2"}, {"failure_domain", "a"}, {"capacity", 1}, {"history", 1}, {"configuration", 7}};
+    storeScript = [&](const http_request &request, int) {
+        const bool ofOperator = toView(request.target()).find("table=op") != std::string_view::npos;
+        const auto row = ofOperator ? storedRow("config", validConfiguration().dump(), 4) : storedRow("member/gone", gone.dump(), 3);
+        const json answer{{"rows", json::array({row})}, {"has-more", false}, {"ver", 4}};
+        return scripted_answer{.bytes = wholeAnswer(request, 200, answer.dump(), "Store-Era: 2\r\n")};
+    };
+    context->membersUnread = true;
+    asio::co_spawn(loop, followConfiguration(*context), asio::detached);
+    asio::co_spawn(loop, maintainMembership(*context), asio::detached);
+    const auto isServing = [&] {
+        return context->configuration != nullptr;
+    };
+    EXPECT_FALSE(runUntil(isServing, 1500ms));
+    EXPECT_TRUE(runUntil(isServing, 2s));
+}
+
 // Guards against rows of two histories in one result.
 TEST_F(platform_store_test, a_restore_between_two_pages_fails_the_read)
 {
