Fault soak: a store that comes back from an older copy

--faults restores: the store is away for up to 2.5 s and comes back from a copy of up to 9 s, amid kills, stops, replaced endpoints, new configurations and withdrawn keys; the lost rows of others are written again up to 7 s later.

--- a/soak/faultsoak.cpp
+++ b/soak/faultsoak.cpp
@@ -21,7 +21,10 @@
 DEFINE_int32(processes, 5, "number of daemon processes");
 DEFINE_int32(callers, 16, "number of callers; each has one request in flight at a time");
 DEFINE_string(edge, "build/lacewinglock-edge", "path of the daemon program under test");
-DEFINE_string(faults, "all", "faults to inject: all, or stops (SIGTERM to one daemon after the other, to a third of them at once at the most)");
+DEFINE_string(faults,
+              "all",
+              "faults to inject: all; stops (SIGTERM to one daemon after the other, to a third of them at once at the most); or restores (the store comes "
+              "back from an older copy, amid kills, stops and changes of the configuration)");
 DEFINE_string(logs, "", "directory for settings and logs; by default a new one in the system's temporary directory");
 
 namespace faultsoak
@@ -50,7 +53,11 @@
 
 std::vector<std::string> keyNames()
 {
-    return {"key-a", "key-b", "key-c", "key-d"};
+    std::vector<std::string> out{"key-a", "key-b", "key-c", "key-d"};
+    if (FLAGS_faults == "restores") {
+        out.insert(out.end(), {"key-e", "key-f", "key-g", "key-h", "key-i", "key-j", "key-k", "key-l"});
+    }
+    return out;
 }
 
 std::int64_t randomBetween(std::mt19937_64 &random, std::int64_t low, std::int64_t high)
@@ -88,6 +95,10 @@
     void stopNextDaemon();
     task<void> disturbProxy(proxy &networkProxy, proxy_mode mode, std::int64_t durationMs, std::string daemon, std::string endpoint);
     task<void> disturbStore(store_mode mode, std::int64_t durationMs);
+    void injectFaultBesideRestores();
+    task<void> restoreStore(std::int64_t ageMs, std::int64_t awayMs, std::int64_t rewriteMs);
+    task<void> keepCopies();
+    void withdrawKey();
     task<void> pauseDaemon(std::size_t index, std::int64_t durationMs);
     task<void> stopDaemon(std::size_t index, int signalNumber, std::int64_t downTimeMs);
     task<void> replaceEndpoint(std::size_t index, std::int64_t drainMs, std::int64_t downMs);
@@ -128,6 +139,7 @@
     std::uint64_t m_nextRequest = 0;
     bool m_injectingFaults = true;
     bool m_finished = false;
+    bool m_restoring = false; ///< The store is away, or lacks rows that were acknowledged.
     int m_faultCount = 0;
     std::size_t m_nextStop = 0;
 };
@@ -254,6 +266,34 @@
     m_oracle.recordDisruption("", nowMs());
 }
 
+// Between its return and `rewriteMs` later, the store lacks what the operator and the endpoints wrote since the copy.
+task<void> soak_run::restoreStore(std::int64_t ageMs, std::int64_t awayMs, std::int64_t rewriteMs)
+{
+    m_restoring = true;
+    co_await disturbStore(store_mode::Unavailable, awayMs);
+    m_store.restore(ageMs);
+    for (std::int64_t remainingMs = rewriteMs; remainingMs > 0; remainingMs -= 100) {
+        m_oracle.recordStoreFault(nowMs());
+        m_oracle.recordDisruption("", nowMs());
+        co_await sleepMs(std::min<std::int64_t>(remainingMs, 100));
+    }
+    m_store.writeLostRowsAgain();
+    m_oracle.recordStoreFault(nowMs());
+    m_oracle.recordDisruption("", nowMs());
+    m_restoring = false;
+}
+
+task<void> soak_run::keepCopies()
+{
+    constexpr std::int64_t copyIntervalMs = 250;
+    while (!m_finished) {
+        if (!m_restoring) {
+            m_store.keepCopy();
+        }
+        co_await sleepMs(copyIntervalMs);
+    }
+}
+
 task<void> soak_run::pauseDaemon(std::size_t index, std::int64_t durationMs)
 {
     m_daemons[index]->sendSignal(SIGSTOP);
@@ -480,10 +520,7 @@
         return start(dropResponses(endpoint, durationMs));
     default:
         if (randomBetween(m_random, 0, 3) == 0 && m_activeKeys.size() > 1) {
-            const std::string key = pickRandom(m_random, m_activeKeys);
-            std::erase(m_activeKeys, key);
-            writeConfiguration();
-            m_oracle.recordKeyWithdrawal(key, nowMs());
+            withdrawKey();
         } else if (randomBetween(m_random, 0, 2) == 0) {
             m_store.compact();
         } else {
@@ -492,6 +529,50 @@
     }
 }
 
+void soak_run::injectFaultBesideRestores()
+{
+    ++m_faultCount;
+    const auto daemon = static_cast<std::size_t>(randomBetween(m_random, 0, FLAGS_processes - 1));
+    const auto endpoint = static_cast<std::size_t>(randomBetween(m_random, 0, static_cast<std::int64_t>(m_endpoints.size()) - 1));
+    const std::int64_t downMs = randomBetween(m_random, 100, 3000);
+    const std::int64_t ageMs = randomBetween(m_random, 500, 9000);
+    const std::int64_t awayMs = randomBetween(m_random, 200, 2500);
+    const std::int64_t rewriteMs = randomBetween(m_random, 100, 7000);
+    const auto start = [&](task<void> fault) {
+        asio::co_spawn(m_loop, std::move(fault), asio::detached);
+    };
+    switch (randomBetween(m_random, 0, 7)) {
+    case 0:
+    case 1:
+        return start(stopDaemon(daemon, SIGKILL, downMs));
+    case 2:
+        return start(stopDaemon(daemon, SIGTERM, downMs));
+    case 3:
+        return start(replaceEndpoint(endpoint, 0, downMs));
+    case 4:
+        withdrawKey();
+        return;
+    case 5:
+        writeConfiguration();
+        return;
+    default:
+        if (!m_restoring) {
+            start(restoreStore(ageMs, awayMs, rewriteMs));
+        }
+    }
+}
+
+void soak_run::withdrawKey()
+{
+    if (m_activeKeys.size() <= 1) {
+        return;
+    }
+    const std::string key = pickRandom(m_random, m_activeKeys);
+    std::erase(m_activeKeys, key);
+    writeConfiguration();
+    m_oracle.recordKeyWithdrawal(key, nowMs());
+}
+
 void soak_run::stopNextDaemon()
 {
     const auto ending = static_cast<std::size_t>(std::ranges::count_if(m_daemons, [](const auto &daemon) {
@@ -644,6 +725,7 @@
         asio::co_spawn(m_loop, runCaller(i), asio::detached);
     }
     const bool stopsOnly = FLAGS_faults == "stops";
+    const bool restores = FLAGS_faults == "restores";
     if (stopsOnly) {
         m_oracle.forbidCutResponses();
     }
@@ -651,8 +733,12 @@
     if (!stopsOnly) {
         co_await sleepMs(calmMs);
         m_oracle.recordFaultsBegan(nowMs());
-        asio::co_spawn(m_loop, poisonParts(), asio::detached);
-        asio::co_spawn(m_loop, makeDemands(), asio::detached);
+        if (restores) {
+            asio::co_spawn(m_loop, keepCopies(), asio::detached);
+        } else {
+            asio::co_spawn(m_loop, poisonParts(), asio::detached);
+            asio::co_spawn(m_loop, makeDemands(), asio::detached);
+        }
     }
     while (nowMs() < end) {
         if (stopsOnly) {
@@ -660,7 +746,7 @@
             stopNextDaemon();
         } else {
             co_await sleepMs(randomBetween(m_random, 200, 1500));
-            injectFault();
+            restores ? injectFaultBesideRestores() : injectFault();
         }
     }
     endFaults();
@@ -703,8 +789,8 @@
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::signal(SIGPIPE, SIG_IGN);
-    if (FLAGS_faults != "all" && FLAGS_faults != "stops") {
-        std::cerr << "--faults must be \"all\" or \"stops\", not \"" << FLAGS_faults << "\"\n";
+    if (FLAGS_faults != "all" && FLAGS_faults != "stops" && FLAGS_faults != "restores") {
+        std::cerr << "--faults must be \"all\", \"stops\" or \"restores\", not \"" << FLAGS_faults << "\"\n";
         return 2;
     }
     const bool ownDirectory = FLAGS_logs.empty();
--- a/soak/stand_ins.cpp
+++ b/soak/stand_ins.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <utility>
 
 namespace faultsoak
 {
@@ -13,6 +14,7 @@
 using nlohmann::json;
 
 constexpr std::int64_t slowResponseMs = 400;
+constexpr std::size_t maxCopies = 40;
 constexpr int slotCount = 6;
 constexpr int queueCapacity = 12;
 
@@ -162,26 +164,68 @@
 
 void store_stand_in::recordChange(const std::string &table, const std::string &key, bool removed)
 {
-    m_changes.push_back({m_latestVersion, table, key, removed});
+    m_state.changes.push_back({m_state.latestVersion, table, key, removed});
 }
 
 void store_stand_in::put(const std::string &table, const std::string &key, const std::string &value)
 {
-    m_rows[{table, key}] = {absl::Base64Escape(value), ++m_latestVersion};
+    m_state.rows[{table, key}] = {absl::Base64Escape(value), ++m_state.latestVersion};
     recordChange(table, key, false);
 }
 
 void store_stand_in::remove(const std::string &table, const std::string &key)
 {
-    ++m_latestVersion;
-    m_rows.erase({table, key});
+    ++m_state.latestVersion;
+    m_state.rows.erase({table, key});
     recordChange(table, key, true);
 }
 
 void store_stand_in::compact()
 {
-    m_compactedVersion = m_latestVersion;
-    m_changes.clear();
+    m_state.compactedVersion = m_state.latestVersion;
+    m_state.changes.clear();
+}
+
+void store_stand_in::keepCopy()
+{
+    m_copies.push_back({nowMs(), m_state});
+    if (m_copies.size() > maxCopies) {
+        m_copies.pop_front();
+    }
+}
+
+void store_stand_in::restore(std::int64_t ageMs)
+{
+    while (m_copies.size() > 1 && m_copies.back().timeMs > nowMs() - ageMs) {
+        m_copies.pop_back();
+    }
+    m_lost = {nowMs(), std::exchange(m_state, m_copies.back().state)};
+    ++m_era;
+}
+
+void store_stand_in::writeLostRowsAgain()
+{
+    const auto &copy = m_copies.back().state.rows;
+    const auto versionIn = [](const auto &rows, const auto &key) {
+        const auto found = rows.find(key);
+        return found == rows.end() ? 0 : found->second.version;
+    };
+    auto keys = m_lost.state.rows;
+    keys.insert(copy.begin(), copy.end());
+    for (const auto &[key, row] : keys) {
+        const auto copied = versionIn(copy, key);
+        const bool unchanged = versionIn(m_state.rows, key) == copied;
+        if ((key.first != "op" && key.first != "servers") || !unchanged || versionIn(m_lost.state.rows, key) == copied) {
+            continue;
+        }
+        if (const auto lost = m_lost.state.rows.find(key); lost == m_lost.state.rows.end()) {
+            remove(key.first, key.second);
+        } else {
+            ++m_state.latestVersion;
+            m_state.rows[key] = {lost->second.value, m_state.latestVersion};
+            recordChange(key.first, key.second, false);
+        }
+    }
 }
 
 task<bool> store_stand_in::respond(const request &message, tcp::socket &socket)
@@ -191,7 +235,7 @@
         m_oracle.recordStoreFault(nowMs());
     }
     if (m_mode == store_mode::Unavailable) {
-        co_return co_await sendResponse(socket, 503, "{}");
+        co_return co_await sendResponse(socket, 503, "{}", eraField());
     }
     if (m_mode == store_mode::Slow) {
         co_await sleepMs(slowResponseMs);
@@ -201,7 +245,12 @@
     if (dropResponse) {
         co_return false;
     }
-    co_return co_await sendResponse(socket, result.first, result.second);
+    co_return co_await sendResponse(socket, result.first, result.second, eraField());
+}
+
+std::string store_stand_in::eraField() const
+{
+    return "Store-Era: " + std::to_string(m_era) + "\r\n";
 }
 
 task<std::pair<int, std::string>> store_stand_in::dispatch(const request &message)
@@ -229,13 +278,13 @@
         return found == query.end() ? std::string() : found->second;
     };
     json rows = json::array();
-    for (const auto &[rowKey, row] : m_rows) {
+    for (const auto &[rowKey, row] : m_state.rows) {
         const bool inRange = rowKey.second >= get("from") && (get("to").empty() || rowKey.second < get("to"));
         if (rowKey.first == get("table") && inRange) {
             rows.push_back({{"table", rowKey.first}, {"part", ""}, {"key", rowKey.second}, {"value", row.value}, {"ver", row.version}});
         }
     }
-    return json{{"rows", rows}, {"has-more", false}, {"ver", m_latestVersion}, {"now-ms", nowMs()}}.dump();
+    return json{{"rows", rows}, {"has-more", false}, {"ver", m_state.latestVersion}, {"now-ms", nowMs()}}.dump();
 }
 
 task<std::pair<int, std::string>> store_stand_in::rowsFeed(std::map<std::string, std::string> query)
@@ -243,18 +292,19 @@
     const std::string table = query["table"];
     const std::uint64_t after = std::stoull(query["after"]);
     const std::int64_t end = nowMs() + std::stoll(query["wait-ms"]);
+    const std::uint64_t era = m_era;
     while (true) {
-        if (after < m_compactedVersion) {
+        if (after < m_state.compactedVersion || after > m_state.latestVersion || era != m_era) {
             co_return std::pair(410, std::string("{}"));
         }
         json rows = json::array();
-        for (const auto &entry : m_changes) {
+        for (const auto &entry : m_state.changes) {
             if (entry.version <= after || entry.table != table) {
                 continue;
             }
             json row = {{"table", entry.table}, {"part", ""}, {"key", entry.key}, {"ver", entry.version}};
-            const auto found = m_rows.find({entry.table, entry.key});
-            if (entry.removed || found == m_rows.end()) {
+            const auto found = m_state.rows.find({entry.table, entry.key});
+            if (entry.removed || found == m_state.rows.end()) {
                 row["tombstone"] = true;
             } else {
                 row["value"] = found->second.value;
@@ -262,7 +312,7 @@
             rows.push_back(std::move(row));
         }
         if (!rows.empty() || nowMs() >= end) {
-            co_return std::pair(200, json{{"rows", rows}, {"ver", m_latestVersion}, {"now-ms", nowMs()}}.dump());
+            co_return std::pair(200, json{{"rows", rows}, {"ver", m_state.latestVersion}, {"now-ms", nowMs()}}.dump());
         }
         co_await sleepMs(10);
     }
@@ -275,21 +325,21 @@
         return {400, "{}"};
     }
     for (const auto &condition : transaction["expected"]) {
-        const auto found = m_rows.find({condition["table"], condition["key"]});
-        if ((found == m_rows.end() ? 0 : found->second.version) != condition["ver"].get<std::uint64_t>()) {
-            return {412, json{{"rows", json::array()}, {"ver", m_latestVersion}, {"now-ms", nowMs()}}.dump()};
+        const auto found = m_state.rows.find({condition["table"], condition["key"]});
+        if ((found == m_state.rows.end() ? 0 : found->second.version) != condition["ver"].get<std::uint64_t>()) {
+            return {412, json{{"rows", json::array()}, {"ver", m_state.latestVersion}, {"now-ms", nowMs()}}.dump()};
         }
     }
-    ++m_latestVersion;
+    ++m_state.latestVersion;
     for (const auto &put : transaction["put"]) {
-        m_rows[{put["table"], put["key"]}] = {put["value"], m_latestVersion};
+        m_state.rows[{put["table"], put["key"]}] = {put["value"], m_state.latestVersion};
         recordChange(put["table"], put["key"], false);
     }
     for (const auto &removed : transaction["remove"]) {
-        m_rows.erase({removed["table"], removed["key"]});
+        m_state.rows.erase({removed["table"], removed["key"]});
         recordChange(removed["table"], removed["key"], true);
     }
-    return {200, json{{"ver", m_latestVersion}, {"now-ms", nowMs()}}.dump()};
+    return {200, json{{"ver", m_state.latestVersion}, {"now-ms", nowMs()}}.dump()};
 }
 
 std::pair<int, std::string> store_stand_in::acceptUsageReport(const request &message)
--- a/soak/stand_ins.h
+++ b/soak/stand_ins.h
@@ -4,6 +4,7 @@
 #include "soak/endpoint_demands.h"
 #include "soak/oracle.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -59,6 +60,12 @@
     void remove(const std::string &table, const std::string &key);
     /// Discards the feed's history, so that readers of an older version get 410.
     void compact();
+    /// Keeps a copy of the tables to restore from; the oldest is dropped when there are many.
+    void keepCopy();
+    /// Goes back to the newest copy that is at least `ageMs` old, or the oldest one. What was written since is gone, and another era begins.
+    void restore(std::int64_t ageMs);
+    /// Writes the rows of the operator and the endpoints again that the last restore lost, except those that were written since.
+    void writeLostRowsAgain();
 
 private:
     struct stored_row
@@ -73,6 +80,18 @@
         std::string key;
         bool removed = false;
     };
+    struct table_state
+    {
+        std::map<std::pair<std::string, std::string>, stored_row> rows;
+        std::vector<feed_entry> changes;
+        std::uint64_t latestVersion = 1;
+        std::uint64_t compactedVersion = 0; ///< The feed holds only changes after this version.
+    };
+    struct table_copy
+    {
+        std::int64_t timeMs = 0;
+        table_state state;
+    };
 
     task<bool> respond(const request &message, tcp::socket &socket);
     task<std::pair<int, std::string>> dispatch(const request &message);
@@ -80,13 +99,14 @@
     task<std::pair<int, std::string>> rowsFeed(std::map<std::string, std::string> query);
     std::pair<int, std::string> rowsTx(const std::string &body);
     std::pair<int, std::string> acceptUsageReport(const request &message);
+    std::string eraField() const;
     void recordChange(const std::string &table, const std::string &key, bool removed);
 
     oracle &m_oracle;
-    std::map<std::pair<std::string, std::string>, stored_row> m_rows;
-    std::vector<feed_entry> m_changes;
-    std::uint64_t m_latestVersion = 1;
-    std::uint64_t m_compactedVersion = 0; ///< The feed holds only changes after this version.
+    table_state m_state;
+    std::deque<table_copy> m_copies;
+    table_copy m_lost; ///< The tables before the last restore.
+    std::uint64_t m_era = 1;
     std::uint64_t m_highestFencingToken = 0;
     store_mode m_mode = store_mode::Normal;
     std::uint64_t m_requestCount = 0;
