--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -588,6 +588,35 @@
     EXPECT_GT(*context->configurationRequestedAt, confirmedAt);
 }
 
+// Guards against a configuration that is ignored because a restored store gave its version out before.
+TEST_F(platform_store_test, a_version_that_is_given_out_again_with_other_content_is_taken)
+{
+    auto again = validConfiguration();
+    again["tenants"][0]["api-keys"] = {"k3"};
+    bool restored = false;
+    storeScript = [&](const http_request &request, int) {
+        const auto target = toView(request.target());
+        if (restored && target.find("after=20") != std::string_view::npos) {
+            return scripted_answer{.bytes = wholeAnswer(request, 410, "{}", "Store-Era: 2\r\n")};
+        }
+        const auto &value = restored ? again : validConfiguration();
+        const json answer{{"rows", json::array({storedRow("config", value.dump(), 20)})}, {"has-more", false}, {"ver", 20}};
+        const auto delay = target.find("rows-feed") != std::string_view::npos ? 50ms : 0ms;
+        return scripted_answer{.bytes = wholeAnswer(request, 200, answer.dump(), restored ? "Store-Era: 2\r\n" : "Store-Era: 1\r\n"), .delay = delay};
+    };
+    asio::co_spawn(loop, followConfiguration(*context), asio::detached);
+    const auto knowsKey = [&](const char *key) {
+        return [this, key] {
+            return context->configuration && context->configuration->keys.contains(key);
+        };
+    };
+    ASSERT_TRUE(runUntil(knowsKey("k1"), 1s));
+    restored = true;
+    ASSERT_TRUE(runUntil(knowsKey("k3"), 2s));
+    EXPECT_EQ(context->configuration->version, 7U);
+    EXPECT_FALSE(context->configuration->keys.contains("k1"));
+}
+
 // Guards against a daemon that starts between a restore and the operator's next write, and serves by a configuration that is older than the fleet's.
 TEST_F(platform_store_test, a_daemon_that_starts_after_a_restore_takes_no_older_configuration)
 {
