--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -7,6 +7,8 @@
 #include <absl/strings/str_cat.h>
 #include <functional>
 #include <nlohmann/json.hpp>
+#include <span>
+#include <tuple>
 #include <xxhash.h>
 
 namespace lacewinglock
@@ -339,6 +341,41 @@
     }
 }
 
+// Returns the history of the store that the row was written to, or nothing if the commit failed.
+task<std::optional<std::uint64_t>> writeMember(edge_context &context)
+{
+    const std::string key = memberPrefix + context.settings.id;
+    if (context.platform.store.history() == 0) {
+        std::ignore = co_await context.platform.store.read(key); // The row names the history.
+        context.counters.count(metric_counter::StoreReads);
+    }
+    const std::uint64_t before = context.platform.store.history();
+    const nlohmann::json value = encodeMember(context);
+    transaction change{.writes = {{.key = key, .value = value.dump()}}};
+    const auto outcome = co_await context.platform.store.commit(std::move(change));
+    context.counters.count(metric_counter::StoreWrites);
+    if (outcome != commit_outcome::Committed) {
+        co_return std::nullopt;
+    }
+    co_return before != 0 ? before : context.platform.store.history();
+}
+
+std::map<std::string, member_entry, std::less<>> parseMembers(const edge_context &context, std::span<const row> rows)
+{
+    std::map<std::string, member_entry, std::less<>> out;
+    for (const auto &row : rows) {
+        auto member = parseMember(row.value);
+        if (!member) {
+            auto line = context.line("member_unreadable");
+            line.add("key", row.key).add("version", row.version);
+            context.log.write(line);
+            continue;
+        }
+        out[row.key.substr(memberPrefix.size())] = std::move(*member);
+    }
+    return out;
+}
+
 }
 
 feed_bounds feedBounds(const edge_settings &settings, platform_table table)
@@ -372,26 +409,15 @@
 task<void> maintainMembership(edge_context &context)
 {
     bool failing = false;
-    bool stored = false;
-    std::uint64_t history = 0; // That the row was written to.
+    std::optional<std::uint64_t> history; // That the row was written to.
     instant firstReadAt;
     const auto isLost = [&] {
-        return !stored || history != context.platform.store.history();
+        return history != context.platform.store.history();
     };
     while (!context.stopping) {
         if (isLost()) {
-            if (context.platform.store.history() == 0) {
-                co_await context.platform.store.read(memberPrefix + context.settings.id); // The row names the history.
-                context.counters.count(metric_counter::StoreReads);
-            }
-            const std::uint64_t before = context.platform.store.history();
-            const nlohmann::json value = encodeMember(context);
-            transaction change{.writes = {{.key = memberPrefix + context.settings.id, .value = value.dump()}}};
-            const auto outcome = co_await context.platform.store.commit(std::move(change));
-            context.counters.count(metric_counter::StoreWrites);
-            stored = outcome == commit_outcome::Committed;
-            history = before != 0 ? before : context.platform.store.history();
-            if (!stored) {
+            history = co_await writeMember(context);
+            if (!history) {
                 noteStoreFailure(context, "write_member", absl::UnavailableError("commit of the member row failed"), failing);
                 co_await sleepFor(retryPause);
                 continue;
@@ -406,17 +432,7 @@
             continue;
         }
         noteStoreSuccess(context, "read_members", failing);
-        std::map<std::string, member_entry, std::less<>> members;
-        for (const auto &row : *rows) {
-            auto member = parseMember(row.value);
-            if (!member) {
-                auto line = context.line("member_unreadable");
-                line.add("key", row.key).add("version", row.version);
-                context.log.write(line);
-                continue;
-            }
-            members[row.key.substr(memberPrefix.size())] = std::move(*member);
-        }
+        auto members = parseMembers(context, *rows);
         noteConfigurations(context, members);
         const instant readAt = bootNow();
         firstReadAt = firstReadAt == instant{} ? readAt : firstReadAt;
@@ -424,11 +440,9 @@
         keepLostMembers(context, members);
         updateMembers(context, std::move(members));
         context.unknownSender = false;
-        while (!context.stopping && !isLost() && !context.unknownSender && bootNow() - readAt < memberReadInterval) {
+        const duration interval = context.membersUnread ? memberCheckInterval : memberReadInterval;
+        while (!context.stopping && !isLost() && !context.unknownSender && bootNow() - readAt < interval) {
             co_await sleepFor(memberCheckInterval);
-            if (context.membersUnread) {
-                break;
-            }
         }
     }
 }
