Read from tables which usage windows may have been reported

Cause: the field that tells daemons which windows may have been reported before a restore was written into tables and not read from them, so it reached only daemons that get summaries themselves.

The round trip of messages now covers the field in both; it failed before.

--- a/src/protocol/exchange_messages.cpp
+++ b/src/protocol/exchange_messages.cpp
@@ -211,7 +211,12 @@
     for (const auto daemon : in.getDaemons()) {
         daemon_entry entry{.id = daemon.getId()};
         if (daemon.getAlive()) {
-            entry.status = {daemon.getServing(), daemon.getHoldsLease(), daemon.getClockDifferenceMs()};
+            entry.status = daemon_status{
+                .serving = daemon.getServing(),
+                .holdsLease = daemon.getHoldsLease(),
+                .clockDifferenceMs = daemon.getClockDifferenceMs(),
+                .reportedBefore = daemon.getReportedBefore(),
+            };
         }
         out.daemons.push_back(std::move(entry));
     }
--- a/tests/state_exchange_test.cpp
+++ b/tests/state_exchange_test.cpp
@@ -178,7 +178,7 @@
 // Guards against fields lost in encoding, and malformed datagrams that crash the daemon.
 TEST(exchange_messages, round_trip_and_reject_garbage)
 {
-    daemon_summary summary{.sender = "d", .sequence = 4, .incarnation = 9, .serving = true, .holdsLease = true, .wallMs = -3};
+    daemon_summary summary{.sender = "d", .sequence = 4, .incarnation = 9, .serving = true, .holdsLease = true, .wallMs = -3, .reportedBefore = 55};
     summary.loads = {{11, {3, 250}}};
     summary.prefixUses = {{21, 11, 512, 7}};
     summary.suspects = {{"f", {7, 9}, 30, {50, 30}, 70}};
@@ -195,6 +195,7 @@
     EXPECT_TRUE(got.serving);
     EXPECT_TRUE(got.holdsLease);
     EXPECT_EQ(got.wallMs, -3);
+    EXPECT_EQ(got.reportedBefore, 55);
     EXPECT_EQ(got.loads, summary.loads);
     EXPECT_EQ(got.prefixUses, summary.prefixUses);
     ASSERT_EQ(got.suspects.size(), 1U);
@@ -213,7 +214,7 @@
     EXPECT_FALSE(got.notices[1].limit);
     EXPECT_EQ(got.poll, summary.poll);
     exchange_tables tables{.sender = "a", .sequence = 6, .wallMs = 7, .ageMs = 8, .complete = true, .warm = true, .position = {9, 10, 11, 12}};
-    tables.daemons = {{"x", std::nullopt}, {"y", daemon_status{true, true, -44}}};
+    tables.daemons = {{"x", std::nullopt}, {"y", daemon_status{true, true, -44, 77}}};
     const auto answer = parseExchange(encodeExchange(tables));
     ASSERT_TRUE(answer.ok());
     const auto &gotTables = std::get<exchange_tables>(*answer);
