Start although the row of the member can't be written

Since the configuration waits for the members, a daemon whose writes the store refuses while it answers reads never served. The members are read all the same. Found in review; the test failed before.

--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -408,8 +408,9 @@
 
 task<void> maintainMembership(edge_context &context)
 {
-    bool failing = false;
-    std::optional<std::uint64_t> history; // That the row was written to.
+    bool writeFailing = false;
+    bool readFailing = false;
+    std::optional<std::uint64_t> history; // That the row was written to; none while it could not be written.
     instant firstReadAt;
     const auto isLost = [&] {
         return history != context.platform.store.history();
@@ -417,21 +418,21 @@
     while (!context.stopping) {
         if (isLost()) {
             history = co_await writeMember(context);
-            if (!history) {
-                noteStoreFailure(context, "write_member", absl::UnavailableError("commit of the member row failed"), failing);
-                co_await sleepFor(retryPause);
-                continue;
+            if (history) {
+                noteStoreSuccess(context, "write_member", writeFailing);
+            } else {
+                noteStoreFailure(context, "write_member", absl::UnavailableError("commit of the member row failed"), writeFailing);
             }
         }
         const auto rows = co_await context.platform.store.scan(memberPrefix);
         context.counters.count(metric_counter::StoreReads);
         noteHistory(context);
         if (!rows.ok()) {
-            noteStoreFailure(context, "read_members", rows.status(), failing);
+            noteStoreFailure(context, "read_members", rows.status(), readFailing);
             co_await sleepFor(retryPause);
             continue;
         }
-        noteStoreSuccess(context, "read_members", failing);
+        noteStoreSuccess(context, "read_members", readFailing);
         auto members = parseMembers(context, *rows);
         noteConfigurations(context, members);
         const instant readAt = bootNow();
@@ -440,6 +441,9 @@
         keepLostMembers(context, members);
         updateMembers(context, std::move(members));
         context.unknownSender = false;
+        if (!history) {
+            co_await sleepFor(retryPause);
+        }
         const duration interval = context.membersUnread ? memberCheckInterval : memberReadInterval;
         while (!context.stopping && !isLost() && !context.unknownSender && bootNow() - readAt < interval) {
             co_await sleepFor(memberCheckInterval);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -685,6 +685,27 @@
     EXPECT_TRUE(runUntil(isServing, 2s));
 }
 
+// Guards against a start that never serves while the store refuses writes.
+TEST_F(platform_store_test, a_daemon_that_cannot_write_its_row_serves_all_the_same)
+{
+    storeScript = [&](const http_request &request, int) {
+        if (request.method() == http::verb::post) {
+            return scripted_answer{.bytes = wholeAnswer(request, 503, "{}", "Store-Era: 1\r\n")};
+        }
+        const bool ofOperator = toView(request.target()).find("table=op") != std::string_view::npos;
+        const auto rows = ofOperator ? json::array({storedRow("config", validConfiguration().dump(), 4)}) : json::array();
+        return scripted_answer{.bytes = wholeAnswer(request, 200, json{{"rows", rows}, {"has-more", false}, {"ver", 4}}.dump(), "Store-Era: 1\r\n")};
+    };
+    context->membersUnread = true;
+    asio::co_spawn(loop, followConfiguration(*context), asio::detached);
+    asio::co_spawn(loop, maintainMembership(*context), asio::detached);
+    EXPECT_TRUE(runUntil(
+        [&] {
+            return context->configuration != nullptr;
+        },
+        1s));
+}
+
 // Guards against rows of two histories in one result.
 TEST_F(platform_store_test, a_restore_between_two_pages_fails_the_read)
 {
