Judge no keys by an older configuration than that of a member

A daemon that finds, after it has begun to serve, that a member holds a newer configuration than a restored store lists went on to accept keys for up to 4.7 s, among them keys that the newer one had withdrawn. Found in review; the test failed before.

--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -111,6 +111,7 @@
     }
     if (context.configuration && context.configuration->version < context.configurationFloor) {
         context.configurationConfirmed = false;
+        context.configurationRequestedAt.reset(); // The newer one may have withdrawn keys.
     }
 }
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -706,6 +706,36 @@
         1s));
 }
 
+// Guards against keys that are accepted by an older configuration than a member was found to hold.
+TEST_F(platform_store_test, an_older_configuration_than_that_of_a_member_judges_no_keys)
+{
+    const json member{
+        {"address", "127.0.0.1:1"}, {"caller_address", "127.0.0.1:2"}, {"failure_domain", "a"}, {"capacity", 1}, {"history", 2}, {"configuration", 8}};
+    json members = json::array();
+    storeScript = [&](const http_request &request, int) {
+        const auto target = toView(request.target());
+        const bool ofOperator = target.find("table=op") != std::string_view::npos;
+        const auto rows = ofOperator ? json::array({storedRow("config", validConfiguration().dump(), 4)}) : members;
+        const auto delay = target.find("rows-feed") != std::string_view::npos ? 50ms : 0ms;
+        return scripted_answer{.bytes = wholeAnswer(request, 200, json{{"rows", rows}, {"has-more", false}, {"ver", 4}}.dump(), "Store-Era: 2\r\n"),
+                               .delay = delay};
+    };
+    asio::co_spawn(loop, followConfiguration(*context), asio::detached);
+    asio::co_spawn(loop, maintainMembership(*context), asio::detached);
+    const auto knowsKeys = [&] {
+        return context->keysFresh(bootNow());
+    };
+    ASSERT_TRUE(runUntil(knowsKeys, 1s));
+    members = json::array({storedRow("member/a", member.dump(), 3)});
+    context->unknownSender = true;
+    runUntil(
+        [&] {
+            return context->configurationFloor == 8;
+        },
+        2s);
+    EXPECT_FALSE(runUntil(knowsKeys, 500ms));
+}
+
 // Guards against rows of two histories in one result.
 TEST_F(platform_store_test, a_restore_between_two_pages_fails_the_read)
 {
