Note the history of the store after each call of the lease and the member row

A daemon whose only answers before a restore were of these calls met the later history as its first one, and neither knew nor announced the restore. Found in review; no test of its own.

--- a/src/serving/lease_runner.cpp
+++ b/src/serving/lease_runner.cpp
@@ -64,12 +64,14 @@
             row_read_event event{.op = read->op, .result = absl::UnknownError("no request was sent to the store")};
             event.result = co_await m_context.platform.store.read(read->key);
             m_context.counters.count(metric_counter::StoreReads);
+            noteHistory(m_context);
             m_keeper.enterHistory(m_context.platform.store.history(), bootNow());
             m_keeper.handle(event, bootNow(), next);
         } else if (const auto *commit = std::get_if<commit_effect>(&effect)) {
             commit_event event{.op = commit->op};
             event.outcome = co_await m_context.platform.store.commit(commit->change);
             m_context.counters.count(metric_counter::StoreWrites);
+            noteHistory(m_context);
             m_keeper.enterHistory(m_context.platform.store.history(), bootNow());
             m_keeper.handle(event, bootNow(), next);
         }
--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -349,12 +349,14 @@
     if (context.platform.store.history() == 0) {
         std::ignore = co_await context.platform.store.read(key); // The row names the history.
         context.counters.count(metric_counter::StoreReads);
+        noteHistory(context);
     }
     const std::uint64_t before = context.platform.store.history();
     const nlohmann::json value = encodeMember(context);
     transaction change{.writes = {{.key = key, .value = value.dump()}}};
     const auto outcome = co_await context.platform.store.commit(std::move(change));
     context.counters.count(metric_counter::StoreWrites);
+    noteHistory(context);
     if (outcome != commit_outcome::Committed) {
         co_return std::nullopt;
     }
