Write a frozen row again until the store has it

A frozen row that a restored store lacks was written again once: when that write failed or its answer was lost, the window was reported all the same and the row stayed away, so that a daemon without knowledge of the report could freeze the window anew. The write is now repeated like a first one. Found in review; the test failed before. The tests of reports share their recorder.

--- a/src/serving/usage_duty.cpp
+++ b/src/serving/usage_duty.cpp
@@ -105,10 +105,13 @@
             transaction again{.conditions = {{.key = key, .version = 0}}, .writes = {{.key = key, .value = encodeCounts(counts)}}};
             const auto outcome = co_await context.platform.store.commit(std::move(again));
             context.counters.count(metric_counter::StoreWrites);
-            if (outcome == commit_outcome::Conflict) {
-                continue;
+            if (outcome == commit_outcome::Committed) {
+                co_return counts;
             }
-            co_return counts;
+            if (outcome == commit_outcome::Unavailable) {
+                co_return std::nullopt;
+            }
+            continue; // Another holder wrote a row, or the answer was lost.
         }
         if (window < context.reportedBefore) {
             auto line = context.line("usage_withheld");
--- a/tests/usage_relay_test.cpp
+++ b/tests/usage_relay_test.cpp
@@ -124,6 +124,15 @@
         return current;
     }
 
+    /// Collects in `reports` the counts that the platform gets, by window.
+    void recordReports(std::map<std::int64_t, std::set<std::string>> &reports)
+    {
+        context->platform.orders.reportUsage = [&reports](order_authority, std::int64_t window, usage_counts counts) -> task<delivery_outcome> {
+            reports[window].insert(encodeCounts(counts));
+            co_return delivery_outcome::Accepted;
+        };
+    }
+
     /// Starts the duties that count and report usage.
     void startDuties(lease_runner &lease)
     {
@@ -283,10 +292,7 @@
         return history;
     };
     std::map<std::int64_t, std::set<std::string>> reports;
-    context->platform.orders.reportUsage = [&reports](order_authority, std::int64_t window, usage_counts counts) -> task<delivery_outcome> {
-        reports[window].insert(encodeCounts(counts));
-        co_return delivery_outcome::Accepted;
-    };
+    recordReports(reports);
     countAlone();
     const auto copy = copyRows(table);
     lease_runner lease(*context, "platform");
@@ -314,14 +320,45 @@
     EXPECT_TRUE(table.read(absl::StrFormat("window/%020d", reported))->has_value());
 }
 
+// Guards against a frozen row that is never written again, because the first write after the restore failed.
+TEST_F(usage_relay_test, a_frozen_row_is_written_again_until_the_store_has_it)
+{
+    std::uint64_t history = 1;
+    context->platform.store.history = [&history] {
+        return history;
+    };
+    std::map<std::int64_t, std::set<std::string>> reports;
+    recordReports(reports);
+    countAlone();
+    lease_runner lease(*context, "platform");
+    startDuties(lease);
+    const auto hasTwo = [&] {
+        return reports.size() >= 2;
+    };
+    ASSERT_TRUE(runUntil(hasTwo, 20s));
+    const std::string key = absl::StrFormat("window/%020d", reports.rbegin()->first);
+    transaction removal{.writes = {{.key = key, .value = std::nullopt}}};
+    table.commit(removal);
+    int refused = 0;
+    context->platform.store.commit = [&, commit = context->platform.store.commit](transaction change) -> task<commit_outcome> {
+        if (change.writes.front().key == key && ++refused <= 2) {
+            co_return refused == 1 ? commit_outcome::Unavailable : commit_outcome::Unknown;
+        }
+        co_return co_await commit(std::move(change));
+    };
+    history = 2;
+    EXPECT_TRUE(runUntil(
+        [&] {
+            return refused > 2 && table.read(key)->has_value();
+        },
+        4s));
+}
+
 // Guards against the same by a daemon that knows nothing of the report.
 TEST_F(usage_relay_test, windows_before_a_restore_are_not_reported_by_another_daemon)
 {
-    std::set<std::int64_t> reports;
-    context->platform.orders.reportUsage = [&reports](order_authority, std::int64_t window, usage_counts) -> task<delivery_outcome> {
-        reports.insert(window);
-        co_return delivery_outcome::Accepted;
-    };
+    std::map<std::int64_t, std::set<std::string>> reports;
+    recordReports(reports);
     context->storeRestoredAt = bootNow();
     const std::int64_t current = countAlone();
     lease_runner lease(*context, "platform");
@@ -331,7 +368,7 @@
             return !reports.empty();
         },
         20s));
-    EXPECT_GE(*reports.begin(), current);
+    EXPECT_GE(reports.begin()->first, current);
 }
 
 // Guards against the same while the followers have not read the restored tables yet: any answer of the store shows the other history.
@@ -341,11 +378,8 @@
     context->platform.store.history = [&history] {
         return history;
     };
-    std::set<std::int64_t> reports;
-    context->platform.orders.reportUsage = [&reports](order_authority, std::int64_t window, usage_counts) -> task<delivery_outcome> {
-        reports.insert(window);
-        co_return delivery_outcome::Accepted;
-    };
+    std::map<std::int64_t, std::set<std::string>> reports;
+    recordReports(reports);
     const std::int64_t current = countAlone();
     noteHistory(*context);
     history = 2;
@@ -356,7 +390,7 @@
             return !reports.empty();
         },
         20s));
-    EXPECT_GE(*reports.begin(), current);
+    EXPECT_GE(reports.begin()->first, current);
 }
 
 // Guards against the same by a daemon that was started after the restore: it hears of the reported windows from the others.
