Report no window whose frozen row differs from a known one

After a restore, a daemon that does not know of the first report may freeze a window with other counts. Found in review; the test failed before.

--- a/src/serving/usage_duty.cpp
+++ b/src/serving/usage_duty.cpp
@@ -78,8 +78,15 @@
     }
 }
 
-/// Returns the counts to report: those of the frozen row, which this or an earlier lease holder wrote. Returns nullopt when the store does not
-/// answer or the frozen row is malformed, and, if `mayWaitForCounts`, while final counts of a member are missing.
+void noteWithheld(edge_context &context, std::int64_t window, std::uint64_t epoch)
+{
+    auto line = context.line("usage_withheld");
+    line.add("window", window).add("epoch", epoch);
+    context.log.write(line);
+}
+
+/// Returns the counts to report: those of the frozen row, which this or an earlier lease holder wrote, or none if the window must not be reported.
+/// Returns nullopt when the store does not answer or the frozen row is malformed, and, if `mayWaitForCounts`, while final counts of a member are missing.
 task<std::optional<usage_counts>> freezeWindow(edge_context &context, std::int64_t window, std::uint64_t epoch, bool mayWaitForCounts)
 {
     const std::string key = frozenKey(window);
@@ -97,7 +104,11 @@
                 context.log.write(line);
                 co_return std::nullopt;
             }
-            context.frozenUsage[window] = counts;
+            // In another history, a daemon that did not know of the row may have frozen the window anew. Either may have been reported.
+            if (const auto [known, added] = context.frozenUsage.try_emplace(window, counts); !added && known->second != counts) {
+                noteWithheld(context, window, epoch);
+                co_return usage_counts();
+            }
             co_return counts;
         }
         if (const auto known = context.frozenUsage.find(window); known != context.frozenUsage.end()) {
@@ -114,9 +125,7 @@
             continue; // Another holder wrote a row, or the answer was lost.
         }
         if (window < context.reportedBefore) {
-            auto line = context.line("usage_withheld");
-            line.add("window", window).add("epoch", epoch);
-            context.log.write(line);
+            noteWithheld(context, window, epoch);
             co_return usage_counts();
         }
         const auto rows = co_await context.platform.store.scan(windowPrefix(window));
--- a/tests/usage_relay_test.cpp
+++ b/tests/usage_relay_test.cpp
@@ -354,6 +354,35 @@
         4s));
 }
 
+// Guards against a second report by a daemon that knows the first one, after a daemon that did not has frozen the window anew.
+TEST_F(usage_relay_test, a_row_that_differs_from_what_was_reported_is_not_reported)
+{
+    std::uint64_t history = 1;
+    context->platform.store.history = [&history] {
+        return history;
+    };
+    std::map<std::int64_t, std::set<std::string>> reports;
+    recordReports(reports);
+    countAlone();
+    lease_runner lease(*context, "platform");
+    startDuties(lease);
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return reports.size() >= 2;
+        },
+        20s));
+    const std::int64_t reported = reports.rbegin()->first;
+    transaction other{.writes = {{.key = absl::StrFormat("window/%020d", reported), .value = R"({"o":77})"}}};
+    table.commit(other);
+    history = 2;
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return reports.rbegin()->first > reported;
+        },
+        20s));
+    EXPECT_EQ(reports[reported].size(), 1U);
+}
+
 // Guards against the same by a daemon that knows nothing of the report.
 TEST_F(usage_relay_test, windows_before_a_restore_are_not_reported_by_another_daemon)
 {
