Pass on which windows may have been reported, by daemons that only heard of it

Only daemons that had met the restore announced it. Once all of them had ended, those that had started later knew of it and told nobody. It is now announced by all, as long as such a window can be reported. Found in review; the test failed before.

--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -14,7 +14,6 @@
 namespace
 {
 
-constexpr auto reportedBeforeTime = std::chrono::seconds(30); // Longer than a window can be reported for.
 constexpr auto retryPause = std::chrono::milliseconds(50); // After a socket error.
 constexpr double loadUpdateTokens = 1000; // The prefill of a shorter prompt takes less time than an early update would save.
 constexpr double announcedPrefixTokens = 1000; // Prefill of a shorter prefix costs less than its announcement to all daemons.
@@ -140,13 +139,20 @@
     return member->first != context.settings.id && member->second.address == absl::StrCat(sender.address().to_string(), ":", sender.port());
 }
 
+// Usage of windows before this one is not reported any more.
+std::int64_t oldestReportableWindow(const edge_context &context)
+{
+    const auto time = context.settings.usageDue + 2 * context.settings.usageWindow;
+    return context.usage.windowAt(context.correctedTimeMs() - std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 }
 
 daemon_summary makeSummary(edge_context &context)
 {
     daemon_summary out{.serving = context.serving(), .holdsLease = context.holdsLease, .wallMs = wallMs()};
-    // Daemons that start after a restore can't learn it from the store.
-    if (context.storeRestoredAt != instant{} && bootNow() - context.storeRestoredAt < reportedBeforeTime) {
+    // Daemons that start after a restore can't learn it from the store. Those that have heard of it tell it too.
+    if (context.reportedBefore != 0 && context.reportedBefore > oldestReportableWindow(context)) {
         out.reportedBefore = context.reportedBefore;
     }
     for (const auto &endpoint : context.endpoints.all()) {
--- a/tests/usage_relay_test.cpp
+++ b/tests/usage_relay_test.cpp
@@ -447,6 +447,9 @@
     relay->exchange.receive(received, bootNow(), wallMs());
     applyExchangeEvents(*relay);
     EXPECT_EQ(relay->reportedBefore, summary.reportedBefore);
+    EXPECT_EQ(makeSummary(*relay).reportedBefore, summary.reportedBefore) << "it may be the last one that knows";
+    relay->reportedBefore -= 100;
+    EXPECT_EQ(makeSummary(*relay).reportedBefore, 0) << "no such window is reported any more";
 }
 
 }
