Let the version in the row of a member count for half a minute

A row with an absurd version, by another writer, or of a daemon whose newer configuration nobody writes again, kept every daemon that starts from serving. The version now counts for 30 s from when it was read, and what the store lists is taken after that. The tests of a start share a fixture; their assertions are unchanged. The new one failed before.

--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -98,9 +98,10 @@
     std::shared_ptr<const serving_configuration> configuration; ///< Null until the first one is read.
     std::optional<instant> configurationRequestedAt; ///< The configuration held contains every change that was acknowledged before this time.
     std::uint64_t configurationHash = 0; ///< Of the row that it was read from.
-    bool configurationConfirmed = true; ///< The store lists this configuration or a newer one.
+    std::uint64_t listedConfiguration = 0; ///< Version that the store listed last; 0 if it has listed none in this history.
     std::uint64_t configurationFloor = 0; ///< Newest version that a member held when it met this history of the store.
-    bool membersUnread = false; ///< The configuration is not read before, because only the members know whether a restored store lists an older one.
+    instant configurationFloorAt; ///< When it was read.
+    bool membersUnread = false; ///< The first configuration is not read before: only the members know whether a restored store lists an older one.
     bool endpointsListed = false; ///< The endpoints table was read.
     std::uint64_t storeHistory = 0; ///< The newest that noteHistory() has met.
     instant storeRestoredAt; ///< When this daemon met the newest history after another one; the epoch of the clock if never.
--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -27,6 +27,7 @@
 constexpr auto memberReadInterval = std::chrono::seconds(10); // Finds members whose summaries never arrive; the first summary of others causes a read.
 constexpr auto memberRewriteTime = std::chrono::seconds(5); // Within it, daemons that reach a restored store write their rows again.
 constexpr auto maxStartDelay = std::chrono::seconds(2); // Of a daemon that starts, while rows of members are older than the history of the store.
+constexpr auto configurationFloorTime = std::chrono::seconds(30); // Longer than others take to write again what the store has lost.
 constexpr auto startCheckInterval = std::chrono::milliseconds(20);
 constexpr auto memberCheckInterval = std::chrono::milliseconds(500);
 constexpr double maxCapacity = 1e6; // Of a member; its settings have the same bound.
@@ -101,16 +102,29 @@
     }
 }
 
-// A restored store may list an older configuration than the members hold.
+// Returns the lowest version of a configuration that may be used. A restored store may list an older one than this daemon or a member holds. The row of
+// a member counts for a limited time: it may be wrong, or its daemon may never come back.
+std::uint64_t requiredConfiguration(const edge_context &context)
+{
+    const bool floorHolds = bootNow() - context.configurationFloorAt < configurationFloorTime;
+    return std::max(context.configuration ? context.configuration->version : 0, floorHolds ? context.configurationFloor : 0);
+}
+
+// True for a configuration that was not taken because of the row of a member, when that has ceased to count.
+bool isListedUnused(const edge_context &context)
+{
+    return !context.configuration && context.listedConfiguration != 0 && context.listedConfiguration >= requiredConfiguration(context);
+}
+
 void noteConfigurations(edge_context &context, const std::map<std::string, member_entry, std::less<>> &members)
 {
     for (const auto &[id, member] : members) {
-        if (member.history == context.platform.store.history()) {
-            context.configurationFloor = std::max(context.configurationFloor, member.configuration);
+        if (member.history == context.platform.store.history() && member.configuration > context.configurationFloor) {
+            context.configurationFloor = member.configuration;
+            context.configurationFloorAt = bootNow();
         }
     }
-    if (context.configuration && context.configuration->version < context.configurationFloor) {
-        context.configurationConfirmed = false;
+    if (context.configuration && context.configuration->version < requiredConfiguration(context)) {
         context.configurationRequestedAt.reset(); // The newer one may have withdrawn keys.
     }
 }
@@ -196,6 +210,12 @@
     std::uint64_t history = 0; // That the rows held belong to.
     feed_source source;
     while (true) {
+        if (table == platform_table::Configuration) {
+            while (context.membersUnread) {
+                co_await sleepFor(startCheckInterval);
+            }
+            snapshot = snapshot || isListedUnused(context);
+        }
         const auto role = feedRole(context);
         if (!snapshot && !role.relays.empty() && !std::exchange(source.queryStore, false)) {
             if (const auto relayed = co_await readFromRelay(context, table, handler, *version, role, source)) {
@@ -252,7 +272,9 @@
 // stays in force, but is not confirmed: a newer one may be lost as well.
 void applyConfiguration(edge_context &context, const table_changes &changes, table_scope scope)
 {
-    context.configurationConfirmed = context.configurationConfirmed && scope != table_scope::Restored;
+    if (scope == table_scope::Restored) {
+        context.listedConfiguration = 0;
+    }
     for (const auto &changed : changes.rows) {
         if (changed.removed) {
             continue;
@@ -265,8 +287,8 @@
             continue;
         }
         const std::uint64_t held = context.configuration ? context.configuration->version : 0;
-        context.configurationConfirmed = parsed->version >= std::max(held, context.configurationFloor);
-        if (!context.configurationConfirmed) {
+        context.listedConfiguration = parsed->version;
+        if (parsed->version < requiredConfiguration(context)) {
             auto line = context.line("configuration_outdated");
             line.add("version", parsed->version).add("held", held).add("floor", context.configurationFloor);
             context.log.write(line);
@@ -290,7 +312,7 @@
         }
         context.configuration = std::make_shared<const serving_configuration>(std::move(*parsed));
     }
-    if (context.configuration && context.configurationConfirmed) {
+    if (context.configuration && context.listedConfiguration >= requiredConfiguration(context)) {
         // The data of a relay may be older than a previous answer of the store.
         context.configurationRequestedAt = std::max(context.configurationRequestedAt.value_or(changes.requestedAt), changes.requestedAt);
     }
@@ -395,9 +417,6 @@
     table_handler handler{"follow_configuration", [&context](const table_changes &changes, table_scope scope) {
                               applyConfiguration(context, changes, scope);
                           }};
-    while (context.membersUnread) {
-        co_await sleepFor(startCheckInterval);
-    }
     co_await follow(context, platform_table::Configuration, std::move(handler));
 }
 
