Read the first configuration in the history in which the members were read

Between a start's read of the members and that of the configuration, the store may come back from an older copy. The older configuration was then taken, because the members of the history before vouched for it. A daemon without a configuration that meets another history now reads the members again first. The wait for them is also bounded while they cannot be read.

--- a/src/serving/edge_context.cpp
+++ b/src/serving/edge_context.cpp
@@ -83,6 +83,7 @@
     }
     if (context.storeHistory != 0) {
         context.storeRestoredAt = bootNow();
+        context.membersUnread = context.membersUnread || !context.configuration;
         auto line = context.line("store_restored");
         line.add("from_history", context.storeHistory).add("to_history", newest);
         context.log.write(line);
--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -137,6 +137,21 @@
     });
 }
 
+/// The time for which a daemon that starts waits for the members, from its first answer of this history on.
+struct start_wait
+{
+    std::uint64_t history = 0;
+    instant since;
+};
+
+bool mayWait(start_wait &wait, std::uint64_t history)
+{
+    if (history != wait.history) {
+        wait = {history, bootNow()};
+    }
+    return history == 0 || bootNow() - wait.since < maxStartDelay;
+}
+
 void noteStoreFailure(edge_context &context, std::string_view step, const absl::Status &status, bool &failing)
 {
     context.storeFailedAt = bootNow();
@@ -234,6 +249,9 @@
         }
         context.counters.count(metric_counter::StoreReads);
         noteHistory(context);
+        if (table == platform_table::Configuration && context.membersUnread) {
+            continue; // The members were read in an earlier history.
+        }
         if (!answer.ok()) {
             if (answer.status().code() == absl::StatusCode::kOutOfRange) {
                 snapshot = true;
@@ -433,7 +451,7 @@
     bool writeFailing = false;
     bool readFailing = false;
     std::optional<std::uint64_t> history; // That the row was written to; none while it could not be written.
-    instant firstReadAt;
+    start_wait wait;
     const auto isLost = [&] {
         return history != context.platform.store.history();
     };
@@ -451,6 +469,7 @@
         noteHistory(context);
         if (!rows.ok()) {
             noteStoreFailure(context, "read_members", rows.status(), readFailing);
+            context.membersUnread = context.membersUnread && mayWait(wait, context.platform.store.history());
             co_await sleepFor(retryPause);
             continue;
         }
@@ -458,8 +477,7 @@
         auto members = parseMembers(context, *rows);
         noteConfigurations(context, members);
         const instant readAt = bootNow();
-        firstReadAt = firstReadAt == instant{} ? readAt : firstReadAt;
-        context.membersUnread = context.membersUnread && hasOutdatedRow(context, members) && readAt - firstReadAt < maxStartDelay;
+        context.membersUnread = context.membersUnread && mayWait(wait, context.platform.store.history()) && hasOutdatedRow(context, members);
         keepLostMembers(context, members);
         updateMembers(context, std::move(members));
         context.unknownSender = false;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -756,6 +756,20 @@
     EXPECT_EQ(json::parse(row)["history"], 2);
 }
 
+// Guards against the same when the store is restored between the reads of the members and of the configuration.
+TEST_F(platform_start_test, members_of_an_earlier_history_vouch_for_no_configuration)
+{
+    era = 1;
+    restoresAtConfiguration = true;
+    members = memberRows("a", 1, 0);
+    start();
+    EXPECT_FALSE(getsConfiguration(1s));
+    members = memberRows("a", 2, 8);
+    EXPECT_FALSE(getsConfiguration(1500ms));
+    configurations = configurationRows(8);
+    EXPECT_TRUE(getsConfiguration(1s));
+}
+
 // Guards against a start that waits for a member that is gone.
 TEST_F(platform_start_test, a_row_that_is_never_written_again_delays_a_start_for_two_seconds)
 {
