--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -18,7 +18,7 @@
 constexpr std::int64_t windowMs = 5000; // Usage windows of the site, counted from the start of 1970.
 constexpr std::int64_t reportedMs = 3500; // After the end of a window; the report comes within 2 s.
 constexpr std::int64_t copyBeforeEndMs = 1500; // The copy is that much older than the end of the reported window.
-constexpr std::int64_t awayMs = 2000; // Of the store.
+constexpr std::int64_t awayMs = 1800; // Of the store.
 constexpr std::int64_t rewriteMs = 500; // From the return of the store until the operator and the servers have written again what was lost.
 constexpr std::int64_t copyIntervalMs = 250;
 constexpr std::int64_t requestIntervalMs = 20;
