Return no bytes of an exchange after its cancellation

Cause: a read whose bytes are in the buffer already completes in a later turn of the event loop. A takeover cancels the exchange of the silent engine in between; readSome() returned the bytes all the same, and forwardEvents() passed them on after the second engine had been asked to resume before them.

Ruled out: a takeover that is not dropped although the silent engine goes on (dropTakeover() runs before the events are sent), and a wrong Last-Event-Id (it is read when the second engine is asked). Reads of whole answers and of foreign answers use the same function.

Now a read that completes after the cancellation returns Cancelled and no bytes, so that a committed takeover is final.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -384,6 +384,12 @@
     boost::system::error_code error;
     m_pool.counters().receivedBytes += co_await http::async_read_some(m_connection->socket, m_connection->buffer, *m_parser, errorTo(error));
     out.resize(before + maxReadBytes - body.size);
+    // Bytes that were already in the buffer arrive in a later turn of the loop, which may be after the cancellation.
+    if (m_cancelled) {
+        out.resize(before);
+        m_done = true;
+        co_return exchange_state::Cancelled;
+    }
     if (error == http::error::need_buffer) {
         error = {};
     }
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -104,6 +104,42 @@
     EXPECT_EQ(server.requests.size(), 1U);
 }
 
+// Guards against bytes of a cancelled exchange that were read before the cancellation and are passed on after it.
+TEST_F(http_client_test, a_cancelled_exchange_returns_no_more_bytes)
+{
+    scripted_server server(loop, [](const http_request &request, int) {
+        return scripted_answer{.bytes = streamHead(request) + chunk(event(1)) + chunk(event(2)), .silent = true};
+    });
+    const exchange_options options{.deadline = bootNow() + 1s};
+    const auto current = std::make_shared<client_exchange>(context->pool, *parseAddress(server.address()), options);
+    const http_request request(http::verb::get, "/", 11);
+    std::optional<exchange_state> state;
+    std::string received;
+    asio::co_spawn(
+        loop,
+        [&]() -> task<void> {
+            co_await current->begin(request);
+            co_await sleepFor(20ms); // Both events have arrived.
+            while (received.empty()) {
+                co_await current->readSome(received);
+            }
+            received.clear();
+            // The read completes from the buffer in the next turn of the loop, after the cancellation.
+            asio::post(loop, [&] {
+                current->cancel();
+            });
+            state = co_await current->readSome(received);
+        },
+        asio::detached);
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return state.has_value();
+        },
+        1s));
+    EXPECT_EQ(state, exchange_state::Cancelled);
+    EXPECT_EQ(received, "");
+}
+
 // Guards against bytes of an order that was given up and that arrive later.
 TEST_F(http_client_test, resets_the_connection_of_an_order_that_is_given_up)
 {
--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -1,11 +1,16 @@
 #include "edge_fixture.h"
 
+#include <atomic>
+#include <thread>
+
 namespace lacewinglock
 {
 
 namespace
 {
 
+using namespace std::chrono_literals;
+
 class stream_forward : public edge_fixture
 {
 protected:
@@ -736,6 +741,49 @@
     EXPECT_LT(result.ms, 1500);
 }
 
+// Guards against a stream that joins two runs: the first engine goes on and the second one answers while this process does not run.
+TEST_F(stream_forward, a_pause_of_this_process_joins_no_two_runs)
+{
+    const auto piece = [](int id, std::string_view data) {
+        return chunk(absl::StrCat("id: ", id, "\ndata: ", std::string(data), "\n\n"));
+    };
+    asio::io_context engineLoop;
+    std::atomic<int> calls = 0;
+    const auto script = [&](const http_request &request, int) {
+        if (++calls == 1) {
+            return scripted_answer{.bytes = streamHead(request) + piece(1, "1"), .rest = piece(3, "2a,3a") + piece(5, "4a,5a"), .pause = 1150ms};
+        }
+        return scripted_answer{.bytes = streamHead(request) + piece(2, "2b") + piece(4, "3b,4b") + piece(6, "5b,6b") + "0\r\n\r\n", .delay = 200ms};
+    };
+    scripted_server first(engineLoop, script);
+    scripted_server second(engineLoop, script);
+    configure({streamRoute(true)});
+    addEndpoint("e1", "engines", first.address(), endpoint_role::Decode);
+    addEndpoint("e2", "engines", second.address(), endpoint_role::Decode);
+    std::thread engineThread([&engineLoop] {
+        engineLoop.run();
+    });
+    caller_result result;
+    bool done = false;
+    startCall(generation(), result, done);
+    runUntil(
+        [&] {
+            return calls == 2;
+        },
+        3s);
+    std::this_thread::sleep_for(280ms); // Shorter than the time after which the first engine is left in any case.
+    runUntil(
+        [&] {
+            return done;
+        },
+        3s);
+    engineLoop.stop();
+    engineThread.join();
+    EXPECT_EQ(calls, 2);
+    EXPECT_TRUE(result.whole);
+    EXPECT_EQ(result.body, "id: 1\ndata: 1\n\nid: 2\ndata: 2b\n\nid: 4\ndata: 3b,4b\n\nid: 6\ndata: 5b,6b\n\n");
+}
+
 // The second engine begins later than the first one goes on.
 TEST_F(stream_forward, a_stream_that_goes_on_is_not_taken_over)
 {
