Keep a record of the store's history, so that a start knows of a restore

The new holder summed the rows of the copy and reported them with a higher token.

Cause: that the store was restored was known from memory only. A process that starts took the first history that it met for the only one. Its log has no store_restored, so it did not just report before it had heard the others; there was one frozen row in each history.

Daemons now keep a row "history": the number of the history in which it was written, and before which window usage may have been reported in an earlier one. A row that names an older history than the answers of the store came back with a copy. A holder reports nothing before it has read the row.

--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -104,6 +104,7 @@
     bool membersUnread = false; ///< The first configuration is not read before: only the members know whether a restored store lists an older one.
     bool endpointsListed = false; ///< The endpoints table was read.
     std::uint64_t storeHistory = 0; ///< The newest that noteHistory() has met.
+    bool historyUnread = false; ///< Whether the store was restored before this daemon started is not known: the record of its history is not read.
     instant storeRestoredAt; ///< When this daemon met the newest history after another one; the epoch of the clock if never.
     instant storeFailedAt; ///< Last failed call to the store by this daemon or a relay that it queried; the epoch of the clock if none failed.
 
--- a/src/serving/edge_daemon.cpp
+++ b/src/serving/edge_daemon.cpp
@@ -4,6 +4,7 @@
 #include "serving/caller_exchange.h"
 #include "serving/feed_relay.h"
 #include "serving/fleet_duty.h"
+#include "serving/history_record.h"
 #include "serving/lease_runner.h"
 #include "serving/peer_exchange.h"
 #include "serving/table_follower.h"
@@ -167,10 +168,12 @@
     listen(m_metrics, settings.metricsAddress);
     listen(m_feeds, settings.peerAddress);
     auto &loop = m_context.loop;
+    m_context.historyUnread = true;
     m_context.membersUnread = true;
     spawnDuty(loop, watchSignals(), "watch_signals");
     spawnDuty(loop, followConfiguration(m_context), "follow_configuration");
     spawnDuty(loop, followEndpoints(m_context), "follow_endpoints");
+    spawnDuty(loop, maintainHistoryRecord(m_context), "maintain_history_record");
     spawnDuty(loop, maintainMembership(m_context), "maintain_membership");
     if (m_peers.is_open()) {
         spawnDuty(loop, sendExchange(m_context, m_peers), "send_exchange");
--- a/src/serving/usage_duty.cpp
+++ b/src/serving/usage_duty.cpp
@@ -90,6 +90,9 @@
 task<std::optional<usage_counts>> freezeWindow(edge_context &context, std::int64_t window, std::uint64_t epoch, bool mayWaitForCounts)
 {
     const std::string key = frozenKey(window);
+    if (context.historyUnread) {
+        co_return std::nullopt; // Which windows may have been reported is not known yet.
+    }
     for (int attempt = 0; attempt < 2; ++attempt) {
         const auto frozen = co_await context.platform.store.read(key);
         noteRestore(context);
--- a/tests/usage_relay_test.cpp
+++ b/tests/usage_relay_test.cpp
@@ -2,6 +2,7 @@
 #include "store_executor.h"
 
 #include "serving/feed_relay.h"
+#include "serving/history_record.h"
 #include "serving/peer_exchange.h"
 #include "serving/store_batch.h"
 #include "serving/usage_duty.h"
@@ -124,6 +125,28 @@
         return current;
     }
 
+    /// Stores the record of a history, as the daemons that met it have left it.
+    void storeRecord(std::uint64_t history, std::int64_t reportedBefore = 0)
+    {
+        transaction record{.writes = {{.key = "history", .value = encodeHistory({history, reportedBefore})}}};
+        table.commit(record);
+    }
+
+    /// Starts the record of the history as a daemon that has met no other one, and waits until it is read.
+    void startInHistory(std::uint64_t history)
+    {
+        context->platform.store.history = [history] {
+            return history;
+        };
+        context->historyUnread = true;
+        asio::co_spawn(loop, maintainHistoryRecord(*context), asio::detached);
+        ASSERT_TRUE(runUntil(
+            [this] {
+                return !context->historyUnread;
+            },
+            1s));
+    }
+
     /// Collects in `reports` the counts that the platform gets, by window.
     void recordReports(std::map<std::int64_t, std::set<std::string>> &reports)
     {
@@ -422,6 +445,75 @@
     EXPECT_GE(reports.begin()->first, current);
 }
 
+// Guards against the same by a daemon that was started after the restore, with all others: only the record in the copy shows that there was one.
+TEST_F(usage_relay_test, a_daemon_that_starts_in_a_restored_store_reports_no_window_before_it)
+{
+    storeRecord(1);
+    startInHistory(2);
+    std::map<std::int64_t, std::set<std::string>> reports;
+    recordReports(reports);
+    const std::int64_t current = countAlone();
+    lease_runner lease(*context, "platform");
+    startDuties(lease);
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return !reports.empty();
+        },
+        25s));
+    EXPECT_GE(reports.begin()->first, current);
+    const auto record = parseHistory(table.read("history")->value().value);
+    ASSERT_TRUE(record);
+    EXPECT_EQ(record->history, 2U);
+    EXPECT_GE(record->reportedBefore, current);
+}
+
+// Guards against the same by a daemon that starts later still, when no other daemon is left to tell it.
+TEST_F(usage_relay_test, the_record_of_a_history_outlives_the_daemon_that_wrote_it)
+{
+    const std::int64_t current = context->usage.windowAt(context->correctedTimeMs());
+    storeRecord(2, current);
+    startInHistory(2);
+    EXPECT_EQ(context->reportedBefore, current);
+    EXPECT_EQ(commits, 0);
+}
+
+// Guards against usage that is never reported again, because a row names a window or a history that can't be, or can't be read at all.
+TEST_F(usage_relay_test, an_odd_record_withholds_no_later_window)
+{
+    const std::int64_t current = context->usage.windowAt(context->correctedTimeMs());
+    storeRecord(2, current + 1'000'000);
+    startInHistory(2);
+    EXPECT_LE(context->reportedBefore, current + 2);
+    for (const char *odd : {"", "[]", R"({"history":-1,"reported_before":0})", R"({"history":99,"reported_before":0})", R"({"history":2})"}) {
+        transaction change{.writes = {{.key = "history", .value = odd}}};
+        table.commit(change);
+        startInHistory(2);
+        EXPECT_LE(context->reportedBefore, current + 2) << odd;
+        const auto rewritten = [&] {
+            const auto record = parseHistory(table.read("history")->value().value);
+            return record && record->history == 2;
+        };
+        EXPECT_TRUE(runUntil(rewritten, 1s)) << odd;
+    }
+}
+
+// Guards against a report while the store does not say whether it was restored.
+TEST_F(usage_relay_test, no_window_is_reported_while_the_record_cannot_be_read)
+{
+    context->historyUnread = true;
+    std::map<std::int64_t, std::set<std::string>> reports;
+    recordReports(reports);
+    countAlone();
+    lease_runner lease(*context, "platform");
+    startDuties(lease);
+    const auto reported = [&] {
+        return !reports.empty();
+    };
+    EXPECT_FALSE(runUntil(reported, 9s));
+    context->historyUnread = false;
+    EXPECT_TRUE(runUntil(reported, 3s));
+}
+
 // Guards against the same by a daemon that was started after the restore: it hears of the reported windows from the others.
 TEST_F(usage_relay_test, a_daemon_that_knows_of_a_restore_tells_the_others_what_was_reported)
 {
