Judge no keys in a restored store before the operator may have written again

Cause: a start waits for members that hold a newer configuration only while a row of the older history is left; daemons that start together overwrite those rows at once. Members also named versions that they had read from the copy.

The record of the store's history now tells when the history was first met, by the store's clock, and the newest version that a daemon held which had met the history before. Reads of the configuration prove nothing about keys until the operator was seen to write in this history, or for operator_rewrite_ms (3 s) after the restore, 1 s if a daemon vouches for a version. A member's row names a version only if it is confirmed.

What callers with sound keys lose: up to 3 s from the first start, after a restore with all daemons killed.

--- a/src/serving/edge_context.cpp
+++ b/src/serving/edge_context.cpp
@@ -10,6 +10,7 @@
 namespace
 {
 
+constexpr auto configurationFloorTime = std::chrono::seconds(30); // Longer than others take to write again what the store has lost.
 constexpr auto keyMargin = std::chrono::milliseconds(300); // On a slow machine, a request may wait this long in its socket before it is read.
 
 }
@@ -84,6 +85,7 @@
     if (context.storeHistory != 0) {
         context.storeRestoredAt = bootNow();
         context.membersUnread = context.membersUnread || !context.configuration;
+        context.configurationVouched = context.configurationRequestedAt.has_value();
         auto line = context.line("store_restored");
         line.add("from_history", context.storeHistory).add("to_history", newest);
         context.log.write(line);
@@ -91,4 +93,25 @@
     context.storeHistory = newest;
 }
 
+void noteHeldConfiguration(edge_context &context, std::uint64_t version)
+{
+    if (version == 0) {
+        return;
+    }
+    context.configurationVouched = true;
+    if (version > context.configurationFloor) {
+        context.configurationFloor = version;
+        context.configurationFloorAt = bootNow();
+    }
+    if (context.configuration && context.configuration->version < requiredConfiguration(context)) {
+        context.configurationRequestedAt.reset(); // The newer one may have withdrawn keys.
+    }
+}
+
+std::uint64_t requiredConfiguration(const edge_context &context)
+{
+    const bool floorHolds = bootNow() - context.configurationFloorAt < configurationFloorTime;
+    return std::max(context.configuration ? context.configuration->version : 0, floorHolds ? context.configurationFloor : 0);
+}
+
 }
--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -67,6 +67,13 @@
 /// Call after an answer of the store: notes when another history of the store is met.
 void noteHistory(edge_context &context);
 
+/// Notes the version that a daemon held when it met the newest history of the store; 0 says nothing.
+void noteHeldConfiguration(edge_context &context, std::uint64_t version);
+
+/// Returns the lowest version of a configuration that may be used. A restored store may list an older one than this daemon or another holds. What another
+/// daemon noted counts for a limited time: it may be wrong, or its daemon may never come back.
+std::uint64_t requiredConfiguration(const edge_context &context);
+
 /// State shared by the coroutines of an edge daemon. They all run on one event loop, so there are no locks.
 struct edge_context
 {
@@ -101,11 +108,13 @@
     std::uint64_t listedConfiguration = 0; ///< Version that the store listed last; 0 if it has listed none in this history.
     std::uint64_t configurationFloor = 0; ///< Newest version that a member held when it met this history of the store.
     instant configurationFloorAt; ///< When it was read.
+    bool configurationVouched = false; ///< A daemon that has met both this history of the store and the one before has told which version it held.
+    std::optional<std::uint64_t> configurationWrittenIn; ///< The history in which the operator was last seen to write one.
     bool membersUnread = false; ///< The first configuration is not read before: only the members know whether a restored store lists an older one.
     bool endpointsListed = false; ///< The endpoints table was read.
     std::uint64_t storeHistory = 0; ///< The newest that noteHistory() has met.
     bool historyUnread = false; ///< Whether the store was restored before this daemon started is not known: the record of its history is not read.
-    instant storeRestoredAt; ///< When this daemon met the newest history after another one; the epoch of the clock if never.
+    instant storeRestoredAt; ///< When the first daemon met the newest history after another one, as far as known; the epoch of the clock if never.
     instant storeFailedAt; ///< Last failed call to the store by this daemon or a relay that it queried; the epoch of the clock if none failed.
 
     endpoint_registry endpoints;
--- a/src/serving/edge_settings.cpp
+++ b/src/serving/edge_settings.cpp
@@ -85,6 +85,7 @@
     field{"orders_address", true, text_field{setting<&settings::ordersAddress>}},
     field{"revoke_bound_ms", false, time_field{setting<&settings::revokeBound>}},
     field{"configuration_bound_ms", false, time_field{setting<&settings::configurationBound>}},
+    field{"operator_rewrite_ms", false, time_field{setting<&settings::operatorRewriteTime>}},
     field{"drain_bound_ms", false, time_field{setting<&settings::drainBound>}},
     field{"shutdown_grace_ms", false, time_field{setting<&settings::shutdownGrace>}},
     field{"usage_window_ms", false, time_field{setting<&settings::usageWindow>}},
--- a/src/serving/edge_settings.h
+++ b/src/serving/edge_settings.h
@@ -27,6 +27,7 @@
 
     duration revokeBound = std::chrono::seconds(5); ///< Longest time that a revoked API key may still work.
     duration configurationBound = std::chrono::seconds(2); ///< Longest time until a new configuration must be in force.
+    duration operatorRewriteTime = std::chrono::seconds(3); ///< How long the operator takes to write again what a restored store has lost.
     duration drainBound = std::chrono::seconds(2); ///< Longest time that a draining endpoint may still get new requests.
     duration shutdownGrace = std::chrono::seconds(8); ///< From SIGTERM to SIGKILL.
     duration usageWindow = std::chrono::seconds(5);
--- a/src/serving/history_record.cpp
+++ b/src/serving/history_record.cpp
@@ -31,8 +31,32 @@
     return record;
 }
 
-// Takes over what the record says. Returns whether it is that of the current history; if not, the store was restored, or has no record yet.
-bool applyRecord(edge_context &context, const std::optional<history_record> &known)
+// Version of the configuration for which this daemon can vouch: it was confirmed in the history before.
+std::uint64_t vouchedVersion(const edge_context &context)
+{
+    return context.configurationVouched && context.configuration ? context.configuration->version : 0;
+}
+
+duration timeSinceRestore(const edge_context &context, const history_record &record)
+{
+    const std::int64_t clockMs = context.platform.store.clockMs().value_or(0);
+    return std::chrono::milliseconds(std::max<std::int64_t>(0, clockMs - *record.restoredAtMs));
+}
+
+void noteEarlierRestore(edge_context &context, const history_record &record, duration age)
+{
+    if (context.storeRestoredAt != instant{}) {
+        return;
+    }
+    context.storeRestoredAt = bootNow() - age;
+    auto line = context.line("store_restored_before_start");
+    line.add("record_history", record.history).add("to_history", context.platform.store.history()).add("configuration", record.configuration);
+    line.add("age_ms", toMs(age));
+    context.log.write(line);
+}
+
+// Takes over what the record says. Returns the record that is to be written: another one in a new history, or the same.
+history_record applyRecord(edge_context &context, const std::optional<history_record> &known)
 {
     const std::uint64_t history = context.platform.store.history();
     const std::int64_t currentWindow = context.usage.windowAt(context.correctedTimeMs());
@@ -40,17 +64,24 @@
     if (known && known->history == history) {
         // The clock of the daemon that wrote the record may be wrong.
         context.reportedBefore = std::max(context.reportedBefore, std::min(known->reportedBefore, currentWindow + 1));
-        return true;
+        if (known->restoredAtMs) {
+            noteEarlierRestore(context, *known, timeSinceRestore(context, *known));
+            noteHeldConfiguration(context, known->configuration);
+        }
+        history_record out = *known;
+        out.configuration = std::max(out.configuration, out.restoredAtMs ? vouchedVersion(context) : 0);
+        return out;
     }
-    if (known && context.storeRestoredAt == instant{}) {
-        context.storeRestoredAt = bootNow();
-        auto line = context.line("store_restored");
-        line.add("from_history", known->history).add("to_history", history);
-        context.log.write(line);
+    history_record out{.history = history};
+    if (known) {
+        noteEarlierRestore(context, *known, duration::zero());
+        out.configuration = vouchedVersion(context);
+        out.restoredAtMs = context.platform.store.clockMs().value_or(0);
     }
     // Without a record, nothing is known of the windows before either.
     context.reportedBefore = std::max(context.reportedBefore, currentWindow);
-    return false;
+    out.reportedBefore = context.reportedBefore;
+    return out;
 }
 
 // Returns the history that has a record now, or nothing if the store did not answer or another daemon wrote meanwhile.
@@ -63,10 +94,11 @@
         co_return std::nullopt;
     }
     const std::uint64_t history = context.platform.store.history();
-    if (applyRecord(context, readRecord(context, *stored))) {
+    const auto known = readRecord(context, *stored);
+    const auto record = applyRecord(context, known);
+    if (record == known) {
         co_return history;
     }
-    const history_record record{.history = history, .reportedBefore = context.reportedBefore};
     transaction change{.conditions = {{.key = recordKey, .version = *stored ? (*stored)->version : 0}},
                        .writes = {{.key = recordKey, .value = encodeHistory(record)}}};
     const auto outcome = co_await context.platform.store.commit(std::move(change));
@@ -79,7 +111,11 @@
 
 std::string encodeHistory(const history_record &record)
 {
-    return nlohmann::json{{"history", record.history}, {"reported_before", record.reportedBefore}}.dump();
+    nlohmann::json out{{"history", record.history}, {"reported_before", record.reportedBefore}, {"configuration", record.configuration}};
+    if (record.restoredAtMs) {
+        out["restored_at_ms"] = *record.restoredAtMs;
+    }
+    return out.dump();
 }
 
 std::optional<history_record> parseHistory(std::string_view encoded)
@@ -88,10 +124,14 @@
     const auto isCount = [&](const char *name) {
         return value.contains(name) && value[name].is_number_unsigned();
     };
-    if (!value.is_object() || !isCount("history") || !isCount("reported_before")) {
+    if (!value.is_object() || !isCount("history") || !isCount("reported_before") || !isCount("configuration")) {
         return std::nullopt;
     }
-    return history_record{value["history"], value["reported_before"]};
+    history_record out{value["history"], value["reported_before"], value["configuration"]};
+    if (isCount("restored_at_ms")) {
+        out.restoredAtMs = value["restored_at_ms"].get<std::int64_t>();
+    }
+    return out;
 }
 
 task<void> maintainHistoryRecord(edge_context &context)
--- a/src/serving/history_record.h
+++ b/src/serving/history_record.h
@@ -16,6 +16,10 @@
 {
     std::uint64_t history = 0; ///< The history of the store in which the row was written.
     std::int64_t reportedBefore = 0; ///< Usage of the windows before this one may have been reported in an earlier history.
+    std::uint64_t configuration = 0; ///< Newest version that a daemon held when it met this history; 0 if all have started in it.
+    std::optional<std::int64_t> restoredAtMs; ///< When the first daemon met this history, by the clock of the store; nullopt if none was met before.
+
+    bool operator==(const history_record &) const = default;
 };
 
 /// Encodes the record as the JSON object that is stored.
--- a/src/serving/platform_port.h
+++ b/src/serving/platform_port.h
@@ -100,6 +100,8 @@
 {
     /// Number of the newest history that an answer belonged to; it rises with each one, and is 0 before the first answer.
     std::function<std::uint64_t()> history;
+    /// The store's own steady clock at its last answer, in milliseconds; nullopt if the store has not told it.
+    std::function<std::optional<std::int64_t>()> clockMs;
 
     /// Reads all rows of a table.
     std::function<task<absl::StatusOr<table_changes>>(platform_table)> readAll;
--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -27,7 +27,9 @@
 constexpr auto memberReadInterval = std::chrono::seconds(10); // Finds members whose summaries never arrive; the first summary of others causes a read.
 constexpr auto memberRewriteTime = std::chrono::seconds(5); // Within it, daemons that reach a restored store write their rows again.
 constexpr auto maxStartDelay = std::chrono::seconds(2); // Of a daemon that starts, while rows of members are older than the history of the store.
-constexpr auto configurationFloorTime = std::chrono::seconds(30); // Longer than others take to write again what the store has lost.
+// A daemon that has lived through a restore can lack only a change that it had not read before. Longer, and keys that were confirmed before the store went
+// away would expire.
+constexpr duration maxVouchedWait = std::chrono::seconds(1);
 constexpr auto startCheckInterval = std::chrono::milliseconds(20);
 constexpr auto memberCheckInterval = std::chrono::milliseconds(500);
 constexpr double maxCapacity = 1e6; // Of a member; its settings have the same bound.
@@ -42,7 +44,7 @@
             {"capacity", settings.capacity},
             {"incarnation", context.incarnation},
             {"history", context.platform.store.history()},
-            {"configuration", context.configuration ? context.configuration->version : 0}};
+            {"configuration", context.configuration && context.configurationRequestedAt ? context.configuration->version : 0}};
 }
 
 // Returns nullopt for a malformed row.
@@ -102,14 +104,6 @@
     }
 }
 
-// Returns the lowest version of a configuration that may be used. A restored store may list an older one than this daemon or a member holds. The row of
-// a member counts for a limited time: it may be wrong, or its daemon may never come back.
-std::uint64_t requiredConfiguration(const edge_context &context)
-{
-    const bool floorHolds = bootNow() - context.configurationFloorAt < configurationFloorTime;
-    return std::max(context.configuration ? context.configuration->version : 0, floorHolds ? context.configurationFloor : 0);
-}
-
 // True for a configuration that was not taken because of the row of a member, when that has ceased to count.
 bool isListedUnused(const edge_context &context)
 {
@@ -119,14 +113,24 @@
 void noteConfigurations(edge_context &context, const std::map<std::string, member_entry, std::less<>> &members)
 {
     for (const auto &[id, member] : members) {
-        if (member.history == context.platform.store.history() && member.configuration > context.configurationFloor) {
-            context.configurationFloor = member.configuration;
-            context.configurationFloorAt = bootNow();
+        if (member.history == context.platform.store.history()) {
+            noteHeldConfiguration(context, member.configuration);
         }
     }
-    if (context.configuration && context.configuration->version < requiredConfiguration(context)) {
-        context.configurationRequestedAt.reset(); // The newer one may have withdrawn keys.
+}
+
+// Returns since when a read of the configuration proves that no newer one was acknowledged before; nothing if that is not known yet. A restored store may
+// lack the newest one until the operator writes it again.
+std::optional<instant> conclusiveSince(const edge_context &context)
+{
+    if (context.historyUnread) {
+        return std::nullopt;
+    }
+    if (context.storeRestoredAt == instant{} || context.configurationWrittenIn == context.platform.store.history()) {
+        return instant{};
     }
+    const duration wait = context.settings.operatorRewriteTime;
+    return context.storeRestoredAt + (context.configurationVouched ? std::min(wait, maxVouchedWait) : wait);
 }
 
 // Rows that came back with the copy and that their daemons have not written again.
@@ -179,7 +183,14 @@
     if (!role.relays.empty()) {
         return fallbackStoreWait;
     }
-    return role.relaysForOthers ? feedBounds(context.settings, table).storeWait : leafStoreWait;
+    const duration wait = role.relaysForOthers ? feedBounds(context.settings, table).storeWait : leafStoreWait;
+    if (table == platform_table::Endpoints) {
+        return wait;
+    }
+    // Until a read is conclusive, keys may be unknown: the next one is not put off.
+    const auto since = conclusiveSince(context);
+    const duration left = since ? *since - bootNow() : duration::zero();
+    return since && left <= duration::zero() ? wait : std::clamp<duration>(left, fallbackStoreWait, wait);
 }
 
 /// State from which a follower selects the relay or the store for its next request.
@@ -277,6 +288,9 @@
         }
         version = answer->version;
         source.verifiedAt = answer->requestedAt;
+        if (table == platform_table::Configuration && !snapshot && !answer->rows.empty()) {
+            context.configurationWrittenIn = history;
+        }
         handler.apply(*answer, restored ? table_scope::Restored : snapshot ? table_scope::Whole : table_scope::Changes);
         publishChanges(context, table, *answer, snapshot);
         snapshot = false;
@@ -330,7 +344,9 @@
         }
         context.configuration = std::make_shared<const serving_configuration>(std::move(*parsed));
     }
-    if (context.configuration && context.listedConfiguration >= requiredConfiguration(context)) {
+    const auto since = conclusiveSince(context);
+    const bool conclusive = since && changes.requestedAt >= *since;
+    if (context.configuration && context.listedConfiguration >= requiredConfiguration(context) && conclusive) {
         // The data of a relay may be older than a previous answer of the store.
         context.configurationRequestedAt = std::max(context.configurationRequestedAt.value_or(changes.requestedAt), changes.requestedAt);
     }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,12 +1,14 @@
 #include "edge_fixture.h"
 
 #include "protocol/relayed_feed.h"
+#include "serving/history_record.h"
 #include "serving/table_follower.h"
 #include "transport/spawn.h"
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/str_replace.h>
 #include <limits>
+#include <map>
 #include <nlohmann/json.hpp>
 
 namespace lacewinglock
@@ -679,12 +681,14 @@
         storeScript = [this](const http_request &request, int) {
             const auto target = toView(request.target());
             const bool ofOperator = target.find("table=op") != std::string_view::npos;
+            const bool ofRecord = target.find("from=history") != std::string_view::npos;
             const bool feed = target.find("rows-feed") != std::string_view::npos;
             const auto eraField = [this] {
                 return absl::StrCat("Store-Era: ", era, "\r\n");
             };
             if (request.method() == http::verb::post) {
-                written = request.body();
+                const auto change = json::parse(request.body())["put"][0];
+                EXPECT_TRUE(absl::Base64Unescape(change["value"].get<std::string>(), &written[change["key"].get<std::string>()]));
                 if (refusesWrites) {
                     return scripted_answer{.bytes = wholeAnswer(request, 503, "{}", eraField())};
                 }
@@ -692,7 +696,10 @@
             if (ofOperator && restoresAtConfiguration) {
                 era = 2;
             }
-            const json answer{{"rows", ofOperator ? configurations : members}, {"has-more", false}, {"ver", 4}};
+            const bool changed = !ofOperator || !feed || std::exchange(listed, configurations) != configurations;
+            listed = ofOperator ? configurations : listed;
+            const json &rows = ofOperator ? configurations : ofRecord ? records : members;
+            const json answer{{"rows", changed ? rows : json::array()}, {"has-more", false}, {"ver", 4}, {"now-ms", nowMs}};
             return scripted_answer{.bytes = wholeAnswer(request, 200, answer.dump(), eraField()), .delay = feed ? 50ms : 0ms};
         };
     }
@@ -700,7 +707,9 @@
     void start()
     {
         context->membersUnread = true;
+        context->historyUnread = true;
         asio::co_spawn(loop, followConfiguration(*context), asio::detached);
+        asio::co_spawn(loop, maintainHistoryRecord(*context), asio::detached);
         asio::co_spawn(loop, maintainMembership(*context), asio::detached);
     }
 
@@ -722,6 +731,21 @@
         return json::array({storedRow("config", value.dump(), 4)});
     }
 
+    static json recordRows(const history_record &record)
+    {
+        return json::array({storedRow("history", encodeHistory(record), 3)});
+    }
+
+    /// Whether the daemon accepts keys at the end of `time`, or before.
+    bool knowsKeys(std::chrono::milliseconds time)
+    {
+        return runUntil(
+            [this] {
+                return context->keysFresh(bootNow());
+            },
+            time);
+    }
+
     /// Whether the daemon has a configuration at the end of `time`, or before.
     bool getsConfiguration(std::chrono::milliseconds time)
     {
@@ -737,7 +761,10 @@
     bool refusesWrites = false;
     json members = json::array();
     json configurations = configurationRows(5);
-    std::string written; ///< Body of the last write.
+    json records = json::array();
+    json listed; ///< Configurations of the last answer.
+    std::int64_t nowMs = 60'000; ///< The clock of the store.
+    std::map<std::string, std::string> written; ///< The last value of each row that was written.
 };
 
 // Guards against a daemon that starts between a restore and the operator's next write, and serves by a configuration that is older than the fleet's.
@@ -751,9 +778,73 @@
     configurations = configurationRows(8);
     ASSERT_TRUE(getsConfiguration(1s));
     EXPECT_EQ(context->configuration->version, 8U);
-    std::string row;
-    ASSERT_TRUE(absl::Base64Unescape(json::parse(written)["put"][0]["value"].get<std::string>(), &row));
-    EXPECT_EQ(json::parse(row)["history"], 2);
+    EXPECT_EQ(json::parse(written["member/daemon-1"])["history"], 2);
+}
+
+// Guards against a withdrawn key that works again: all daemons start in a restored store, and the operator has not written the withdrawal again yet.
+TEST_F(platform_start_test, daemons_that_all_start_in_a_restored_store_judge_no_keys_before_the_operator_has_written)
+{
+    records = recordRows({.history = 1});
+    members = memberRows("a", 2, 0);
+    start();
+    EXPECT_FALSE(knowsKeys(2500ms));
+    configurations = configurationRows(8);
+    EXPECT_TRUE(knowsKeys(500ms));
+    EXPECT_EQ(context->configuration->version, 8U);
+    const auto record = parseHistory(written["history"]);
+    ASSERT_TRUE(record);
+    EXPECT_EQ(*record, (history_record{.history = 2, .reportedBefore = context->reportedBefore, .configuration = 0, .restoredAtMs = nowMs}));
+}
+
+// Guards against daemons that never accept keys again, because the restored store lacks nothing and the operator writes nothing.
+TEST_F(platform_start_test, keys_are_judged_some_seconds_after_a_restore_even_if_the_operator_writes_nothing)
+{
+    records = recordRows({.history = 2, .restoredAtMs = nowMs - 1500});
+    start();
+    EXPECT_FALSE(knowsKeys(1200ms));
+    EXPECT_TRUE(knowsKeys(600ms));
+}
+
+// Guards against starts that are slower for ever after a restore.
+TEST_F(platform_start_test, a_restore_long_ago_delays_no_start)
+{
+    records = recordRows({.history = 2, .restoredAtMs = nowMs - 9000});
+    start();
+    EXPECT_TRUE(knowsKeys(500ms));
+}
+
+// Guards against a start that is slow, or that takes an older configuration, although a daemon that met the restore has noted which version it held.
+TEST_F(platform_start_test, the_record_of_a_history_vouches_for_a_configuration)
+{
+    records = recordRows({.history = 2, .configuration = 8, .restoredAtMs = nowMs - 500});
+    start();
+    EXPECT_FALSE(getsConfiguration(1s)) << "the store lists an older one";
+    configurations = configurationRows(8);
+    EXPECT_TRUE(knowsKeys(500ms));
+}
+
+// Guards against a record that does not name the newest configuration, because a daemon that had none wrote it first.
+TEST_F(platform_start_test, a_daemon_that_lives_through_a_restore_notes_the_configuration_that_it_holds)
+{
+    era = 1;
+    records = recordRows({.history = 1});
+    start();
+    ASSERT_TRUE(knowsKeys(500ms));
+    const auto confirmedAt = *context->configurationRequestedAt;
+    era = 2;
+    records = recordRows({.history = 2, .reportedBefore = 3, .configuration = 0, .restoredAtMs = nowMs});
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return written.contains("history");
+        },
+        1s));
+    EXPECT_EQ(*parseHistory(written["history"]), (history_record{.history = 2, .reportedBefore = 3, .configuration = 5, .restoredAtMs = nowMs}));
+    // A change that it had not read before the restore may be lost; the operator gets the time to write it again.
+    const auto isConfirmed = [&] {
+        return context->configurationRequestedAt > confirmedAt;
+    };
+    EXPECT_FALSE(runUntil(isConfirmed, 300ms));
+    EXPECT_TRUE(runUntil(isConfirmed, 1s));
 }
 
 // Guards against the same when the store is restored between the reads of the members and of the configuration.
