End a query of a relay when the rows held become too old

A follower that can't get news from its relay reads the store itself when its rows are older than 0.65 of the bound. It looked at that age before and after a query of the relay, but not at the time that the query may take, 0.6 s: 1.3 + 0.6 s and the call to the store exceed the bound of 2 s for servers that leave.

Each query now ends when the rows held reach the limit. Relays that work answer within 0.3 s, long before, so the store gets no more calls from them.

--- a/src/serving/feed_relay.cpp
+++ b/src/serving/feed_relay.cpp
@@ -21,6 +21,7 @@
 // for itself.
 constexpr std::size_t smallestRelayedDomain = 4;
 constexpr auto relayResponseMargin = std::chrono::milliseconds(300); // Time beyond the wait until the relay counts as failed and the store is queried.
+constexpr duration relayAnswerTime = std::chrono::milliseconds(50); // Usual time of an answer beyond the wait.
 constexpr auto maxRelayWait = std::chrono::seconds(2);
 constexpr const char *feedPath = "/feed";
 
@@ -94,7 +95,8 @@
     return {.relays = std::move(relays)};
 }
 
-task<absl::StatusOr<table_changes>> queryRelay(edge_context &context, std::string relay, platform_table table, std::uint64_t version, duration wait)
+task<absl::StatusOr<table_changes>>
+queryRelay(edge_context &context, std::string relay, platform_table table, std::uint64_t version, duration wait, instant latest)
 {
     const auto member = context.members.find(relay);
     const auto address
@@ -102,10 +104,11 @@
     if (!address.ok()) {
         co_return address.status();
     }
-    const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
-    http_request request(http::verb::get, absl::StrCat(feedPath, "?table=", static_cast<int>(table), "&after=", version, "&wait=", waitMs), 11);
     const instant sentAt = bootNow();
-    const exchange_options options{.deadline = sentAt + wait + relayResponseMargin};
+    const duration timeForWait = std::max<duration>(latest - sentAt - relayAnswerTime, duration::zero());
+    const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(std::min(wait, timeForWait)).count();
+    http_request request(http::verb::get, absl::StrCat(feedPath, "?table=", static_cast<int>(table), "&after=", version, "&wait=", waitMs), 11);
+    const exchange_options options{.deadline = std::min<instant>(sentAt + wait + relayResponseMargin, latest)};
     const auto answer = co_await callServer(context.pool, *address, std::move(request), options);
     if (!answer.ok()) {
         co_return answer.status();
--- a/src/serving/feed_relay.h
+++ b/src/serving/feed_relay.h
@@ -26,9 +26,11 @@
 /// Whether a connection comes from the machine of a member.
 bool isMemberAddress(const edge_context &context, const tcp::endpoint &remote);
 
-/// Queries a relay for changes after `version`; the relay waits up to `wait` for the next one. `requestedAt` of the result is on this daemon's clock
-/// and no later than the relay's call to the store, whatever the delay of the messages. Returns OutOfRange when the relay has not reached `version`.
-task<absl::StatusOr<table_changes>> queryRelay(edge_context &context, std::string relay, platform_table table, std::uint64_t version, duration wait);
+/// Queries a relay for changes after `version`; the relay waits up to `wait` for the next one. The query fails at `latest` if there is no answer. `requestedAt`
+/// of the result is on this daemon's clock and no later than the relay's call to the store, whatever the delay of the messages. Returns OutOfRange when the
+/// relay has not reached `version`.
+task<absl::StatusOr<table_changes>>
+queryRelay(edge_context &context, std::string relay, platform_table table, std::uint64_t version, duration wait, instant latest = instant::max());
 
 /// Serves the requests that queryRelay() of other members sends.
 task<void> serveFeed(edge_context &context, received_request &request, server_reply &reply);
--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -207,7 +207,9 @@
 {
     const auto bounds = feedBounds(context.settings, table);
     const std::string &relay = role.relays[source.relayTurn % role.relays.size()];
-    auto answer = co_await queryRelay(context, relay, table, version, bounds.relayWait);
+    // A relay that does not answer must not make the rows held older than the data of a relay may be.
+    const instant latest = source.verifiedAt + bounds.maxRelayDataAge;
+    auto answer = co_await queryRelay(context, relay, table, version, bounds.relayWait, latest);
     context.counters.count(metric_counter::RelayReads);
     if (answer.ok() && bootNow() - answer->requestedAt <= bounds.maxRelayDataAge) {
         co_return *std::move(answer);
--- a/tests/edge_feed_test.cpp
+++ b/tests/edge_feed_test.cpp
@@ -5,6 +5,7 @@
 #include "serving/table_follower.h"
 
 #include <absl/strings/escaping.h>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -54,8 +55,7 @@
         , feeds(loop,
                 {.handle =
                      [this](received_request &request, server_reply &reply) {
-                         ++relayRequests;
-                         return serveFeed(relay, request, reply);
+                         return ++relayRequests > relayAnswers ? fallSilent() : serveFeed(relay, request, reply);
                      },
                  .limits =
                      [] {
@@ -90,6 +90,11 @@
         return out;
     }
 
+    static task<void> fallSilent()
+    {
+        co_await sleepFor(10s);
+    }
+
     absl::StatusOr<table_changes> query(std::uint64_t version, duration wait)
     {
         absl::StatusOr<table_changes> result = absl::UnknownError("no response");
@@ -112,6 +117,7 @@
     edge_context relay;
     http_server feeds;
     int relayRequests = 0; ///< Received by the relay.
+    int relayAnswers = std::numeric_limits<int>::max(); ///< Requests after so many get no answer.
 };
 
 }
@@ -327,6 +333,33 @@
     EXPECT_LT(bootNow() - old, bound / 2) << "the relay's data is old";
 }
 
+// Guards against a leaving that is learnt after the bound: a relay that is behind falls silent when the rows held are about to be too old, and the time that
+// it is waited for comes on top. Found on ribbonwire-lace scale-2.
+TEST_F(feed_relay, a_silent_relay_does_not_make_the_rows_held_too_old)
+{
+    std::vector<instant> answeredAt;
+    storeScript = [&](const http_request &request, int) {
+        answeredAt.push_back(bootNow());
+        return scripted_answer{.bytes = wholeAnswer(request, 200, R"({"ver":5,"rows":[]})")};
+    };
+    for (int i = 0; i < 30; ++i) {
+        const std::string id = "peer-" + std::to_string(i);
+        context->members[id] = context->members["relay"];
+        context->peers[id] = {.serving = true};
+    }
+    publishChanges(relay, platform_table::Endpoints, changesTo(4, {}, bootNow()), true);
+    relayAnswers = 4; // Each after a wait of 0.3 s.
+    asio::co_spawn(loop, followEndpoints(*context), asio::detached);
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return answeredAt.size() >= 2;
+        },
+        5s));
+    EXPECT_GE(relayRequests, 5);
+    constexpr duration call = 100ms;
+    EXPECT_LT(answeredAt[1] - answeredAt[0], feedBounds(settings, platform_table::Endpoints).maxRelayDataAge + call);
+}
+
 // Guards against an endpoint that has left and is in use again, because a restarted relay serves rows older than those held by its follower.
 TEST_F(feed_relay, a_restarted_relay_brings_back_no_endpoint_that_left)
 {
