Bound the trials of a request that crashes servers

Cause: the time between trials of a request did not grow, their number had no bound, and a daemon knew only of its own. A repeatable request went on to a second server. Crashes were forgotten 10 minutes after the last one also while the request still came.

The time between trials now doubles; failed ones show as crashes, which all daemons know. After three of a request, or five of a part of prompts, there are no more. A refusal keeps the crashes. A trial goes to one endpoint.

suspect_requests.lets_one_request_through_for_a_trial asserted the fixed interval, which is the fault; it now asserts the doubled one and that nothing is let through before.

--- a/src/protocol/exchange_messages.h
+++ b/src/protocol/exchange_messages.h
@@ -46,7 +46,7 @@
 {
     std::string fingerprint;
     std::vector<std::uint64_t> crashed; ///< Hashes of the endpoint processes that crashed; empty: the request succeeded.
-    std::int64_t ageMs = 0; ///< Time since the last crash or the success.
+    std::int64_t ageMs = 0; ///< Time since the last crash or refusal, or since the success.
     std::vector<std::int64_t> crashAgesMs; ///< Time since each crash of `crashed`; empty: `ageMs` holds for all.
     std::optional<std::int64_t> successAgeMs; ///< Time since the last success.
 };
--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -144,6 +144,7 @@
         context.log.write(line);
         return std::nullopt;
     }
+    context.suspects.noteRefusal(*suspect, now);
     if (suspect != &request.fingerprint) {
         return request_refusal{
             http::status::service_unavailable, "part_crashes_endpoints", "a part of the prompt crashed several endpoints", crashRetryAfterMs};
@@ -396,7 +397,7 @@
 
 bool crashesEndpoints(const edge_context &context, const caller_request &request)
 {
-    return !request.isTrial && findSuspect(context, request, bootNow()) != nullptr;
+    return request.isTrial ? request.trialSent : findSuspect(context, request, bootNow()) != nullptr;
 }
 
 exchange_options forwardOptions(const edge_context &context, const caller_request &request, instant deadline)
--- a/src/serving/caller_exchange.h
+++ b/src/serving/caller_exchange.h
@@ -26,6 +26,7 @@
     std::string fingerprint; ///< Hash of path, organisation and body. Identifies a request that crashes endpoints when it is sent again under a new id.
     std::optional<prompt_info> prompt;
     std::vector<std::string> sharedParts; ///< Keys of the parts of the prompt that other requests may share: all but the last.
+    bool trialSent = false; ///< It was sent as a trial: to one endpoint only, which it may crash.
     bool isTrial = false; ///< Suspected to crash endpoints, and let through to find out whether it still does.
     int priority = 5;
     instant arrivedAt;
--- a/src/serving/service_forward.cpp
+++ b/src/serving/service_forward.cpp
@@ -193,6 +193,7 @@
                 return nextAcquired;
             };
         }
+        request.trialSent = request.isTrial;
         auto result = co_await send(context, request, endpoint, limit, placement.predictedMs);
         if (result.placeAgain) {
             ++unreachable;
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -272,7 +272,9 @@
         const answer_deadline answerDeadline(engine, now + std::chrono::milliseconds(std::lround(3 * placement.firstEventMs + 100)));
         m_awaitsHead = true;
         const bool acquired = std::exchange(m_retryAcquired, false);
+        m_request.trialSent = m_request.isTrial;
         state = co_await exchange->begin(message);
+        m_request.trialSent = m_request.trialSent && state != exchange_state::NotSent;
         m_retryAcquired = m_retryAcquired || (acquired && state == exchange_state::NotSent);
         m_awaitsHead = false;
     }
--- a/src/serving/suspect_requests.cpp
+++ b/src/serving/suspect_requests.cpp
@@ -14,8 +14,10 @@
 constexpr std::size_t maxCrashes = 3; // A request or a part that crashed this many endpoints is refused.
 constexpr std::size_t maxKeptCrashes = 32; // The latest ones.
 constexpr std::size_t maxEntries = 1024;
-constexpr auto trialInterval = std::chrono::seconds(20);
-constexpr auto partTrialInterval = std::chrono::seconds(30); // Doubles with each trial: each may crash another endpoint.
+constexpr auto trialInterval = std::chrono::seconds(20); // Doubles with each trial: each may crash another endpoint.
+constexpr auto partTrialInterval = std::chrono::seconds(30);
+constexpr int maxTrials = 3; // The target allows three retries of a request after the third crash, and three of a part after the fifth.
+constexpr int maxPartTrials = 5;
 constexpr auto changeReportTime = std::chrono::seconds(2); // Longer than any gap between summaries, so that a lost datagram loses no change.
 constexpr std::string_view partPrefix = "part:";
 // Crashes closer than this count as one for a part: endpoints that end together for a reason of their own were running the same common parts.
@@ -72,7 +74,7 @@
 void suspect_requests::prune(instant now)
 {
     const auto removed = std::erase_if(m_entries, [now](const auto &item) {
-        return now - item.second.changedAt > tunables::suspectRefusalTime;
+        return now - item.second.changedAt > tunables::suspectRefusalTime && !isLive(item.second, now);
     });
     if (removed == 0) {
         m_entries.erase(std::ranges::min_element(m_entries, {}, [](const auto &item) {
@@ -81,6 +83,17 @@
     }
 }
 
+bool suspect_requests::isLive(const entry &known, instant now)
+{
+    return now - std::max(known.lastCrash, known.lastRefusal) <= tunables::suspectRefusalTime;
+}
+
+// Other daemons' trials show as crashes.
+int suspect_requests::failedTrials(const entry &known)
+{
+    return std::max(known.trials, static_cast<int>(known.crashes.size()) - static_cast<int>(maxCrashes));
+}
+
 void suspect_requests::addCrash(entry &known, std::uint64_t process, instant at, instant now)
 {
     if (at <= known.clearedAt || std::ranges::find(known.crashes, process, &crash::process) != known.crashes.end()) {
@@ -101,8 +114,9 @@
 void suspect_requests::recordCrash(std::string_view key, std::uint64_t process, instant now)
 {
     auto &known = find(key, now);
-    if (now - known.lastCrash > tunables::suspectRefusalTime) {
+    if (!isLive(known, now)) {
         known.crashes.clear();
+        known.trials = 0;
     }
     addCrash(known, process, now, now);
 }
@@ -143,6 +157,9 @@
     } else if (report.successAgeMs) {
         setSuccess(known, before(*report.successAgeMs), now);
     }
+    if (!report.crashed.empty()) {
+        known.lastRefusal = std::max(known.lastRefusal, before(report.ageMs));
+    }
     const bool ages = report.crashAgesMs.size() == report.crashed.size();
     for (std::size_t i = 0; i < report.crashed.size(); ++i) {
         addCrash(known, report.crashed[i], before(ages ? report.crashAgesMs[i] : report.ageMs), now);
@@ -152,8 +169,7 @@
 int suspect_requests::crashes(std::string_view key, instant now) const
 {
     const auto found = m_entries.find(key);
-    const bool live = found != m_entries.end() && now - found->second.lastCrash <= tunables::suspectRefusalTime;
-    return live ? static_cast<int>(found->second.crashes.size()) : 0;
+    return found != m_entries.end() && isLive(found->second, now) ? static_cast<int>(found->second.crashes.size()) : 0;
 }
 
 bool suspect_requests::isSuspect(std::string_view fingerprint, instant now) const
@@ -164,7 +180,7 @@
 bool suspect_requests::isCrashingPart(const item &candidate, instant now)
 {
     const auto &known = candidate.second;
-    if (!isPart(candidate.first) || known.crashes.size() < maxCrashes || now - known.lastCrash > tunables::suspectRefusalTime) {
+    if (!isPart(candidate.first) || known.crashes.size() < maxCrashes || !isLive(known, now)) {
         return false;
     }
     std::vector<instant> times;
@@ -211,7 +227,11 @@
 bool suspect_requests::startTrial(std::string_view key, instant now)
 {
     auto &known = find(key, now);
-    const duration interval = isPart(key) ? duration(partTrialInterval) * (1 << std::min(known.trials, 10)) : duration(trialInterval);
+    const int failed = failedTrials(known);
+    if (failed >= (isPart(key) ? maxPartTrials : maxTrials)) {
+        return false;
+    }
+    const duration interval = (isPart(key) ? duration(partTrialInterval) : duration(trialInterval)) * (1 << failed);
     if (now - std::max(known.lastCrash, known.triedAt) <= interval) {
         return false;
     }
@@ -220,10 +240,18 @@
     return true;
 }
 
+void suspect_requests::noteRefusal(std::string_view key, instant now)
+{
+    if (const auto found = m_entries.find(key); found != m_entries.end()) {
+        found->second.lastRefusal = now;
+    }
+}
+
 suspect_report suspect_requests::makeReport(const item &from, instant now)
 {
     const auto &known = from.second;
-    suspect_report report{.fingerprint = from.first, .ageMs = ageMs(known.crashes.empty() ? known.clearedAt : known.lastCrash, now)};
+    suspect_report report{.fingerprint = from.first,
+                          .ageMs = ageMs(known.crashes.empty() ? known.clearedAt : std::max(known.lastCrash, known.lastRefusal), now)};
     for (const auto &[process, at] : known.crashes) {
         report.crashed.push_back(process);
         report.crashAgesMs.push_back(ageMs(at, now));
@@ -242,7 +270,7 @@
     for (const auto &current : m_entries) {
         if (now - current.second.changedAt <= changeReportTime) {
             changed.push_back(&current);
-        } else if (!current.second.crashes.empty() && now - current.second.lastCrash <= tunables::suspectRefusalTime) {
+        } else if (!current.second.crashes.empty() && isLive(current.second, now)) {
             live.push_back(&current);
         }
     }
--- a/src/serving/suspect_requests.h
+++ b/src/serving/suspect_requests.h
@@ -30,15 +30,19 @@
     /// Merges the knowledge of another daemon.
     void merge(const suspect_report &report, instant now);
 
-    /// Number of endpoint processes that crashed since the last success; 0 when the last crash is older than tunables::suspectRefusalTime.
+    /// Number of endpoint processes that crashed since the last success; 0 when the last crash and the last refusal are older than
+    /// tunables::suspectRefusalTime.
     int crashes(std::string_view key, instant now) const;
     /// Whether the request crashed so many endpoints that it is refused.
     bool isSuspect(std::string_view fingerprint, instant now) const;
     /// The part, among those of a request, that crashed so many endpoints that requests with it are refused; null if there is none. A part is not
     /// held responsible for crashes that a part outside the request explains at least as well.
     const std::string *findCrashingPart(std::span<const std::string> parts, instant now) const;
-    /// Whether a suspect request may be let through once, because it may not have caused the crashes. If so, the next trial is due some time later.
+    /// Whether a suspect request may be let through once, because it may not have caused the crashes. Each trial that fails doubles the time to the next
+    /// one; after a few there are no more until the crashes are forgotten.
     bool startTrial(std::string_view key, instant now);
+    /// Records that a suspect request was refused: it still comes, so its crashes are kept.
+    void noteRefusal(std::string_view key, instant now);
     /// At most `limit` entries for other daemons: the latest changes first, then the others in turn over successive calls.
     std::vector<suspect_report> reports(std::size_t limit, instant now);
 
@@ -53,6 +57,7 @@
     {
         std::vector<crash> crashes; ///< Since the last success.
         instant lastCrash;
+        instant lastRefusal; ///< By any daemon.
         instant clearedAt; ///< Last success.
         instant changedAt;
         instant triedAt; ///< Start of the last trial.
@@ -61,6 +66,8 @@
 
     using item = std::pair<const std::string, entry>;
 
+    static bool isLive(const entry &known, instant now);
+    static int failedTrials(const entry &known);
     static void addCrash(entry &known, std::uint64_t process, instant at, instant now);
     static void setSuccess(entry &known, instant at, instant now);
     static suspect_report makeReport(const item &from, instant now);
--- a/tests/service_forward_test.cpp
+++ b/tests/service_forward_test.cpp
@@ -320,6 +320,38 @@
     EXPECT_NE(last.body.find("crashes_endpoints"), std::string::npos);
 }
 
+// Guards against a trial that crashes a second endpoint, because the call may be repeated.
+TEST_F(service_forward, a_trial_is_sent_to_one_endpoint)
+{
+    std::vector<std::unique_ptr<scripted_server>> endpoints;
+    configure({repeatableRoute()});
+    std::size_t runs = 0;
+    for (std::size_t i = 0; i < 4; ++i) {
+        endpoints.push_back(std::make_unique<scripted_server>(loop, [&endpoints, &runs, i](const http_request &, int) {
+            ++runs;
+            endpoints[i]->stop();
+            return scripted_answer{.reset = true};
+        }));
+        addEndpoint(absl::StrCat("e", i), "desk", endpoints.back()->address());
+    }
+    call(get("/read/poison"));
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return !context->suspects.reports(1, bootNow()).empty();
+        },
+        std::chrono::seconds(1)));
+    const auto fingerprint = context->suspects.reports(1, bootNow()).front().fingerprint;
+    context->suspects = suspect_requests();
+    for (std::uint64_t process = 1; process <= 3; ++process) {
+        context->suspects.recordCrash(fingerprint, process, bootNow() - std::chrono::seconds(25));
+    }
+    runs = 0;
+    EXPECT_EQ(call(get("/read/poison")).status, 502);
+    EXPECT_EQ(runs, 1U);
+    EXPECT_EQ(call(get("/read/poison")).status, 503);
+    EXPECT_EQ(runs, 1U);
+}
+
 // Guards against a harmless request that is refused as suspect because its connections were reset while its endpoints kept running. Found by
 // lacewinglock-faultsoak --seed 1.
 TEST_F(service_forward, does_not_suspect_a_request_whose_connections_were_reset)
--- a/tests/suspect_requests_test.cpp
+++ b/tests/suspect_requests_test.cpp
@@ -87,7 +87,39 @@
     EXPECT_FALSE(suspects.startTrial("r", start + 19s));
     EXPECT_TRUE(suspects.startTrial("r", start + 21s));
     EXPECT_FALSE(suspects.startTrial("r", start + 22s));
-    EXPECT_TRUE(suspects.startTrial("r", start + 42s));
+    EXPECT_FALSE(suspects.startTrial("r", start + 60s)) << "the time doubles with each trial";
+    EXPECT_TRUE(suspects.startTrial("r", start + 62s));
+}
+
+// Guards against a request that crashes an endpoint every 20 s for as long as it comes, at whichever daemon is asked and however long.
+TEST(suspect_requests, lets_a_request_through_three_times_over_its_life)
+{
+    suspect_requests first;
+    for (std::uint64_t process = 1; process <= 3; ++process) {
+        first.recordCrash("r", process, start);
+    }
+    suspect_requests second;
+    int trials = 0;
+    for (auto now = start + 1s; now < start + 3h; now += 1s) {
+        // The first daemon is replaced at some time, and the second one takes its place in the order of those that try.
+        const bool replaced = now > start + 15min;
+        auto &trying = replaced ? second : first;
+        ASSERT_TRUE(trying.isSuspect("r", now)) << toMs(now - start);
+        if (trying.startTrial("r", now)) {
+            ++trials;
+            trying.recordCrash("r", 100U + static_cast<std::uint64_t>(trials), now);
+        } else {
+            trying.noteRefusal("r", now);
+        }
+        if (!replaced) {
+            for (const auto &report : first.reports(8, now)) {
+                second.merge(report, now);
+            }
+        }
+    }
+    EXPECT_EQ(trials, 3);
+    // It comes no more, and its crashes are forgotten.
+    EXPECT_FALSE(second.isSuspect("r", start + 3h + 11min));
 }
 
 // Guards against a success that is never reported because crashes of other requests fill the message; the request would then be refused elsewhere.
