Ask a silent engine again when the one in its place fails

By test: a resumable stream whose engine is silent for a second is taken over by another engine, which refuses it after more than 300 ms, or breaks it off. The attempts of the route are used up, and the caller's connection closes without the end of the stream, although its first engine was sound.

Cause: the silent engine is left after 300 ms, because two engines must not work on one stream for longer, and then counts as failed.

It may now be asked once more when the attempts are used up, with a retry from the budget. It counts among them already, so the request goes to no more engines than before.

Both tests failed before: the stream ended after the events that the callers had got until then.

--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -72,6 +72,10 @@
     /// Updates the engine's slowdown from the time of a prefill, unless the prefill was queued behind others or too short.
     void updateSlowdown(const endpoint_ptr &engine, bool wasQueued, double tokens, double elapsedMs) const;
     bool mayRetry() const;
+    /// Notes the engine whose exchange was cancelled for a takeover.
+    void noteIfLeft(const endpoint_ptr &engine, exchange_state state);
+    /// Leaves the engine that was silent as the only choice. Returns false if there is none.
+    bool returnToSilentEngine();
     /// Acquires a retry from the budget, unless `acquired` says that one is left from a request that was not sent.
     bool acquireRetry(bool &acquired);
 
@@ -81,6 +85,9 @@
     const std::optional<prompt_info> &m_prompt;
     caller_outcome m_outcome;
     std::set<std::string> m_failed;
+    /// The engine that was left because it was silent. It has not failed, so it may be asked once more when all attempts are used up: it counts among them.
+    std::string m_silentEngine;
+    std::string m_onlyEngine; ///< Placement has no other choice; empty: any engine.
     int m_unreachable = 0;
     int m_prefillAttempts = 0; ///< Prefill requests sent; the first one needs no retry budget.
     bool m_retryAcquired = false; ///< For an attempt that has not been sent yet.
@@ -129,7 +136,7 @@
             .id = engine->entry.id,
             .role = engine->entry.role.value_or(endpoint_role::Mixed),
             .local = engine->entry.failureDomain == m_context.settings.failureDomain,
-            .excluded = !engine->usable(now) || m_failed.contains(engine->entry.id),
+            .excluded = !engine->usable(now) || m_failed.contains(engine->entry.id) || (!m_onlyEngine.empty() && m_onlyEngine != engine->entry.id),
             .running = engine->own.running + engine->peers.running,
             .slots = known ? service->second.engine->slots : std::max(1, engine->entry.slots),
             .queuedTokens = std::round(engine->own.promptTokens + engine->peers.promptTokens),
@@ -145,7 +152,24 @@
 
 bool stream_session::mayRetry() const
 {
-    return m_outcome.attempts < m_route.maxAttempts && (!m_mayHaveRun || m_route.resumable);
+    return (m_outcome.attempts < m_route.maxAttempts || !m_silentEngine.empty()) && (!m_mayHaveRun || m_route.resumable);
+}
+
+void stream_session::noteIfLeft(const endpoint_ptr &engine, exchange_state state)
+{
+    if (state == exchange_state::Cancelled) {
+        m_silentEngine = engine->entry.id;
+    }
+}
+
+bool stream_session::returnToSilentEngine()
+{
+    if (m_silentEngine.empty()) {
+        return false;
+    }
+    m_onlyEngine = std::exchange(m_silentEngine, std::string());
+    m_failed.erase(m_onlyEngine);
+    return true;
 }
 
 bool stream_session::acquireRetry(bool &acquired)
@@ -165,6 +189,10 @@
             co_await fail(m_mayHaveRun ? http::status::gateway_timeout : http::status::service_unavailable, "timeout");
             break;
         }
+        if (m_outcome.attempts >= m_route.maxAttempts && !returnToSilentEngine()) {
+            co_await refuse("attempts", m_retryAfterMs);
+            break;
+        }
         const auto engines = m_context.endpoints.ofService(m_request.service);
         const auto input = makePlacementInput(engines);
         const auto placement = placeGeneration(input, m_context.settings.engines);
@@ -510,7 +538,9 @@
 {
     const bool streams = hasHead(state) && !isMarkedNotExecuted(m_context, exchange->head()) && exchange->head().result() == http::status::ok
         && isSealed(m_context, exchange->head()) && (!m_streaming || bodyKind(exchange->head()) != body_kind::Other);
-    if (!streams && co_await isTakenOver()) {
+    const bool taken = !streams && co_await isTakenOver();
+    noteIfLeft(engine, state);
+    if (taken) {
         if (state == exchange_state::Lost) {
             checkForCrash(m_context, *engine, m_request);
         }
@@ -663,7 +693,9 @@
         co_return step::Done;
     }
     const bool broken = state == exchange_state::Lost || state == exchange_state::Malformed;
-    if (co_await isTakenOver()) {
+    const bool taken = co_await isTakenOver();
+    noteIfLeft(engine, state);
+    if (taken) {
         if (broken) {
             checkForCrash(m_context, *engine, m_request);
         }
--- a/tests/stream_forward_test.cpp
+++ b/tests/stream_forward_test.cpp
@@ -875,6 +875,50 @@
     EXPECT_EQ(result.body, event(1) + event(2));
 }
 
+// Guards against a stream that ends because its sound engine was silent for a second and the engine that took it over refused it late.
+TEST_F(stream_forward, a_silent_engine_gets_its_stream_back_when_the_other_refuses_it_late)
+{
+    scripted_server silent(loop, [](const http_request &request, int number) {
+        if (number == 1) {
+            return scripted_answer{.bytes = streamHead(request) + chunk(event(1)), .silent = true};
+        }
+        return scripted_answer{.bytes = streamHead(request) + chunk(event(2)) + "0\r\n\r\n"};
+    });
+    scripted_server other(loop, [](const http_request &request, int) {
+        return scripted_answer{.bytes = wholeAnswer(request, 503, "full", "X-Not-Executed: true\r\n"), .delay = 600ms};
+    });
+    configure({streamRoute(true)});
+    addEndpoint("e1", "engines", silent.address(), endpoint_role::Decode);
+    context->endpoints.update(
+        {.id = "e2", .service = "engines", .address = other.address(), .failureDomain = "domain-b", .slots = 4, .role = endpoint_role::Decode});
+    const auto result = call(generation(), 4s);
+    EXPECT_TRUE(result.whole);
+    EXPECT_EQ(result.body, event(1) + event(2));
+    ASSERT_EQ(silent.requests.size(), 2U);
+    EXPECT_EQ(silent.requests[1]["Last-Event-Id"], "1");
+    EXPECT_EQ(other.requests.size(), 1U);
+}
+
+// Guards against the same when the other engine breaks off, and against a silent engine that is asked without end.
+TEST_F(stream_forward, a_silent_engine_gets_its_stream_back_once)
+{
+    scripted_server silent(loop, [](const http_request &request, int number) {
+        return scripted_answer{.bytes = streamHead(request) + chunk(event(number == 1 ? 1 : 3)), .close = number > 1, .silent = number == 1};
+    });
+    scripted_server other(loop, [](const http_request &request, int) {
+        return scripted_answer{.bytes = streamHead(request) + chunk(event(2)), .close = true};
+    });
+    configure({streamRoute(true)});
+    addEndpoint("e1", "engines", silent.address(), endpoint_role::Decode);
+    context->endpoints.update(
+        {.id = "e2", .service = "engines", .address = other.address(), .failureDomain = "domain-b", .slots = 4, .role = endpoint_role::Decode});
+    const auto result = call(generation(), 4s);
+    EXPECT_FALSE(result.whole) << "both engines broke it off";
+    EXPECT_EQ(result.body, event(1) + event(2) + event(3));
+    EXPECT_EQ(silent.requests.size(), 2U);
+    EXPECT_EQ(other.requests.size(), 1U);
+}
+
 // Guards against "not run" for a request that the second engine may have run before its connection broke.
 TEST_F(stream_forward, a_refusal_of_the_silent_engine_does_not_vouch_for_the_other)
 {
