Do not take the failures of a relay for failures of the store

Cause: both relays of a zone were cut off from the store for 12 s. When they were back, their followers, which had reached the store all the while, got the removals together with the time of the relays' last failed call, took the entries for ones that had lapsed in an outage, and kept them for 1.4 s more. The log has endpoint_gone with kept at 13.367 s for a server that left at 12.610 s, and the send at 14.602 s.

Only own failed calls count now. In an outage a follower finds out by itself: data of a relay whose last call failed is refused, and the store is asked directly.

feed_relay.reports_failures_of_the_store asserted that the failure is taken over, which is the fault. In its place: failures_of_a_relay_count_for_its_ data_only and a_relay_that_was_cut_off_keeps_no_endpoint_that_left, which failed before, and a_follower_keeps_endpoints_whose_rows_expired_while_the_ store_failed, which holds what it guarded.

--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -118,7 +118,9 @@
     std::uint64_t storeHistory = 0; ///< The newest that noteHistory() has met.
     bool historyUnread = false; ///< Whether the store was restored before this daemon started is not known: the record of its history is not read.
     instant storeRestoredAt; ///< When the first daemon met the newest history after another one, as far as known; the epoch of the clock if never.
-    instant storeFailedAt; ///< Last failed call to the store by this daemon or a relay that it queried; the epoch of the clock if none failed.
+    /// Last failed call of this daemon to the store; the epoch of the clock if none failed. Those of a relay say nothing: it may be cut off alone, and this
+    /// daemon asks the store itself when the relay's last call failed.
+    instant storeFailedAt;
 
     endpoint_registry endpoints;
     prefix_index prefixBlocks; ///< Estimates which engines have which prefix blocks cached.
--- a/src/serving/feed_relay.cpp
+++ b/src/serving/feed_relay.cpp
@@ -123,9 +123,6 @@
     if (feed->version < version) {
         co_return absl::OutOfRangeError(absl::StrCat("relay is at version ", feed->version, ", this daemon at version ", version));
     }
-    if (feed->storeFailureAgeMs) {
-        context.storeFailedAt = std::max(context.storeFailedAt, sentAt - std::chrono::milliseconds(*feed->storeFailureAgeMs));
-    }
     if (feed->storeFailureAgeMs && *feed->storeFailureAgeMs < feed->ageMs) {
         co_return absl::UnavailableError("the relay's last call to the store failed");
     }
--- a/tests/edge_feed_test.cpp
+++ b/tests/edge_feed_test.cpp
@@ -235,14 +235,87 @@
     EXPECT_GE(bootNow() - begin, 100ms);
 }
 
-// Guards against daemons that follow a relay and remove endpoints whose rows only expired during a store outage.
-TEST_F(feed_relay, reports_failures_of_the_store)
+// Guards against data of a relay that lost the store, and against a relay's own trouble that passes for trouble of the store.
+TEST_F(feed_relay, failures_of_a_relay_count_for_its_data_only)
 {
-    publishChanges(relay, platform_table::Configuration, changesTo(5, {}, bootNow()), true);
+    publishChanges(relay, platform_table::Configuration, changesTo(5, {}, bootNow() - 1s), true);
     relay.storeFailedAt = bootNow() - 400ms;
-    ASSERT_TRUE(query(5, 0ms).ok());
-    EXPECT_GE(context->storeFailedAt, relay.storeFailedAt - 300ms);
-    EXPECT_LE(context->storeFailedAt, relay.storeFailedAt);
+    EXPECT_EQ(query(5, 0ms).status().code(), absl::StatusCode::kUnavailable) << "its last call failed";
+    publishChanges(relay, platform_table::Configuration, changesTo(5, {}, bootNow()), false);
+    EXPECT_TRUE(query(5, 0ms).ok());
+    EXPECT_EQ(context->storeFailedAt, instant{});
+}
+
+// Guards against daemons that follow a relay and remove endpoints whose rows only expired during a store outage.
+TEST_F(feed_relay, a_follower_keeps_endpoints_whose_rows_expired_while_the_store_failed)
+{
+    bool fails = false;
+    storeScript = [&](const http_request &request, int) {
+        const auto held = endpointsAt(5, {"expired"}).rows[0];
+        const nlohmann::json row{{"key", held.key}, {"value", absl::Base64Escape(held.value)}, {"ver", 5}};
+        const nlohmann::json body{{"ver", 5}, {"rows", {row}}};
+        return scripted_answer{.bytes = wholeAnswer(request, fails ? 503 : 200, body.dump())};
+    };
+    for (int i = 0; i < 30; ++i) {
+        const std::string id = "peer-" + std::to_string(i);
+        context->members[id] = context->members["relay"];
+        context->peers[id] = {.serving = true};
+    }
+    publishChanges(relay, platform_table::Endpoints, changesTo(5, {}, bootNow()), true);
+    asio::co_spawn(loop, followEndpoints(*context), asio::detached);
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return context->endpoints.find("expired") != nullptr;
+        },
+        1s));
+    fails = true;
+    relay.storeFailedAt = bootNow(); // The follower asks the store itself.
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return context->storeFailedAt != instant{};
+        },
+        2s));
+    auto expired = endpointsAt(6, {"expired"});
+    expired.rows.front().removed = true;
+    publishChanges(relay, platform_table::Endpoints, expired, false);
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return context->feeds[static_cast<std::size_t>(platform_table::Endpoints)].history.version() == 6;
+        },
+        2s));
+    EXPECT_TRUE(context->endpoints.find("expired"));
+}
+
+// Guards against an endpoint that has left and is kept as if the store had failed, because the relay had been cut off from the store. Found on
+// ribbonwire-lace scale-2.
+TEST_F(feed_relay, a_relay_that_was_cut_off_keeps_no_endpoint_that_left)
+{
+    storeScript = [&](const http_request &request, int) {
+        const auto held = endpointsAt(5, {"left"}).rows[0];
+        const nlohmann::json row{{"key", held.key}, {"value", absl::Base64Escape(held.value)}, {"ver", 5}};
+        const nlohmann::json body{{"ver", 5}, {"rows", {row}}};
+        return scripted_answer{.bytes = wholeAnswer(request, 200, body.dump())};
+    };
+    for (int i = 0; i < 30; ++i) {
+        const std::string id = "peer-" + std::to_string(i);
+        context->members[id] = context->members["relay"];
+        context->peers[id] = {.serving = true};
+    }
+    publishChanges(relay, platform_table::Endpoints, changesTo(5, {}, bootNow()), true);
+    asio::co_spawn(loop, followEndpoints(*context), asio::detached);
+    const auto isListed = [&] {
+        return context->endpoints.find("left") != nullptr;
+    };
+    ASSERT_TRUE(runUntil(isListed, 1s));
+    relay.storeFailedAt = bootNow() - 1ms;
+    auto leaving = endpointsAt(6, {"left"});
+    leaving.rows.front().removed = true;
+    publishChanges(relay, platform_table::Endpoints, leaving, false);
+    EXPECT_TRUE(runUntil(
+        [&] {
+            return !isListed();
+        },
+        700ms));
 }
 
 // Guards against a daemon that concludes there are no changes when the relay is behind or no longer holds the requested history.
