Count only late crashes as failed trials of a suspect

A request or a common part of prompts that ran while a whole service ended, one endpoint after the other, had used up its trials at once and was refused for as long as it came.

Trials are 20 s and more after the last crash, so only crashes with such a pause before them count now.

Test: suspect_requests.tries_a_request_again_after_all_endpoints_have_crashed failed before.

--- a/src/serving/suspect_requests.cpp
+++ b/src/serving/suspect_requests.cpp
@@ -88,10 +88,21 @@
     return now - std::max(known.lastCrash, known.lastRefusal) <= tunables::suspectRefusalTime;
 }
 
-// Other daemons' trials show as crashes.
+// The failed trials of other daemons show as crashes that come long after the one before. Those of endpoints that end one after the other for a reason of
+// their own, of which there may be many, do not.
 int suspect_requests::failedTrials(const entry &known)
 {
-    return std::max(known.trials, static_cast<int>(known.crashes.size()) - static_cast<int>(maxCrashes));
+    std::vector<instant> times;
+    times.reserve(known.crashes.size());
+    for (const auto &[process, at] : known.crashes) {
+        times.push_back(at);
+    }
+    std::ranges::sort(times);
+    int late = 0;
+    for (std::size_t i = maxCrashes; i < times.size(); ++i) {
+        late += times[i] - times[i - 1] >= trialInterval ? 1 : 0;
+    }
+    return std::max(known.trials, late);
 }
 
 void suspect_requests::addCrash(entry &known, std::uint64_t process, instant at, instant now)
--- a/tests/suspect_requests_test.cpp
+++ b/tests/suspect_requests_test.cpp
@@ -91,6 +91,19 @@
     EXPECT_TRUE(suspects.startTrial("r", start + 62s));
 }
 
+// Guards against requests that are refused for good because many endpoints ended one after the other while they ran.
+TEST(suspect_requests, tries_a_request_again_after_all_endpoints_have_crashed)
+{
+    suspect_requests suspects;
+    const auto part = suspect_requests::partKey(9);
+    for (std::uint64_t process = 1; process <= 18; ++process) {
+        suspects.recordCrash("r", process, start + process * 200ms);
+        suspects.recordCrash(part, process, start + process * 200ms);
+    }
+    EXPECT_TRUE(suspects.startTrial("r", start + 25s));
+    EXPECT_TRUE(suspects.startTrial(part, start + 35s));
+}
+
 // Guards against a request that crashes an endpoint every 20 s for as long as it comes, at whichever daemon is asked and however long.
 TEST(suspect_requests, lets_a_request_through_three_times_over_its_life)
 {
