Free a body that is not complete as soon as its exchange has failed

Endless answers of a repeatable route time out at their first endpoint, so that their parts could use up the budget, and sound answers beside them were cut.

Nobody reads a part of a body. readAll() now frees it and its share unless the body is complete.

Test: http_client_test.a_body_that_breaks_off_is_not_kept failed before.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -425,21 +425,24 @@
 {
     while (true) {
         const auto state = co_await readSome(out);
-        if (m_overBudget) {
-            out = std::string();
-            co_return state;
-        }
-        if (state != exchange_state::InProgress) {
+        if (state == exchange_state::Complete) {
             if (m_held) {
                 m_held->complete();
             }
             co_return state;
         }
-        holdBytes(out.size());
-        if (out.size() > limit) {
+        if (state == exchange_state::InProgress && out.size() <= limit) {
+            holdBytes(out.size());
+            continue;
+        }
+        // Nobody reads a part of a body; while the request goes on elsewhere it would only use up the budget.
+        out = std::string();
+        m_held.reset();
+        if (state == exchange_state::InProgress) {
             cancel();
             co_return exchange_state::Malformed;
         }
+        co_return state;
     }
 }
 
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -114,7 +114,8 @@
     /// Waits for more of the body and appends it to `out`.
     task<exchange_state> readSome(std::string &out);
     /// Appends the rest of the body. Cancels the exchange and returns Malformed when `out` exceeds `limit` bytes, or when the budget of the pool is used
-    /// up and this body is the largest; `out` is empty then. The bytes count against the budget for the lifetime of the exchange.
+    /// up and this body is the largest. `out` is empty unless the result is Complete; then the bytes count against the budget for the lifetime of the
+    /// exchange.
     task<exchange_state> readAll(std::string &out, std::size_t limit);
     /// Counts bytes that the caller of readSome() keeps against the budget of the pool. If the budget is used up, the next read may return Malformed.
     void holdBytes(std::size_t bytes);
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -140,6 +140,34 @@
     EXPECT_EQ(received, "");
 }
 
+// Guards against parts of bodies that fill the budget while their requests go on elsewhere, so that sound answers are given up.
+TEST_F(http_client_test, a_body_that_breaks_off_is_not_kept)
+{
+    scripted_server server(loop, [](const http_request &, int) {
+        return scripted_answer{.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + std::string(100'000, 'x'), .close = true};
+    });
+    const exchange_options options{.deadline = bootNow() + 1s};
+    const auto current = std::make_shared<client_exchange>(context->pool, *parseAddress(server.address()), options);
+    const http_request request(http::verb::get, "/", 11);
+    std::optional<exchange_state> state;
+    std::string body;
+    asio::co_spawn(
+        loop,
+        [&]() -> task<void> {
+            co_await current->begin(request);
+            state = co_await current->readAll(body, 1U << 20U);
+        },
+        asio::detached);
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return state.has_value();
+        },
+        1s));
+    EXPECT_EQ(state, exchange_state::Lost);
+    EXPECT_EQ(body, "");
+    EXPECT_EQ(context->pool.bodies()->held(), 0U);
+}
+
 // Guards against bytes of an order that was given up and that arrive later.
 TEST_F(http_client_test, resets_the_connection_of_an_order_that_is_given_up)
 {
