Let odd figures in the record of the history delay no start but one

Found in a last reading: a time of the restore in the future made each later start wait for operator_rewrite_ms, and a version that nobody writes kept each start without keys for half a minute, until the next restore. A very large time also overflowed.

A version counts for half a minute after the restore, as that in the row of a member does after it is read. A time in the future is replaced by now, and the record is written with it.

Tests: platform_start_test.an_odd_record_delays_one_start and a_restore_in_the_future_is_corrected failed before.

--- a/src/serving/edge_context.cpp
+++ b/src/serving/edge_context.cpp
@@ -10,7 +10,6 @@
 namespace
 {
 
-constexpr auto configurationFloorTime = std::chrono::seconds(30); // Longer than others take to write again what the store has lost.
 constexpr double heldBodiesShare = 0.35; // Of the memory, for answers that are kept back until they are complete. While one grows, it may exist twice.
 constexpr auto keyMargin = std::chrono::milliseconds(300); // On a slow machine, a request may wait this long in its socket before it is read.
 
--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -70,6 +70,9 @@
 /// Call after an answer of the store: notes when another history of the store is met.
 void noteHistory(edge_context &context);
 
+/// How long the version that another daemon noted counts: longer than others take to write again what the store has lost.
+inline constexpr auto configurationFloorTime = std::chrono::seconds(30);
+
 /// Notes the version that a daemon held when it met the newest history of the store; 0 says nothing.
 void noteHeldConfiguration(edge_context &context, std::uint64_t version);
 
--- a/src/serving/history_record.cpp
+++ b/src/serving/history_record.cpp
@@ -3,6 +3,7 @@
 #include "transport/boot_clock.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace lacewinglock
@@ -14,6 +15,7 @@
 const std::string recordKey = "history";
 constexpr auto retryPause = std::chrono::milliseconds(150); // After a failed call, as for the other rows.
 constexpr auto checkInterval = std::chrono::milliseconds(250);
+constexpr std::chrono::milliseconds maxAge = std::chrono::hours(1); // Of a restore; older ones make no difference.
 
 // A row that is odd or names a later history than the store has is written anew.
 std::optional<history_record> readRecord(const edge_context &context, const std::optional<row> &stored)
@@ -37,10 +39,16 @@
     return context.configurationVouched && context.configuration ? context.configuration->version : 0;
 }
 
+std::int64_t storeClockMs(const edge_context &context)
+{
+    return std::max<std::int64_t>(0, context.platform.store.clockMs().value_or(0));
+}
+
 duration timeSinceRestore(const edge_context &context, const history_record &record)
 {
-    const std::int64_t clockMs = context.platform.store.clockMs().value_or(0);
-    return std::chrono::milliseconds(std::max<std::int64_t>(0, clockMs - *record.restoredAtMs));
+    const std::int64_t clockMs = storeClockMs(context);
+    const std::int64_t ageMs = std::max<std::int64_t>(0, clockMs - *record.restoredAtMs);
+    return std::chrono::milliseconds(std::min(ageMs, maxAge.count()));
 }
 
 void noteEarlierRestore(edge_context &context, const history_record &record, duration age)
@@ -64,11 +72,16 @@
     if (known && known->history == history) {
         // The clock of the daemon that wrote the record may be wrong.
         context.reportedBefore = std::max(context.reportedBefore, std::min(known->reportedBefore, currentWindow + 1));
+        history_record out = *known;
         if (known->restoredAtMs) {
-            noteEarlierRestore(context, *known, timeSinceRestore(context, *known));
-            noteHeldConfiguration(context, known->configuration);
+            const duration age = timeSinceRestore(context, *known);
+            noteEarlierRestore(context, *known, age);
+            // Later the version says nothing new, and an odd one must not delay each start.
+            if (age < configurationFloorTime) {
+                noteHeldConfiguration(context, known->configuration);
+            }
+            out.restoredAtMs = std::min(*known->restoredAtMs, storeClockMs(context)); // A time in the future would delay each start.
         }
-        history_record out = *known;
         out.configuration = std::max(out.configuration, out.restoredAtMs ? vouchedVersion(context) : 0);
         return out;
     }
@@ -76,7 +89,7 @@
     if (known) {
         noteEarlierRestore(context, *known, duration::zero());
         out.configuration = vouchedVersion(context);
-        out.restoredAtMs = context.platform.store.clockMs().value_or(0);
+        out.restoredAtMs = storeClockMs(context);
     }
     // Without a record, nothing is known of the windows before either.
     context.reportedBefore = std::max(context.reportedBefore, currentWindow);
@@ -129,7 +142,8 @@
     }
     history_record out{value["history"], value["reported_before"], value["configuration"]};
     if (isCount("restored_at_ms")) {
-        out.restoredAtMs = value["restored_at_ms"].get<std::int64_t>();
+        constexpr std::uint64_t max = std::numeric_limits<std::int64_t>::max();
+        out.restoredAtMs = static_cast<std::int64_t>(std::min(value["restored_at_ms"].get<std::uint64_t>(), max));
     }
     return out;
 }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -823,6 +823,26 @@
     EXPECT_TRUE(knowsKeys(500ms));
 }
 
+// Guards against starts that are slow for ever because of odd figures in the record.
+TEST_F(platform_start_test, an_odd_record_delays_one_start)
+{
+    records = recordRows({.history = 2, .configuration = 1'000'000, .restoredAtMs = nowMs - 60'000});
+    start();
+    EXPECT_TRUE(knowsKeys(500ms)) << "a version that nobody writes, noted a minute ago";
+}
+
+TEST_F(platform_start_test, a_restore_in_the_future_is_corrected)
+{
+    records = recordRows({.history = 2, .restoredAtMs = std::numeric_limits<std::int64_t>::max()});
+    start();
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return written.contains("history");
+        },
+        1s));
+    EXPECT_EQ(parseHistory(written["history"])->restoredAtMs, nowMs);
+}
+
 // Guards against a record that does not name the newest configuration, because a daemon that had none wrote it first.
 TEST_F(platform_start_test, a_daemon_that_lives_through_a_restore_notes_the_configuration_that_it_holds)
 {
