Note a restore also in a store whose copy is older than the first record

Found in a last reading: a daemon that had met both histories wrote a record without the restore when the copy had none, so that daemons which started later took the configuration of the copy for confirmed.

Test: platform_start_test.a_daemon_that_lives_through_a_restore_notes_it_in_ a_store_without_a_record failed before.

--- a/src/serving/history_record.cpp
+++ b/src/serving/history_record.cpp
@@ -88,6 +88,9 @@
     history_record out{.history = history};
     if (known) {
         noteEarlierRestore(context, *known, duration::zero());
+    }
+    // The copy may be older than the first record.
+    if (context.storeRestoredAt != instant{}) {
         out.configuration = vouchedVersion(context);
         out.restoredAtMs = storeClockMs(context);
     }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -843,6 +843,24 @@
     EXPECT_EQ(parseHistory(written["history"])->restoredAtMs, nowMs);
 }
 
+// Guards against a restore that is unknown to daemons that start later, because the copy is older than the first record.
+TEST_F(platform_start_test, a_daemon_that_lives_through_a_restore_notes_it_in_a_store_without_a_record)
+{
+    era = 1;
+    records = recordRows({.history = 1});
+    start();
+    ASSERT_TRUE(knowsKeys(500ms));
+    era = 2;
+    records = json::array();
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return written.contains("history");
+        },
+        1s));
+    EXPECT_EQ(parseHistory(written["history"])->restoredAtMs, nowMs);
+    EXPECT_EQ(parseHistory(written["history"])->configuration, 5U);
+}
+
 // Guards against a record that does not name the newest configuration, because a daemon that had none wrote it first.
 TEST_F(platform_start_test, a_daemon_that_lives_through_a_restore_notes_the_configuration_that_it_holds)
 {
