Keep the store's answers out of the budget for endpoints' bodies

Found in a last reading: a page of the store, often the only body that grew, was given up when complete answers of endpoints, read by slow callers, had used up the budget. The daemon would have lost the store, and with it its keys and endpoints.

Calls to the store are few and bounded by themselves, so they don't count.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -448,7 +448,7 @@
 
 void client_exchange::holdBytes(std::size_t bytes)
 {
-    if (bytes == 0 && !m_held) {
+    if (!m_options.countBody || (bytes == 0 && !m_held)) {
         return;
     }
     if (!m_held) {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -95,6 +95,8 @@
     duration minIdleTimeLeft = std::chrono::milliseconds(500); ///< Pooled connections that the server closes sooner are not used.
     /// Resets the connection when the exchange times out or is cancelled, so that bytes still in the send buffer do not arrive later.
     bool resetWhenAbandoned = false;
+    /// Counts the body that readAll() keeps against the budget of the pool. False for calls that must work while endpoints fill it.
+    bool countBody = true;
     /// Header field that identifies the request. Responses with another value are skipped. A response without it is accepted
     /// only as the first one of a connection, which is closed afterwards.
     std::string_view responseIdField;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -619,6 +619,21 @@
     EXPECT_FALSE(context->configuration->keys.contains("k1"));
 }
 
+// Guards against a daemon that loses the store because answers of endpoints have used up the budget for bodies.
+TEST_F(platform_store_test, answers_of_the_store_do_not_depend_on_those_of_endpoints)
+{
+    storeScript = [](const http_request &, int) {
+        return scripted_answer{.bytes = body({{"rows", {storedRow("a", std::string(200'000, 'x'), 1)}}, {"has-more", false}, {"ver", 1}})};
+    };
+    byte_share others(context->pool.bodies(), [] {
+    });
+    others.set(80U << 20U);
+    others.complete();
+    context->pool.bodies()->setLimit(80U << 20U);
+    EXPECT_TRUE(await(context->platform.store.read("a")).ok());
+    EXPECT_EQ(context->pool.bodies()->givenUp(), 0U);
+}
+
 // Guards against rows of two histories in one result.
 TEST_F(platform_store_test, a_restore_between_two_pages_fails_the_read)
 {
