Share the fixture code of the tests of relays and of restored stores

A last reading found the same lines in several tests. No assertion changes; the time to wait for a report is the shorter of the two that were used.

--- a/tests/edge_feed_test.cpp
+++ b/tests/edge_feed_test.cpp
@@ -95,6 +95,24 @@
         co_await sleepFor(10s);
     }
 
+    /// So many daemons of the domain that this one follows a relay; each address leads to the one that listens.
+    void addFollowers()
+    {
+        for (int i = 0; i < 30; ++i) {
+            const std::string id = "peer-" + std::to_string(i);
+            context->members[id] = context->members["relay"];
+            context->peers[id] = {.serving = true};
+        }
+    }
+
+    /// Bytes of a whole table of endpoints at version 5 with one row.
+    static std::string tableWith(const std::string &id)
+    {
+        const auto held = endpointsAt(5, {id}).rows[0];
+        const nlohmann::json row{{"key", held.key}, {"value", absl::Base64Escape(held.value)}, {"ver", 5}};
+        return nlohmann::json{{"ver", 5}, {"rows", {row}}}.dump();
+    }
+
     absl::StatusOr<table_changes> query(std::uint64_t version, duration wait)
     {
         absl::StatusOr<table_changes> result = absl::UnknownError("no response");
@@ -251,16 +269,9 @@
 {
     bool fails = false;
     storeScript = [&](const http_request &request, int) {
-        const auto held = endpointsAt(5, {"expired"}).rows[0];
-        const nlohmann::json row{{"key", held.key}, {"value", absl::Base64Escape(held.value)}, {"ver", 5}};
-        const nlohmann::json body{{"ver", 5}, {"rows", {row}}};
-        return scripted_answer{.bytes = wholeAnswer(request, fails ? 503 : 200, body.dump())};
+        return scripted_answer{.bytes = wholeAnswer(request, fails ? 503 : 200, tableWith("expired"))};
     };
-    for (int i = 0; i < 30; ++i) {
-        const std::string id = "peer-" + std::to_string(i);
-        context->members[id] = context->members["relay"];
-        context->peers[id] = {.serving = true};
-    }
+    addFollowers();
     publishChanges(relay, platform_table::Endpoints, changesTo(5, {}, bootNow()), true);
     asio::co_spawn(loop, followEndpoints(*context), asio::detached);
     ASSERT_TRUE(runUntil(
@@ -291,16 +302,9 @@
 TEST_F(feed_relay, a_relay_that_was_cut_off_keeps_no_endpoint_that_left)
 {
     storeScript = [&](const http_request &request, int) {
-        const auto held = endpointsAt(5, {"left"}).rows[0];
-        const nlohmann::json row{{"key", held.key}, {"value", absl::Base64Escape(held.value)}, {"ver", 5}};
-        const nlohmann::json body{{"ver", 5}, {"rows", {row}}};
-        return scripted_answer{.bytes = wholeAnswer(request, 200, body.dump())};
+        return scripted_answer{.bytes = wholeAnswer(request, 200, tableWith("left"))};
     };
-    for (int i = 0; i < 30; ++i) {
-        const std::string id = "peer-" + std::to_string(i);
-        context->members[id] = context->members["relay"];
-        context->peers[id] = {.serving = true};
-    }
+    addFollowers();
     publishChanges(relay, platform_table::Endpoints, changesTo(5, {}, bootNow()), true);
     asio::co_spawn(loop, followEndpoints(*context), asio::detached);
     const auto isListed = [&] {
@@ -345,11 +349,7 @@
         ++(feed ? waits : reads);
         return scripted_answer{.bytes = wholeAnswer(request, 200, R"({"ver":5,"rows":[]})"), .delay = feed ? 50ms : 0ms};
     };
-    for (int i = 0; i < 30; ++i) {
-        const std::string id = "peer-" + std::to_string(i);
-        context->members[id] = context->members["relay"];
-        context->peers[id] = {.serving = true};
-    }
+    addFollowers();
     ASSERT_EQ(feedRole(*context).relays.size(), 2U);
     publishChanges(relay, platform_table::Endpoints, changesTo(5, {}, bootNow()), true);
     asio::co_spawn(loop, followEndpoints(*context), asio::detached);
@@ -381,11 +381,7 @@
         waits += toView(request.target()).find("rows-feed") != std::string_view::npos ? 1 : 0;
         return scripted_answer{.bytes = wholeAnswer(request, 200, R"({"ver":5,"rows":[]})")};
     };
-    for (int i = 0; i < 30; ++i) {
-        const std::string id = "peer-" + std::to_string(i);
-        context->members[id] = context->members["relay"];
-        context->peers[id] = {.serving = true};
-    }
+    addFollowers();
     const duration bound = context->settings.configurationBound;
     ASSERT_LT(bound, context->settings.revokeBound);
     publishChanges(relay, platform_table::Configuration, changesTo(4, {}, bootNow()), true);
@@ -415,11 +411,7 @@
         answeredAt.push_back(bootNow());
         return scripted_answer{.bytes = wholeAnswer(request, 200, R"({"ver":5,"rows":[]})")};
     };
-    for (int i = 0; i < 30; ++i) {
-        const std::string id = "peer-" + std::to_string(i);
-        context->members[id] = context->members["relay"];
-        context->peers[id] = {.serving = true};
-    }
+    addFollowers();
     publishChanges(relay, platform_table::Endpoints, changesTo(4, {}, bootNow()), true);
     relayAnswers = 4; // Each after a wait of 0.3 s.
     asio::co_spawn(loop, followEndpoints(*context), asio::detached);
@@ -440,11 +432,7 @@
         const bool feed = toView(request.target()).find("rows-feed") != std::string_view::npos;
         return scripted_answer{.bytes = wholeAnswer(request, 200, R"({"ver":7,"rows":[]})"), .delay = feed ? 50ms : 0ms};
     };
-    for (int i = 0; i < 30; ++i) {
-        const std::string id = "peer-" + std::to_string(i);
-        context->members[id] = context->members["relay"];
-        context->peers[id] = {.serving = true};
-    }
+    addFollowers();
     asio::co_spawn(loop, followEndpoints(*context), asio::detached);
     const auto isAsked = [&] {
         const int before = relayRequests;
--- a/tests/usage_relay_test.cpp
+++ b/tests/usage_relay_test.cpp
@@ -164,6 +164,21 @@
         asio::co_spawn(loop, reportUsage(*context, lease), asio::detached);
     }
 
+    /// Takes the duties and expects that the first window which is reported is not before `window`. Run the loop no more afterwards.
+    void expectNoReportBefore(std::int64_t window)
+    {
+        std::map<std::int64_t, std::set<std::string>> reports;
+        recordReports(reports);
+        lease_runner lease(*context, "platform");
+        startDuties(lease);
+        ASSERT_TRUE(runUntil(
+            [&] {
+                return !reports.empty();
+            },
+            20s));
+        EXPECT_GE(reports.begin()->first, window);
+    }
+
     std::size_t storedRows(const std::string &prefix) const
     {
         return table.scan(prefix, 100000, "")->size();
@@ -409,18 +424,9 @@
 // Guards against the same by a daemon that knows nothing of the report.
 TEST_F(usage_relay_test, windows_before_a_restore_are_not_reported_by_another_daemon)
 {
-    std::map<std::int64_t, std::set<std::string>> reports;
-    recordReports(reports);
     context->storeRestoredAt = bootNow();
     const std::int64_t current = countAlone();
-    lease_runner lease(*context, "platform");
-    startDuties(lease);
-    ASSERT_TRUE(runUntil(
-        [&] {
-            return !reports.empty();
-        },
-        20s));
-    EXPECT_GE(reports.begin()->first, current);
+    expectNoReportBefore(current);
 }
 
 // Guards against the same while the followers have not read the restored tables yet: any answer of the store shows the other history.
@@ -430,19 +436,10 @@
     context->platform.store.history = [&history] {
         return history;
     };
-    std::map<std::int64_t, std::set<std::string>> reports;
-    recordReports(reports);
     const std::int64_t current = countAlone();
     noteHistory(*context);
     history = 2;
-    lease_runner lease(*context, "platform");
-    startDuties(lease);
-    ASSERT_TRUE(runUntil(
-        [&] {
-            return !reports.empty();
-        },
-        20s));
-    EXPECT_GE(reports.begin()->first, current);
+    expectNoReportBefore(current);
 }
 
 // Guards against the same by a daemon that was started after the restore, with all others: only the record in the copy shows that there was one.
@@ -450,17 +447,8 @@
 {
     storeRecord(1);
     startInHistory(2);
-    std::map<std::int64_t, std::set<std::string>> reports;
-    recordReports(reports);
     const std::int64_t current = countAlone();
-    lease_runner lease(*context, "platform");
-    startDuties(lease);
-    ASSERT_TRUE(runUntil(
-        [&] {
-            return !reports.empty();
-        },
-        25s));
-    EXPECT_GE(reports.begin()->first, current);
+    expectNoReportBefore(current);
     const auto record = parseHistory(table.read("history")->value().value);
     ASSERT_TRUE(record);
     EXPECT_EQ(record->history, 2U);
