--- a/tests/edge_feed_test.cpp
+++ b/tests/edge_feed_test.cpp
@@ -403,7 +403,7 @@
 }
 
 // Guards against a leaving that is learnt after the bound: a relay that is behind falls silent when the rows held are about to be too old, and the time that
-// it is waited for comes on top. Found on ribbonwire-lace scale-2.
+// it is waited for comes on top.
 TEST_F(feed_relay, a_silent_relay_does_not_make_the_rows_held_too_old)
 {
     std::vector<instant> answeredAt;
