--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -8,6 +8,7 @@
 #include "serving/prefix_index.h"
 #include "serving/retry_budget.h"
 #include "serving/serving_config.h"
+#include "serving/shared_sums.h"
 #include "serving/state_exchange.h"
 #include "serving/suspect_requests.h"
 #include "serving/usage_windows.h"
@@ -128,6 +129,7 @@
     endpoint_registry endpoints;
     prefix_index prefixBlocks; ///< Estimates which engines have which prefix blocks cached.
     retry_budget retryBudget;
+    shared_sums sums;
     suspect_requests suspects;
     usage_windows usage;
     std::int64_t reportedBefore = 0; ///< Windows before this one may have been reported although a restored store lacks their frozen rows.
