Back off from a store that fails, and let relays probe it

Cause: after a failed call each daemon retried every 150 ms, for two tables, the members and its usage.

--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "serving/feed_relay.h"
 #include "serving/peer_exchange.h"
+#include "serving/store_backoff.h"
 #include "transport/boot_clock.h"
 
 #include <absl/strings/str_cat.h>
@@ -22,7 +23,7 @@
 constexpr auto changeDelayPerDaemon = std::chrono::milliseconds(16); // The number of endpoints grows with the daemons, and so does the rate of changes.
 constexpr auto maxChangeDelay = std::chrono::milliseconds(400);
 constexpr auto fallbackStoreWait = std::chrono::milliseconds(50); // Of the request to the store after a relay failed or sent old data.
-constexpr auto retryPause = std::chrono::milliseconds(150); // After a failed call: seven calls per second and daemon, a small part of the store's rate.
+constexpr auto relayRetryPause = std::chrono::milliseconds(150); // Between two questions to the relays while the store fails them too.
 constexpr auto storeRecoveryTime = std::chrono::milliseconds(2500); // Running endpoints list themselves again within 2 s of the store's return.
 constexpr auto memberReadInterval = std::chrono::seconds(10); // Finds members whose summaries never arrive; the first summary of others causes a read.
 constexpr auto memberRewriteTime = std::chrono::seconds(5); // Within it, daemons that reach a restored store write their rows again.
@@ -237,6 +238,7 @@
     bool snapshot = true;
     std::uint64_t history = 0; // That the rows held belong to.
     feed_source source;
+    store_backoff backoff;
     while (true) {
         if (table == platform_table::Configuration) {
             while (context.membersUnread) {
@@ -247,13 +249,25 @@
         const auto role = feedRole(context);
         if (!snapshot && !role.relays.empty() && !std::exchange(source.queryStore, false)) {
             if (const auto relayed = co_await readFromRelay(context, table, handler, *version, role, source)) {
+                backoff.noteSuccess();
                 version = relayed->version;
                 source.verifiedAt = std::max(source.verifiedAt, relayed->requestedAt);
                 handler.apply(*relayed, table_scope::Changes);
                 publishChanges(context, table, *relayed, false);
                 continue;
             }
+            if (!backoff.isDue(bootNow())) {
+                source.queryStore = false;
+                co_await sleepFor(relayRetryPause);
+                continue;
+            }
         }
+        const bool hasRelays = !snapshot && !role.relays.empty();
+        const auto pauseAfterFailure = [&] {
+            const auto recovery = hasRelays ? store_recovery::Relayed : store_recovery::Probed;
+            const duration pause = backoff.noteFailure(recovery, context.jitter(), bootNow());
+            return sleepFor(hasRelays ? std::min<duration>(pause, relayRetryPause) : pause);
+        };
         absl::StatusOr<table_changes> answer = absl::UnknownError("no request was sent to the store");
         if (snapshot) {
             answer = co_await context.platform.store.readAll(table);
@@ -271,7 +285,7 @@
             } else {
                 noteStoreFailure(context, handler.name, answer.status(), failing);
             }
-            co_await sleepFor(retryPause);
+            co_await pauseAfterFailure();
             continue;
         }
         // An answer that is older than the rows held is stale.
@@ -280,10 +294,11 @@
                              handler.name,
                              absl::DataLossError(absl::StrCat("store answered with version ", answer->version, ", older than version ", *version)),
                              failing);
-            co_await sleepFor(retryPause);
+            co_await pauseAfterFailure();
             continue;
         }
         noteStoreSuccess(context, handler.name, failing);
+        backoff.noteSuccess();
         const bool restored = version && snapshot && history != context.platform.store.history();
         if (snapshot) {
             history = context.platform.store.history();
@@ -470,6 +485,11 @@
     bool readFailing = false;
     std::optional<std::uint64_t> history; // That the row was written to; none while it could not be written.
     start_wait wait;
+    store_backoff backoff;
+    const auto pauseAfterFailure = [&] {
+        const auto recovery = feedRole(context).relays.empty() ? store_recovery::Probed : store_recovery::Relayed;
+        return sleepFor(backoff.noteFailure(recovery, context.jitter(), bootNow()));
+    };
     const auto isLost = [&] {
         return history != context.platform.store.history();
     };
@@ -488,7 +508,7 @@
         if (!rows.ok()) {
             noteStoreFailure(context, "read_members", rows.status(), readFailing);
             context.membersUnread = context.membersUnread && mayWait(wait, context.platform.store.history());
-            co_await sleepFor(retryPause);
+            co_await pauseAfterFailure();
             continue;
         }
         noteStoreSuccess(context, "read_members", readFailing);
@@ -500,7 +520,9 @@
         updateMembers(context, std::move(members));
         context.unknownSender = false;
         if (!history) {
-            co_await sleepFor(retryPause);
+            co_await pauseAfterFailure();
+        } else {
+            backoff.noteSuccess();
         }
         const duration interval = context.membersUnread ? memberCheckInterval : memberReadInterval;
         while (!context.stopping && !isLost() && !context.unknownSender && bootNow() - readAt < interval) {
--- a/src/serving/usage_duty.cpp
+++ b/src/serving/usage_duty.cpp
@@ -1,5 +1,6 @@
 #include "serving/usage_duty.h"
 
+#include "serving/store_backoff.h"
 #include "serving/store_batch.h"
 #include "serving/usage_relay.h"
 #include "transport/boot_clock.h"
@@ -39,7 +40,8 @@
     return absl::StrFormat("%s%020d", std::string(frozenPrefix), window);
 }
 
-task<void> storeWindow(edge_context &context, usage_windows::change change)
+// Returns whether the counts have reached the store.
+task<bool> storeWindow(edge_context &context, usage_windows::change change)
 {
     const std::string key = absl::StrCat(windowPrefix(change.window), context.settings.id, "~", context.incarnation);
     row_write write{.key = key, .value = encodeUsage(change.usage)};
@@ -56,6 +58,7 @@
     } else {
         context.counters.count(metric_counter::StoreErrors);
     }
+    co_return outcome == commit_outcome::Committed;
 }
 
 // True when every member has stored its final counts of the window.
@@ -230,6 +233,7 @@
 {
     instant lastFullStore;
     std::uint64_t history = context.platform.store.history();
+    store_backoff backoff;
     while (true) {
         if (const auto newest = context.platform.store.history(); newest != history) {
             context.usage.markAllUnstored();
@@ -239,8 +243,13 @@
         const auto interval = std::max<duration>(minStoreInterval, storeIntervalPerDaemon * static_cast<int>(context.daemons()));
         const bool storeAll = bootNow() - lastFullStore >= interval;
         for (auto &change : context.usage.unstored(context.correctedTimeMs())) {
-            if (storeAll || change.usage.final) {
-                co_await storeWindow(context, std::move(change));
+            if (!(storeAll || change.usage.final) || !backoff.isDue(bootNow())) {
+                continue;
+            }
+            if (co_await storeWindow(context, std::move(change))) {
+                backoff.noteSuccess();
+            } else {
+                backoff.noteFailure(store_recovery::Relayed, context.jitter(), bootNow());
             }
         }
         if (storeAll) {
