Keep an entry that was removed in a short gap from the start of the gap only

Cause: an endpoint that leaves was used beyond the drain bound. A daemon whose last call to the store had failed kept removed entries for the drain bound less 600 ms from the moment at which it read the removal, although the removal was up to two seconds old by then. The calls 3,851 ms (bound 3,000) and 4,046 ms (bound 4,000) after a leaving fit this sum of delay and grace; a trace is still missing. Change: after a gap that is too short to let entries of running endpoints expire (2.4 s), the grace time counts from the last moment at which the rows were known to be the newest. Result: feed_relay.an_entry_removed_in_a_short_gap_is_kept_from_the_start_of_the_gap_only; to be run with and without the change.

--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -25,6 +25,9 @@
 constexpr auto fallbackStoreWait = std::chrono::milliseconds(50); // Of the request to the store after a relay failed or sent old data.
 constexpr auto relayRetryPause = std::chrono::milliseconds(150); // Between two questions to the relays while the store fails them too.
 constexpr auto storeRecoveryTime = std::chrono::milliseconds(2500); // Running endpoints list themselves again within 2 s of the store's return.
+// An outage that was shorter can't have made the entries of running endpoints expire: that takes three heartbeats of 1.2 s, and the last one may have been
+// sent just before.
+constexpr auto shortestExpiry = std::chrono::milliseconds(2400);
 constexpr auto memberReadInterval = std::chrono::seconds(10); // Finds members whose summaries never arrive; the first summary of others causes a read.
 constexpr auto memberRewriteTime = std::chrono::seconds(5); // Within it, daemons that reach a restored store write their rows again.
 constexpr auto maxStartDelay = std::chrono::seconds(2); // Of a daemon that starts, while rows of members are older than the history of the store.
@@ -89,7 +92,8 @@
 struct table_handler
 {
     std::string_view name; ///< The step in log lines.
-    std::function<void(const table_changes &, table_scope)> apply;
+    /// `heldUntil`: when the rows held before were known to be the newest.
+    std::function<void(const table_changes &, table_scope, instant heldUntil)> apply;
 };
 
 // A restored store may lack rows of daemons that are alive; they write them again as soon as they meet it.
@@ -251,8 +255,9 @@
             if (const auto relayed = co_await readFromRelay(context, table, handler, *version, role, source)) {
                 backoff.noteSuccess();
                 version = relayed->version;
+                const instant heldUntil = source.verifiedAt;
                 source.verifiedAt = std::max(source.verifiedAt, relayed->requestedAt);
-                handler.apply(*relayed, table_scope::Changes);
+                handler.apply(*relayed, table_scope::Changes, heldUntil);
                 publishChanges(context, table, *relayed, false);
                 continue;
             }
@@ -304,11 +309,11 @@
             history = context.platform.store.history();
         }
         version = answer->version;
-        source.verifiedAt = answer->requestedAt;
+        const instant heldUntil = std::exchange(source.verifiedAt, answer->requestedAt);
         if (table == platform_table::Configuration && !snapshot && !answer->rows.empty()) {
             context.configurationWrittenIn = history;
         }
-        handler.apply(*answer, restored ? table_scope::Restored : snapshot ? table_scope::Whole : table_scope::Changes);
+        handler.apply(*answer, restored ? table_scope::Restored : snapshot ? table_scope::Whole : table_scope::Changes, heldUntil);
         publishChanges(context, table, *answer, snapshot);
         snapshot = false;
         if (!answer->rows.empty()) {
@@ -369,9 +374,11 @@
     }
 }
 
-void applyEndpoints(edge_context &context, const table_changes &changes, table_scope scope)
+void applyEndpoints(edge_context &context, const table_changes &changes, table_scope scope, instant heldUntil)
 {
     const instant now = bootNow();
+    // After a short gap, the entry may have been removed because the endpoint leaves, and the drain bound has begun at any time of the gap.
+    const instant missingSince = now - heldUntil < shortestExpiry ? heldUntil : now;
     const auto isRecent = [now](instant event) {
         return event != instant{} && now - event < storeRecoveryTime;
     };
@@ -380,7 +387,7 @@
     for (const auto &changed : changes.rows) {
         if (changed.removed) {
             if (storeFailedRecently) {
-                context.endpoints.noteMissing(changed.key, now);
+                context.endpoints.noteMissing(changed.key, missingSince);
             } else {
                 context.endpoints.remove(changed.key, now);
             }
@@ -465,7 +472,7 @@
 
 task<void> followConfiguration(edge_context &context)
 {
-    table_handler handler{"follow_configuration", [&context](const table_changes &changes, table_scope scope) {
+    table_handler handler{"follow_configuration", [&context](const table_changes &changes, table_scope scope, instant /*heldUntil*/) {
                               applyConfiguration(context, changes, scope);
                           }};
     co_await follow(context, platform_table::Configuration, std::move(handler));
@@ -473,8 +480,8 @@
 
 task<void> followEndpoints(edge_context &context)
 {
-    table_handler handler{"follow_endpoints", [&context](const table_changes &changes, table_scope scope) {
-                              applyEndpoints(context, changes, scope);
+    table_handler handler{"follow_endpoints", [&context](const table_changes &changes, table_scope scope, instant heldUntil) {
+                              applyEndpoints(context, changes, scope, heldUntil);
                           }};
     co_await follow(context, platform_table::Endpoints, std::move(handler));
 }
--- a/tests/edge_feed_test.cpp
+++ b/tests/edge_feed_test.cpp
@@ -297,6 +297,48 @@
     EXPECT_TRUE(context->endpoints.find("expired"));
 }
 
+// Guards against an endpoint that leaves and is used beyond the drain bound, because a failed call had made the daemon read the removal late and count the
+// time that a lapsed entry is kept from then on.
+TEST_F(feed_relay, an_entry_removed_in_a_short_gap_is_kept_from_the_start_of_the_gap_only)
+{
+    bool fails = false;
+    storeScript = [&](const http_request &request, int) {
+        return scripted_answer{.bytes = wholeAnswer(request, fails ? 503 : 200, tableWith("leaving"))};
+    };
+    addFollowers();
+    publishChanges(relay, platform_table::Endpoints, changesTo(5, {}, bootNow()), true);
+    asio::co_spawn(loop, followEndpoints(*context), asio::detached);
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return context->endpoints.find("leaving") != nullptr;
+        },
+        1s));
+    fails = true;
+    relay.storeFailedAt = bootNow();
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return context->storeFailedAt != instant{};
+        },
+        2s));
+    const instant failedAt = bootNow();
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return bootNow() - failedAt > 300ms;
+        },
+        1s));
+    auto removed = endpointsAt(6, {"leaving"});
+    removed.rows.front().removed = true;
+    publishChanges(relay, platform_table::Endpoints, removed, false);
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return context->feeds[static_cast<std::size_t>(platform_table::Endpoints)].history.version() == 6;
+        },
+        2s));
+    const duration grace = 2s;
+    context->endpoints.expireMissing(failedAt + grace, grace);
+    EXPECT_FALSE(context->endpoints.find("leaving"));
+}
+
 // Guards against an endpoint that has left and is kept as if the store had failed, because the relay had been cut off from the store. Found on
 // ribbonwire-lace scale-2.
 TEST_F(feed_relay, a_relay_that_was_cut_off_keeps_no_endpoint_that_left)
