Test that a daemon with relays calls a failing store ever less often

Cause: the backoff had a test of its pure part only. Change: a follower whose relay reports failures is run for 3 s against a store that answers 503.

--- a/tests/edge_feed_test.cpp
+++ b/tests/edge_feed_test.cpp
@@ -297,6 +297,43 @@
     EXPECT_TRUE(context->endpoints.find("expired"));
 }
 
+// Guards against daemons that multiply the calls to a store in trouble: each of 75 called it every 150 ms for each table.
+TEST_F(feed_relay, a_follower_calls_a_failing_store_less_and_less_often)
+{
+    bool fails = false;
+    int failedCalls = 0;
+    storeScript = [&](const http_request &request, int) {
+        failedCalls += fails ? 1 : 0;
+        return scripted_answer{.bytes = wholeAnswer(request, fails ? 503 : 200, tableWith("engine"))};
+    };
+    addFollowers();
+    publishChanges(relay, platform_table::Endpoints, changesTo(5, {}, bootNow()), true);
+    asio::co_spawn(loop, followEndpoints(*context), asio::detached);
+    ASSERT_TRUE(runUntil(
+        [&] {
+            return context->endpoints.find("engine") != nullptr;
+        },
+        1s));
+    fails = true;
+    relay.storeFailedAt = bootNow() + 10s; // The relay reports that its calls fail.
+    runUntil(
+        [] {
+            return false;
+        },
+        3s);
+    EXPECT_GE(failedCalls, 2) << "a daemon finds out by itself if its relays alone are cut off";
+    EXPECT_LE(failedCalls, 7);
+    relay.storeFailedAt = instant{};
+    auto added = endpointsAt(6, {"added"});
+    publishChanges(relay, platform_table::Endpoints, added, false);
+    EXPECT_TRUE(runUntil(
+        [&] {
+            return context->endpoints.find("added") != nullptr;
+        },
+        600ms))
+        << "the first answer of the relay ends the pause";
+}
+
 // Guards against an endpoint that leaves and is used beyond the drain bound, because a failed call had made the daemon read the removal late and count the
 // time that a lapsed entry is kept from then on.
 TEST_F(feed_relay, an_entry_removed_in_a_short_gap_is_kept_from_the_start_of_the_gap_only)
