Ask the relay anew while the store fails

Cause: a daemon whose rows were older than the data of a relay may be gave its relay no time to answer, so that it heard of the store's return only from its own next call, up to 2.4 s later with the backoff. Change: while its own calls fail, a daemon asks the relay without a wait and without that bound; old data is still not used.

--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -206,15 +206,24 @@
     instant verifiedAt; ///< Time at which the rows held were the newest.
 };
 
+/// A question to a relay.
+struct relay_question
+{
+    std::uint64_t version = 0; ///< Of the rows held.
+    bool storeFails = false; ///< This daemon's calls to the store fail. The relay is asked whether its own succeed again, however old the rows are.
+};
+
 // Returns nothing when the relay fails or its data is too old.
 task<std::optional<table_changes>>
-readFromRelay(edge_context &context, platform_table table, const table_handler &handler, std::uint64_t version, const feed_role &role, feed_source &source)
+readFromRelay(edge_context &context, platform_table table, const table_handler &handler, relay_question question, const feed_role &role, feed_source &source)
 {
+    const std::uint64_t version = question.version;
     const auto bounds = feedBounds(context.settings, table);
     const std::string &relay = role.relays[source.relayTurn % role.relays.size()];
     // A relay that does not answer must not make the rows held older than the data of a relay may be.
-    const instant latest = source.verifiedAt + bounds.maxRelayDataAge;
-    auto answer = co_await queryRelay(context, relay, table, version, bounds.relayWait, latest);
+    const instant latest = question.storeFails ? instant::max() : source.verifiedAt + bounds.maxRelayDataAge;
+    const duration wait = question.storeFails ? duration::zero() : bounds.relayWait;
+    auto answer = co_await queryRelay(context, relay, table, version, wait, latest);
     context.counters.count(metric_counter::RelayReads);
     if (answer.ok() && bootNow() - answer->requestedAt <= bounds.maxRelayDataAge) {
         co_return *std::move(answer);
@@ -252,7 +261,8 @@
         }
         const auto role = feedRole(context);
         if (!snapshot && !role.relays.empty() && !std::exchange(source.queryStore, false)) {
-            if (const auto relayed = co_await readFromRelay(context, table, handler, *version, role, source)) {
+            const relay_question question{.version = *version, .storeFails = !backoff.isDue(bootNow())};
+            if (const auto relayed = co_await readFromRelay(context, table, handler, question, role, source)) {
                 backoff.noteSuccess();
                 version = relayed->version;
                 const instant heldUntil = source.verifiedAt;
