--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "serving/feed_relay.h"
 #include "serving/peer_exchange.h"
+#include "serving/store_backoff.h"
 #include "transport/boot_clock.h"
 
 #include <absl/strings/str_cat.h>
@@ -22,8 +23,11 @@
 constexpr auto changeDelayPerDaemon = std::chrono::milliseconds(16); // The number of endpoints grows with the daemons, and so does the rate of changes.
 constexpr auto maxChangeDelay = std::chrono::milliseconds(400);
 constexpr auto fallbackStoreWait = std::chrono::milliseconds(50); // Of the request to the store after a relay failed or sent old data.
-constexpr auto retryPause = std::chrono::milliseconds(150); // After a failed call: seven calls per second and daemon, a small part of the store's rate.
+constexpr auto relayRetryPause = std::chrono::milliseconds(150); // Between two questions to the relays while the store fails them too.
 constexpr auto storeRecoveryTime = std::chrono::milliseconds(2500); // Running endpoints list themselves again within 2 s of the store's return.
+// An outage that was shorter can't have made the entries of running endpoints expire: that takes three heartbeats of 1.2 s, and the last one may have been
+// sent just before.
+constexpr auto shortestExpiry = std::chrono::milliseconds(2400);
 constexpr auto memberReadInterval = std::chrono::seconds(10); // Finds members whose summaries never arrive; the first summary of others causes a read.
 constexpr auto memberRewriteTime = std::chrono::seconds(5); // Within it, daemons that reach a restored store write their rows again.
 constexpr auto maxStartDelay = std::chrono::seconds(2); // Of a daemon that starts, while rows of members are older than the history of the store.
@@ -88,7 +92,8 @@
 struct table_handler
 {
     std::string_view name; ///< The step in log lines.
-    std::function<void(const table_changes &, table_scope)> apply;
+    /// `heldUntil`: when the rows held before were known to be the newest.
+    std::function<void(const table_changes &, table_scope, instant heldUntil)> apply;
 };
 
 // A restored store may lack rows of daemons that are alive; they write them again as soon as they meet it.
@@ -201,15 +206,24 @@
     instant verifiedAt; ///< Time at which the rows held were the newest.
 };
 
+/// A question to a relay.
+struct relay_question
+{
+    std::uint64_t version = 0; ///< Of the rows held.
+    bool storeFails = false; ///< This daemon's calls to the store fail. The relay is asked whether its own succeed again, however old the rows are.
+};
+
 // Returns nothing when the relay fails or its data is too old.
 task<std::optional<table_changes>>
-readFromRelay(edge_context &context, platform_table table, const table_handler &handler, std::uint64_t version, const feed_role &role, feed_source &source)
+readFromRelay(edge_context &context, platform_table table, const table_handler &handler, relay_question question, const feed_role &role, feed_source &source)
 {
+    const std::uint64_t version = question.version;
     const auto bounds = feedBounds(context.settings, table);
     const std::string &relay = role.relays[source.relayTurn % role.relays.size()];
     // A relay that does not answer must not make the rows held older than the data of a relay may be.
-    const instant latest = source.verifiedAt + bounds.maxRelayDataAge;
-    auto answer = co_await queryRelay(context, relay, table, version, bounds.relayWait, latest);
+    const instant latest = question.storeFails ? instant::max() : source.verifiedAt + bounds.maxRelayDataAge;
+    const duration wait = question.storeFails ? duration::zero() : bounds.relayWait;
+    auto answer = co_await queryRelay(context, relay, table, version, wait, latest);
     context.counters.count(metric_counter::RelayReads);
     if (answer.ok() && bootNow() - answer->requestedAt <= bounds.maxRelayDataAge) {
         co_return *std::move(answer);
@@ -237,6 +251,7 @@
     bool snapshot = true;
     std::uint64_t history = 0; // That the rows held belong to.
     feed_source source;
+    store_backoff backoff;
     while (true) {
         if (table == platform_table::Configuration) {
             while (context.membersUnread) {
@@ -246,14 +261,28 @@
         }
         const auto role = feedRole(context);
         if (!snapshot && !role.relays.empty() && !std::exchange(source.queryStore, false)) {
-            if (const auto relayed = co_await readFromRelay(context, table, handler, *version, role, source)) {
+            const relay_question question{.version = *version, .storeFails = !backoff.isDue(bootNow())};
+            if (const auto relayed = co_await readFromRelay(context, table, handler, question, role, source)) {
+                backoff.noteSuccess();
                 version = relayed->version;
+                const instant heldUntil = source.verifiedAt;
                 source.verifiedAt = std::max(source.verifiedAt, relayed->requestedAt);
-                handler.apply(*relayed, table_scope::Changes);
+                handler.apply(*relayed, table_scope::Changes, heldUntil);
                 publishChanges(context, table, *relayed, false);
                 continue;
             }
+            if (!backoff.isDue(bootNow())) {
+                source.queryStore = false;
+                co_await sleepFor(relayRetryPause);
+                continue;
+            }
         }
+        const bool hasRelays = !snapshot && !role.relays.empty();
+        const auto pauseAfterFailure = [&] {
+            const auto recovery = hasRelays ? store_recovery::Relayed : store_recovery::Probed;
+            const duration pause = backoff.noteFailure(recovery, context.jitter(), bootNow());
+            return sleepFor(hasRelays ? std::min<duration>(pause, relayRetryPause) : pause);
+        };
         absl::StatusOr<table_changes> answer = absl::UnknownError("no request was sent to the store");
         if (snapshot) {
             answer = co_await context.platform.store.readAll(table);
@@ -271,7 +300,7 @@
             } else {
                 noteStoreFailure(context, handler.name, answer.status(), failing);
             }
-            co_await sleepFor(retryPause);
+            co_await pauseAfterFailure();
             continue;
         }
         // An answer that is older than the rows held is stale.
@@ -280,20 +309,21 @@
                              handler.name,
                              absl::DataLossError(absl::StrCat("store answered with version ", answer->version, ", older than version ", *version)),
                              failing);
-            co_await sleepFor(retryPause);
+            co_await pauseAfterFailure();
             continue;
         }
         noteStoreSuccess(context, handler.name, failing);
+        backoff.noteSuccess();
         const bool restored = version && snapshot && history != context.platform.store.history();
         if (snapshot) {
             history = context.platform.store.history();
         }
         version = answer->version;
-        source.verifiedAt = answer->requestedAt;
+        const instant heldUntil = std::exchange(source.verifiedAt, answer->requestedAt);
         if (table == platform_table::Configuration && !snapshot && !answer->rows.empty()) {
             context.configurationWrittenIn = history;
         }
-        handler.apply(*answer, restored ? table_scope::Restored : snapshot ? table_scope::Whole : table_scope::Changes);
+        handler.apply(*answer, restored ? table_scope::Restored : snapshot ? table_scope::Whole : table_scope::Changes, heldUntil);
         publishChanges(context, table, *answer, snapshot);
         snapshot = false;
         if (!answer->rows.empty()) {
@@ -354,9 +384,11 @@
     }
 }
 
-void applyEndpoints(edge_context &context, const table_changes &changes, table_scope scope)
+void applyEndpoints(edge_context &context, const table_changes &changes, table_scope scope, instant heldUntil)
 {
     const instant now = bootNow();
+    // After a short gap, the entry may have been removed because the endpoint leaves, and the drain bound has begun at any time of the gap.
+    const instant missingSince = now - heldUntil < shortestExpiry ? heldUntil : now;
     const auto isRecent = [now](instant event) {
         return event != instant{} && now - event < storeRecoveryTime;
     };
@@ -365,7 +397,7 @@
     for (const auto &changed : changes.rows) {
         if (changed.removed) {
             if (storeFailedRecently) {
-                context.endpoints.noteMissing(changed.key, now);
+                context.endpoints.noteMissing(changed.key, missingSince);
             } else {
                 context.endpoints.remove(changed.key, now);
             }
@@ -450,7 +482,7 @@
 
 task<void> followConfiguration(edge_context &context)
 {
-    table_handler handler{"follow_configuration", [&context](const table_changes &changes, table_scope scope) {
+    table_handler handler{"follow_configuration", [&context](const table_changes &changes, table_scope scope, instant /*heldUntil*/) {
                               applyConfiguration(context, changes, scope);
                           }};
     co_await follow(context, platform_table::Configuration, std::move(handler));
@@ -458,8 +490,8 @@
 
 task<void> followEndpoints(edge_context &context)
 {
-    table_handler handler{"follow_endpoints", [&context](const table_changes &changes, table_scope scope) {
-                              applyEndpoints(context, changes, scope);
+    table_handler handler{"follow_endpoints", [&context](const table_changes &changes, table_scope scope, instant heldUntil) {
+                              applyEndpoints(context, changes, scope, heldUntil);
                           }};
     co_await follow(context, platform_table::Endpoints, std::move(handler));
 }
@@ -470,6 +502,11 @@
     bool readFailing = false;
     std::optional<std::uint64_t> history; // That the row was written to; none while it could not be written.
     start_wait wait;
+    store_backoff backoff;
+    const auto pauseAfterFailure = [&] {
+        const auto recovery = feedRole(context).relays.empty() ? store_recovery::Probed : store_recovery::Relayed;
+        return sleepFor(backoff.noteFailure(recovery, context.jitter(), bootNow()));
+    };
     const auto isLost = [&] {
         return history != context.platform.store.history();
     };
@@ -488,7 +525,7 @@
         if (!rows.ok()) {
             noteStoreFailure(context, "read_members", rows.status(), readFailing);
             context.membersUnread = context.membersUnread && mayWait(wait, context.platform.store.history());
-            co_await sleepFor(retryPause);
+            co_await pauseAfterFailure();
             continue;
         }
         noteStoreSuccess(context, "read_members", readFailing);
@@ -500,7 +537,9 @@
         updateMembers(context, std::move(members));
         context.unknownSender = false;
         if (!history) {
-            co_await sleepFor(retryPause);
+            co_await pauseAfterFailure();
+        } else {
+            backoff.noteSuccess();
         }
         const duration interval = context.membersUnread ? memberCheckInterval : memberReadInterval;
         while (!context.stopping && !isLost() && !context.unknownSender && bootNow() - readAt < interval) {
