Hedging: decision, quantiles of response times, budget and settings

Cause: a few slow answers of endpoints that are slow for a while dominate the tail latency of requests that may run twice.

--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -421,6 +421,9 @@
         co_await reply.send(makeErrorResponse(context, refusal->status, refusal->code, refusal->message, refusal->retryAfterMs));
     } else {
         context.retryBudget.noteRequest(request.service, request.arrivedAt);
+        if (context.settings.hedgeRatio > 0) {
+            context.hedges.noteRequest(request.service, context.settings.hedgeRatio, request.arrivedAt);
+        }
         context.counters.change(metric_gauge::RequestsInFlight, 1);
         if (request.route->stream) {
             outcome = co_await forwardStream(context, request);
--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -4,6 +4,8 @@
 #include "serving/edge_settings.h"
 #include "serving/endpoint_registry.h"
 #include "serving/feed_history.h"
+#include "serving/hedge_budget.h"
+#include "serving/latency_quantiles.h"
 #include "serving/platform_port.h"
 #include "serving/prefix_index.h"
 #include "serving/retry_budget.h"
@@ -150,6 +152,9 @@
     std::array<relayed_table, 2> feeds; ///< Indexed by platform_table.
     std::shared_ptr<pending_batch> usageBatch; ///< Usage rows of the own failure domain that the next commit will write; null if there are none.
 
+    latency_quantiles latencies; ///< Of first attempts, for hedging; empty while it is off.
+    hedge_budget hedges; ///< Empty while hedging is off.
+
     bool stopping = false;
     instant stoppingSince; ///< Set when `stopping` is.
 };
--- a/src/serving/edge_settings.h
+++ b/src/serving/edge_settings.h
@@ -40,6 +40,8 @@
     double memoryMb = 260; ///< Of the machine; the process ends if it uses more.
     bool reportsUsage = true; ///< Takes part in the duty of reporting usage.
     bool ordersEndpoints = true; ///< Takes part in the duty of ordering endpoints.
+    double hedgeRatio = 0; ///< Highest share of extra requests for hedging, per service; 0: no hedging.
+    bool hedgeEvenServices = false; ///< Hedges also for services whose endpoints report no uneven pace.
 };
 
 /// Parses the JSON settings described in docs/OPERATIONS.md. Returns InvalidArgument, with the name of the field, when one is missing, unknown or invalid.
--- a/src/serving/endpoint_registry.cpp
+++ b/src/serving/endpoint_registry.cpp
@@ -15,6 +15,7 @@
 constexpr auto maxBackoff = std::chrono::seconds(2); // Bounds how long a recovered endpoint stays unused.
 constexpr auto leavingMemory = std::chrono::minutes(10); // A leaving process ends within its drain time, which is a matter of seconds.
 constexpr auto copiedEntryTime = std::chrono::seconds(6); // The store drops an entry after three heartbeats of silence, 3.6 s at the usual interval.
+constexpr auto unevenPaceMemory = std::chrono::seconds(60); // Endpoints that share their machines report again within seconds.
 constexpr double failureWeight = 0.1; // Weight of one attempt: about ten attempts distinguish a failing endpoint from a single failure.
 
 std::uint64_t hashOf(const endpoint_entry &entry)
@@ -198,6 +199,17 @@
     endpoint.failureRate += failureWeight * (failed - endpoint.failureRate);
 }
 
+void endpoint_registry::noteUnevenPace(std::string_view service, instant now)
+{
+    m_unevenPaceAt.insert_or_assign(std::string(service), now);
+}
+
+bool endpoint_registry::hasUnevenPace(std::string_view service, instant now) const
+{
+    const auto found = m_unevenPaceAt.find(service);
+    return found != m_unevenPaceAt.end() && now - found->second < unevenPaceMemory;
+}
+
 void endpoint_registry::setPeerLoad(const load_entry &entry)
 {
     if (entry.load == endpoint_load{}) {
--- a/src/serving/endpoint_registry.h
+++ b/src/serving/endpoint_registry.h
@@ -102,6 +102,11 @@
     /// Updates the failure rate and the connection backoff after an attempt.
     void noteResult(endpoint_state &endpoint, attempt_result result, instant now);
 
+    /// Records that an endpoint of the service has reported an uneven pace.
+    void noteUnevenPace(std::string_view service, instant now);
+    /// Whether an endpoint of the service has reported an uneven pace in the last 60 s.
+    bool hasUnevenPace(std::string_view service, instant now) const;
+
     /// Replaces the load that the other daemons have at an endpoint. That of an endpoint not listed yet is used once it is listed.
     void setPeerLoad(const load_entry &entry);
     /// Removes the loads of the other daemons.
@@ -123,6 +128,7 @@
     std::unordered_map<std::uint64_t, instant> m_removed; ///< Hashes of the processes that were removed, and when.
     std::map<std::string, copied_entry, std::less<>> m_copied; ///< Entries of removed processes that an older copy of the store lists, by id.
     std::unordered_map<std::uint64_t, endpoint_load> m_peerLoads; ///< Sums over the other daemons, also for endpoints that are not listed.
+    std::map<std::string, instant, std::less<>> m_unevenPaceAt; ///< Last report of an uneven pace, by service.
 };
 
 /// Counts a request in the load of an endpoint from its dispatch until it ends.
--- a/src/serving/retry_budget.cpp
+++ b/src/serving/retry_budget.cpp
@@ -44,14 +44,20 @@
 
 bool retry_budget::tryAcquire(std::string_view service, std::size_t daemons, instant now)
 {
-    auto &counts = currentUsage(service, now);
-    const double share = std::floor(m_limits.slack * usedFraction / static_cast<double>(std::max<std::size_t>(daemons, 1)));
-    const double allowed = share + std::floor(m_limits.ratio * usedFraction * static_cast<double>(counts.requests.size()));
-    if (static_cast<double>(counts.extraAttempts.size()) + 1 > allowed) {
+    const auto [used, allowed] = room(service, daemons, now);
+    if (used + 1 > allowed) {
         return false;
     }
-    counts.extraAttempts.push_back(now);
+    currentUsage(service, now).extraAttempts.push_back(now);
     return true;
 }
 
+retry_room retry_budget::room(std::string_view service, std::size_t daemons, instant now)
+{
+    const auto &counts = currentUsage(service, now);
+    const double share = std::floor(m_limits.slack * usedFraction / static_cast<double>(std::max<std::size_t>(daemons, 1)));
+    const double allowed = share + std::floor(m_limits.ratio * usedFraction * static_cast<double>(counts.requests.size()));
+    return {.used = static_cast<double>(counts.extraAttempts.size()), .allowed = allowed};
+}
+
 }
--- a/src/serving/retry_budget.h
+++ b/src/serving/retry_budget.h
@@ -19,6 +19,15 @@
     duration window = std::chrono::seconds(10); ///< Length of the sliding window.
 };
 
+/// Use of a retry budget in the current window.
+struct retry_room
+{
+    double used = 0; ///< Extra attempts.
+    double allowed = 0; ///< Extra attempts that are allowed altogether.
+
+    bool operator==(const retry_room &) const = default;
+};
+
 /// Retry budget of this daemon: limits, for each service, the attempts beyond the first of each request in a sliding window.
 ///
 /// It protects a failing service against retries that would multiply its load. The slack is divided by the number of daemons and rounded down.
@@ -32,6 +41,8 @@
     void noteRequest(std::string_view service, instant now);
     /// Takes one extra attempt from the budget. Returns false if none is left. `daemons` is the number of serving daemons.
     bool tryAcquire(std::string_view service, std::size_t daemons, instant now);
+    /// How much of the budget is used.
+    retry_room room(std::string_view service, std::size_t daemons, instant now);
 
 private:
     struct usage
--- a/src/state/metrics.cpp
+++ b/src/state/metrics.cpp
@@ -44,6 +44,10 @@
     {"lacewinglock_store_errors_total", ""},
     {"lacewinglock_peer_failures_total", ""},
     {"lacewinglock_poll_failures_total", ""},
+    {"lacewinglock_hedges_sent_total", ""},
+    {"lacewinglock_hedges_won_total", ""},
+    {"lacewinglock_hedges_lost_total", ""},
+    {"lacewinglock_hedges_over_budget_total", ""},
 }};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(metric_gauge::Count)> gaugeNames{
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -33,6 +33,10 @@
     StoreErrors,
     PeerFailures,
     PollFailures,
+    HedgesSent,
+    HedgesWon,
+    HedgesLost,
+    HedgesOverBudget,
     Count
 };
 
--- a/tests/edge_daemon_test.cpp
+++ b/tests/edge_daemon_test.cpp
@@ -83,6 +83,8 @@
     expectError(R"(,"capacity":0})", "capacity");
     expectError(R"(,"max_connections":-1})", "max_connections");
     expectError(R"(,"colour":"red"})", "colour");
+    expectError(R"(,"hedge_ratio":1.5})", "hedge_ratio");
+    expectError(R"(,"hedge_even_services":1})", "hedge_even_services");
     EXPECT_FALSE(parseEdgeSettings(R"({"id":"d"})").ok());
     EXPECT_FALSE(parseEdgeSettings("[]").ok());
 }
