Hedge repeatable calls, and resumable streams before their first event

A call_hedge runs a second exchange beside a slow first one: the first good answer ends the other, an error does not. Streams use the takeover of silent engines; a hedge wins with its first event and does not count against the engine that is left. With hedge_ratio 0 nothing of it is created.

Also: a stream that was taken over kept the deadline of its first event when another attempt was left, and was cut at its end; it now gets the deadline of the request.

--- a/src/serving/service_forward.cpp
+++ b/src/serving/service_forward.cpp
@@ -1,5 +1,6 @@
 #include "serving/caller_exchange.h"
 
+#include "serving/call_hedge.h"
 #include "serving/endpoint_turn.h"
 #include "serving/placement_log.h"
 #include "transport/boot_clock.h"
@@ -17,7 +18,6 @@
 
 constexpr double initialWorkMs = 50; // Used until the route has measured calls.
 constexpr double workSmoothing = 0.05; // Weight of a new sample in the moving mean, which thus covers about twenty calls.
-constexpr std::size_t maxAnswerBytes = 64U << 20U; // A larger answer would occupy a quarter of a small machine's memory.
 constexpr int maxUnreachableEndpoints = 4; // Endpoints that one request tries although they can't be reached.
 constexpr double attemptTimeoutFactor = 1.25; // A repeatable call is sent elsewhere after this multiple of the route's latency target.
 constexpr auto elsewhereRetryInterval = std::chrono::milliseconds(100); // Until it is tried again to send it elsewhere.
@@ -84,7 +84,8 @@
     });
 }
 
-task<attempt> send(edge_context &context, const caller_request &request, const endpoint_ptr &endpoint, const attempt_limit &limit, double predictedMs)
+task<attempt>
+send(edge_context &context, const caller_request &request, const endpoint_ptr &endpoint, const attempt_limit &limit, double predictedMs, hedged_call *hedged)
 {
     attempt out;
     const auto address = parseAddress(endpoint->entry.address);
@@ -107,16 +108,13 @@
     if (limit.mayGoElsewhere) {
         limitAttempt(timer, *out.exchange, limit, now + limit.time);
     }
-    out.state = co_await out.exchange->begin(makeForwardedRequest(context, request, endpoint->entry, now));
-    if (hasHead(out.state)) {
-        noteAnswer(context, *endpoint, out.exchange->head(), now);
+    if (hedged != nullptr) {
+        hedged->watch(out.exchange);
     }
-    if (out.state == exchange_state::InProgress) {
-        out.state = co_await out.exchange->readAll(out.body, maxAnswerBytes);
-        // The head alone proves that the call was not run.
-        if (out.state != exchange_state::Complete && out.state != exchange_state::Cancelled && isMarkedNotExecuted(context, out.exchange->head())) {
-            out.state = exchange_state::Complete;
-        }
+    auto message = makeForwardedRequest(context, request, endpoint->entry, now);
+    out.state = co_await callEndpoint(context, *out.exchange, endpoint, std::move(message), out.body);
+    if (hedged != nullptr) {
+        co_await hedged->settle(out.state);
     }
     request.reply->onDisconnect(nullptr);
     co_return out;
@@ -138,6 +136,15 @@
     }
 }
 
+// Of two failed attempts, a whole answer of an endpoint can be passed on. Otherwise the first attempt decides.
+bool isBetterFailure(const edge_context &context, const attempt &left, const attempt &right)
+{
+    const auto isWhole = [&](const attempt &each) {
+        return each.state == exchange_state::Complete && !isMarkedNotExecuted(context, each.exchange->head()) && isSealed(context, each.exchange->head());
+    };
+    return isWhole(left) && right.state != exchange_state::Cancelled && !isWhole(right);
+}
+
 }
 
 // Each iteration chooses an endpoint, sends the request and classifies the result. A call that may have run is sent again only when its route is
@@ -155,6 +162,29 @@
     double retryAfterMs = 250;
     http::status failure = http::status::service_unavailable;
     std::string_view code = "no_endpoint";
+    // The attempt of a pair that does not decide. If it was cancelled, it says nothing about its endpoint.
+    const auto noteOther = [&](const attempt &other, const endpoint_ptr &endpoint) {
+        const bool answered = other.state == exchange_state::Complete;
+        const bool notRun = answered && isMarkedNotExecuted(context, other.exchange->head());
+        if (other.state != exchange_state::Cancelled) {
+            const int status = answered ? other.exchange->head().result_int() : 0;
+            context.endpoints.noteResult(*endpoint, classifyResult(other.state, status, notRun), bootNow());
+        }
+        failedEndpoints.insert(endpoint->entry.id);
+        if (other.state == exchange_state::NotSent) {
+            ++unreachable;
+            return;
+        }
+        ++outcome.attempts;
+        if (!notRun && (other.state != exchange_state::Cancelled || other.exchange->requestSent())) {
+            mayHaveRun = true;
+            failure = other.state == exchange_state::TimedOut ? http::status::gateway_timeout : http::status::bad_gateway;
+            context.usage.countRequest(request.organisation, context.correctedTimeMs());
+        }
+        if (other.state == exchange_state::Lost) {
+            checkForCrash(context, *endpoint, request);
+        }
+    };
     while (outcome.attempts < route.maxAttempts && unreachable < maxUnreachableEndpoints && !request.reply->gone()) {
         const instant now = bootNow();
         const auto endpoints = context.endpoints.ofService(request.service);
@@ -178,29 +208,55 @@
             code = "retry_budget";
             break;
         }
-        const auto &endpoint = endpoints[static_cast<std::size_t>(placement.endpoint)];
+        auto endpoint = endpoints[static_cast<std::size_t>(placement.endpoint)];
+        std::optional<hedged_call> hedged; // Empty while hedging is off.
+        if (context.settings.hedgeRatio > 0 && route.repeatable) {
+            hedged.emplace(context, request, endpoint, outcome.attempts, failedEndpoints, [&](const auto &candidates, const auto &failed) {
+                return makePlacementInput(context, request, candidates, failed);
+            });
+        }
         const bool lastTry = outcome.attempts + 1 >= route.maxAttempts || !route.repeatable;
         bool nextAcquired = false;
         attempt_limit limit{.time = std::chrono::duration_cast<duration>(route.target * attemptTimeoutFactor)};
         if (!lastTry) {
             limit.mayGoElsewhere = [&] {
+                if (hedged && !hedged->mayGoElsewhere(limit.time)) {
+                    return false;
+                }
                 auto failed = failedEndpoints;
                 failed.insert(endpoint->entry.id);
+                if (const auto second = hedged ? hedged->second() : nullptr) {
+                    failed.insert(second->endpoint->entry.id);
+                }
                 const auto others = context.endpoints.ofService(request.service);
                 const auto next = placeService(makePlacementInput(context, request, others, failed));
                 nextAcquired = next.verdict != placement_verdict::Refuse && !crashesEndpoints(context, request)
                     && context.retryBudget.tryAcquire(request.service, context.daemons(), bootNow());
+                if (nextAcquired && hedged) {
+                    hedged->giveUp();
+                }
                 return nextAcquired;
             };
         }
         request.trialSent = request.isTrial;
-        auto result = co_await send(context, request, endpoint, limit, placement.predictedMs);
+        auto result = co_await send(context, request, endpoint, limit, placement.predictedMs, hedged ? &*hedged : nullptr);
         if (result.placeAgain) {
             ++unreachable;
             code = "endpoint_limited";
             continue;
         }
         last = std::move(result);
+        if (const auto second = hedged ? hedged->second() : nullptr) {
+            attempt other{.state = second->state, .exchange = second->exchange, .body = std::move(second->body)};
+            auto otherEndpoint = second->endpoint;
+            if (hedged->secondWon() || isBetterFailure(context, other, last)) {
+                std::swap(last, other);
+                std::swap(endpoint, otherEndpoint);
+            }
+            if (last.state != exchange_state::Cancelled) {
+                noteOther(other, otherEndpoint);
+            }
+        }
         const bool answered = last.state == exchange_state::Complete;
         const int status = answered ? last.exchange->head().result_int() : 0;
         const bool notRun = answered && isMarkedNotExecuted(context, last.exchange->head());
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -3,6 +3,7 @@
 #include "serving/body_kind.h"
 #include "serving/endpoint_turn.h"
 #include "serving/event_stream.h"
+#include "serving/hedge_watch.h"
 #include "serving/peer_exchange.h"
 #include "serving/placement_log.h"
 #include "serving/stream_takeover.h"
@@ -32,6 +33,7 @@
 constexpr auto takeoverRetryInterval = std::chrono::milliseconds(250); // Until another engine is looked for again.
 constexpr double minSpeedSampleTokens = 1000; // The time of a shorter prefill depends more on the network than on the engine.
 constexpr double slowdownSmoothing = 0.2; // Weight of a new sample: a slow engine shows after five prefills.
+constexpr int separatePrefillClass = 100; // Added to the size class: the first event then waits only for the KV transfer and a step.
 constexpr auto freeHandleTimeout = std::chrono::milliseconds(500);
 
 /// Serves one streaming request: places it, runs the prefill on a separate engine if placed so, forwards the events, and retries or resumes.
@@ -60,7 +62,14 @@
     void logDecision(const generation_input &input, const generation_result &placement) const;
     /// Looks for an engine to take the stream over when no event has arrived at the end of `time`.
     void watchForSilence(std::shared_ptr<client_exchange> exchange, const endpoint_ptr &engine, duration time);
-    void startTakeover(const std::shared_ptr<client_exchange> &exchange);
+    /// Sends the stream to another engine too, or to `hedgeAt` before the first event if that is not empty. Returns false if it is not sent.
+    bool startTakeover(const std::shared_ptr<client_exchange> &exchange, std::string_view hedgeAt = {});
+    /// Sends the stream to a second engine if the first event comes late and hedging is on.
+    void watchForHedge(std::shared_ptr<client_exchange> exchange, const endpoint_ptr &engine, bool separatePrefill);
+    std::optional<hedge_choice> placeHedge(const std::function<bool(const endpoint_state &)> &mayTake) const;
+    void endHedge(hedge_end result);
+    /// Counts the failure of an engine, unless its exchange was cancelled for a hedge.
+    void noteFailure(const endpoint_ptr &engine, attempt_result result);
     /// Counts a takeover that has failed or is given up.
     void dropTakeover();
     /// Waits for a takeover that is under way. Returns whether its engine has begun to answer.
@@ -72,8 +81,8 @@
     /// Updates the engine's slowdown from the time of a prefill, unless the prefill was queued behind others or too short.
     void updateSlowdown(const endpoint_ptr &engine, bool wasQueued, double tokens, double elapsedMs) const;
     bool mayRetry() const;
-    /// Notes the engine whose exchange was cancelled for a takeover.
-    void noteIfLeft(const endpoint_ptr &engine, exchange_state state);
+    /// Notes the result of an engine whose stream may be taken over, and whether its exchange was cancelled for that.
+    void noteIfLeft(const endpoint_ptr &engine, const client_exchange &exchange, exchange_state state);
     /// Leaves the engine that was silent as the only choice. Returns false if there is none.
     bool returnToSilentEngine();
     /// Acquires a retry from the budget, unless `acquired` says that one is left from a request that was not sent.
@@ -99,6 +108,11 @@
     bool m_awaitsHead = false; ///< The attempt under way is not counted in m_outcome yet.
     timeout m_silence;
     std::shared_ptr<stream_takeover> m_takeover; ///< Null if none is under way.
+    std::optional<hedge_watch> m_hedge; ///< Empty while hedging is off.
+    std::string m_readAhead; ///< Bytes of the stream that were read before it was taken over.
+    bool m_leftForHedge = false; ///< The exchange under way was cancelled for a hedge that failed later.
+    bool m_leftAfterSending = false; ///< The engine that was left had the whole request.
+    attempt_result m_leftResult = attempt_result::NoAnswer; ///< How the exchange of the engine ended whose stream is taken over.
 };
 
 stream_session::stream_session(edge_context &context, caller_request &request)
@@ -155,10 +169,17 @@
     return (m_outcome.attempts < m_route.maxAttempts || !m_silentEngine.empty()) && (!m_mayHaveRun || m_route.resumable);
 }
 
-void stream_session::noteIfLeft(const endpoint_ptr &engine, exchange_state state)
+void stream_session::noteIfLeft(const endpoint_ptr &engine, const client_exchange &exchange, exchange_state state)
 {
+    const bool refused = hasHead(state) && isMarkedNotExecuted(m_context, exchange.head());
+    m_leftResult = refused                  ? attempt_result::Rejected
+        : state == exchange_state::NotSent  ? attempt_result::Unreachable
+        : hasHead(state)                    ? attempt_result::Failed
+        : state == exchange_state::TimedOut ? attempt_result::NoAnswer
+                                            : attempt_result::ConnectionLost;
     if (state == exchange_state::Cancelled) {
         m_silentEngine = engine->entry.id;
+        m_leftAfterSending = exchange.requestSent();
     }
 }
 
@@ -295,6 +316,7 @@
     });
     m_outcome.endpoint = engine->entry.id;
     watchForSilence(exchange, engine, firstEventTimeout + std::chrono::milliseconds(std::lround(2 * placement.firstEventMs)));
+    watchForHedge(exchange, engine, prefillEngine != nullptr);
     exchange_state state = exchange_state::NotSent;
     {
         const answer_deadline answerDeadline(engine, now + std::chrono::milliseconds(std::lround(3 * placement.firstEventMs + 100)));
@@ -321,6 +343,7 @@
     }
     m_silence.cancel();
     dropTakeover();
+    endHedge(m_request.reply->gone() ? hedge_end::CallerGone : hedge_end::FirstFailed);
     m_request.reply->onDisconnect(nullptr);
     co_return result;
 }
@@ -351,25 +374,87 @@
     });
 }
 
-void stream_session::startTakeover(const std::shared_ptr<client_exchange> &exchange)
+void stream_session::watchForHedge(std::shared_ptr<client_exchange> exchange, const endpoint_ptr &engine, bool separatePrefill)
 {
-    if (m_request.reply->gone() || bootNow() >= m_request.deadline || crashesEndpoints(m_context, m_request)) {
+    m_leftForHedge = false;
+    if (!(m_context.settings.hedgeRatio > 0) || !m_route.resumable || m_streaming) {
         return;
     }
+    if (!m_hedge) {
+        m_hedge.emplace(m_context, m_request);
+    }
+    const int size = sizeClass(m_prompt ? m_prompt->promptTokens : 0) + (separatePrefill ? separatePrefillClass : 0);
+    m_hedge->start(engine,
+                   size,
+                   maxTakeoverOverlap,
+                   {
+                       .attempts =
+                           [this] {
+                               return m_outcome.attempts + (m_awaitsHead ? 1 : 0);
+                           },
+                       .hasFailed =
+                           [this](const std::string &id) {
+                               return m_failed.contains(id);
+                           },
+                       .place =
+                           [this](const auto &mayTake) {
+                               return placeHedge(mayTake);
+                           },
+                       .send =
+                           [this, exchange = std::move(exchange)](const hedge_choice &choice) {
+                               return !m_takeover && startTakeover(exchange, choice.endpoint->entry.id);
+                           },
+                   });
+}
+
+std::optional<hedge_choice> stream_session::placeHedge(const std::function<bool(const endpoint_state &)> &mayTake) const
+{
+    const auto engines = m_context.endpoints.ofService(m_request.service);
+    auto input = makePlacementInput(engines);
+    input.mayDisaggregate = false;
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+        input.engines[i].excluded = input.engines[i].excluded || input.engines[i].heldMs > 0 || !mayTake(*engines[i]);
+    }
+    const auto placement = placeGeneration(input, m_context.settings.engines);
+    if (placement.decodeIndex < 0) {
+        return std::nullopt;
+    }
+    return hedge_choice{engines[static_cast<std::size_t>(placement.decodeIndex)], placement.firstEventMs};
+}
+
+void stream_session::endHedge(hedge_end result)
+{
+    if (m_hedge) {
+        m_hedge->end(result);
+    }
+}
+
+void stream_session::noteFailure(const endpoint_ptr &engine, attempt_result result)
+{
+    if (!std::exchange(m_leftForHedge, false)) {
+        m_context.endpoints.noteResult(*engine, result, bootNow());
+    }
+}
+
+bool stream_session::startTakeover(const std::shared_ptr<client_exchange> &exchange, std::string_view hedgeAt)
+{
+    if (m_request.reply->gone() || bootNow() >= m_request.deadline || crashesEndpoints(m_context, m_request)) {
+        return false;
+    }
     const auto engines = m_context.endpoints.ofService(m_request.service);
     auto input = makePlacementInput(engines);
     input.mayDisaggregate = false;
     for (auto &candidate : input.engines) {
-        candidate.excluded = candidate.excluded || candidate.heldMs > 0 || candidate.id == m_outcome.endpoint;
+        candidate.excluded = candidate.excluded || candidate.heldMs > 0 || candidate.id == m_outcome.endpoint || (!hedgeAt.empty() && candidate.id != hedgeAt);
     }
     const auto placement = placeGeneration(input, m_context.settings.engines);
     if (placement.decodeIndex < 0 || !acquireRetry(m_retryAcquired)) {
-        return;
+        return false;
     }
     const auto &engine = engines[static_cast<std::size_t>(placement.decodeIndex)];
     const auto address = parseAddress(engine->entry.address);
     if (!address.ok() || !takeTurnNow(m_context, *engine)) {
-        return;
+        return false;
     }
     m_retryAcquired = false;
     logDecision(input, placement);
@@ -392,10 +477,14 @@
         other->cancel();
     });
     notePrefixBlocks(engine);
-    auto line = m_context.line("takeover");
-    line.add("id", m_request.id).add("silent", m_outcome.endpoint).add("endpoint", engine->entry.id);
-    m_context.log.write(line);
+    m_takeover->isHedge = !hedgeAt.empty();
+    if (!m_takeover->isHedge) {
+        auto line = m_context.line("takeover");
+        line.add("id", m_request.id).add("silent", m_outcome.endpoint).add("endpoint", engine->entry.id);
+        m_context.log.write(line);
+    }
     spawnBackground(m_context.loop, runTakeover(m_context, m_takeover, std::move(message), exchange), "take_stream_over");
+    return true;
 }
 
 void stream_session::dropTakeover()
@@ -422,6 +511,12 @@
     ++m_outcome.attempts;
     const bool refused = takeover->ended && hasHead(takeover->state) && isMarkedNotExecuted(m_context, takeover->exchange->head());
     m_mayHaveRun = m_mayHaveRun || !refused;
+    if (takeover->isHedge) {
+        m_leftForHedge = takeover->committed;
+        if (!refused) {
+            m_context.usage.countRequest(m_request.organisation, m_context.correctedTimeMs());
+        }
+    }
 }
 
 task<bool> stream_session::isTakenOver()
@@ -441,9 +536,19 @@
 task<stream_session::step> stream_session::adoptTakeover(const endpoint_ptr &silentEngine)
 {
     const auto takeover = std::exchange(m_takeover, nullptr);
-    m_context.endpoints.noteResult(*silentEngine, attempt_result::NoAnswer, bootNow());
+    const bool left = m_silentEngine == silentEngine->entry.id;
+    if (!takeover->isHedge) {
+        m_context.endpoints.noteResult(*silentEngine, attempt_result::NoAnswer, bootNow());
+    } else if (!left) {
+        m_context.endpoints.noteResult(*silentEngine, m_leftResult, bootNow());
+    } else if (m_leftAfterSending) {
+        m_context.usage.countRequest(m_request.organisation, m_context.correctedTimeMs());
+    }
+    endHedge(!takeover->isHedge ? hedge_end::FirstUnanswered : left ? hedge_end::SecondAnswered : hedge_end::SecondAfterFailure);
     m_failed.insert(silentEngine->entry.id);
     m_outcome.endpoint = takeover->engine->entry.id;
+    m_readAhead = std::move(takeover->received);
+    takeover->exchange->setDeadline(m_request.deadline); // The limit of the first event has served its purpose.
     m_request.reply->onDisconnect([exchange = takeover->exchange] {
         exchange->cancel();
     });
@@ -539,7 +644,7 @@
     const bool streams = hasHead(state) && !isMarkedNotExecuted(m_context, exchange->head()) && exchange->head().result() == http::status::ok
         && isSealed(m_context, exchange->head()) && (!m_streaming || bodyKind(exchange->head()) != body_kind::Other);
     const bool taken = !streams && co_await isTakenOver();
-    noteIfLeft(engine, state);
+    noteIfLeft(engine, *exchange, state);
     if (taken) {
         if (state == exchange_state::Lost) {
             checkForCrash(m_context, *engine, m_request);
@@ -580,7 +685,8 @@
     m_mayHaveRun = true;
     if (!answered) {
         const bool silent = state == exchange_state::TimedOut;
-        m_context.endpoints.noteResult(*engine, silent ? attempt_result::NoAnswer : attempt_result::ConnectionLost, now);
+        endHedge(silent ? hedge_end::FirstUnanswered : hedge_end::FirstFailed);
+        noteFailure(engine, silent ? attempt_result::NoAnswer : attempt_result::ConnectionLost);
         if (!silent) {
             checkForCrash(m_context, *engine, m_request);
         }
@@ -620,11 +726,13 @@
 stream_session::forwardEvents(std::shared_ptr<client_exchange> exchange, exchange_state state, const endpoint_ptr &engine, load_reservation &reservation)
 {
     event_splitter events;
-    std::string received;
+    std::string received = std::exchange(m_readAhead, std::string());
+    events.feed(received);
+    bool readsMore = received.empty();
     bool first = true;
     bool continues = !m_lastEventId; // A resumed stream goes on with an event after the last one.
     while (true) {
-        if (state == exchange_state::InProgress) {
+        if (state == exchange_state::InProgress && std::exchange(readsMore, true)) {
             received.clear();
             state = co_await exchange->readSome(received);
             events.feed(received);
@@ -654,6 +762,7 @@
         if (!ready.empty()) {
             if (first) {
                 first = false;
+                endHedge(hedge_end::FirstAnswered);
                 noteFirstEvent(engine, reservation);
             }
             m_silence.cancel(); // The engine is not silent while the caller takes the events.
@@ -694,7 +803,7 @@
     }
     const bool broken = state == exchange_state::Lost || state == exchange_state::Malformed;
     const bool taken = co_await isTakenOver();
-    noteIfLeft(engine, state);
+    noteIfLeft(engine, *exchange, state);
     if (taken) {
         if (broken) {
             checkForCrash(m_context, *engine, m_request);
@@ -706,7 +815,8 @@
         co_return step::Done;
     }
     const bool silent = state == exchange_state::TimedOut || state == exchange_state::Cancelled; // Cancelled for an engine that failed later.
-    m_context.endpoints.noteResult(*engine, silent ? attempt_result::NoAnswer : attempt_result::ConnectionLost, now);
+    endHedge(silent ? hedge_end::FirstUnanswered : hedge_end::FirstFailed);
+    noteFailure(engine, silent ? attempt_result::NoAnswer : attempt_result::ConnectionLost);
     if (!silent) {
         checkForCrash(m_context, *engine, m_request);
     }
--- a/src/serving/stream_takeover.cpp
+++ b/src/serving/stream_takeover.cpp
@@ -2,6 +2,7 @@
 
 #include "serving/body_kind.h"
 #include "serving/caller_exchange.h"
+#include "serving/event_stream.h"
 #include "transport/boot_clock.h"
 
 #include <absl/cleanup/cleanup.h>
@@ -32,6 +33,29 @@
     }
 }
 
+constexpr std::size_t maxFirstEventBytes = 1U << 20U; // Of an event, as for streams that are passed on.
+
+// Returns whether a whole event has arrived.
+task<bool> readFirstEvent(std::shared_ptr<stream_takeover> takeover)
+{
+    event_splitter events;
+    while (takeover->state == exchange_state::InProgress) {
+        std::string bytes;
+        takeover->state = co_await takeover->exchange->readSome(bytes);
+        events.feed(bytes);
+        takeover->received += bytes;
+        if (events.next()) {
+            co_return true;
+        }
+        takeover->exchange->holdBytes(events.partialBytes());
+        if (events.partialBytes() > maxFirstEventBytes) {
+            takeover->exchange->cancel();
+            takeover->state = exchange_state::Malformed;
+        }
+    }
+    co_return false;
+}
+
 // The action refers to the takeover weakly, because the takeover owns the timer.
 void limitOverlap(const std::shared_ptr<stream_takeover> &takeover, const std::shared_ptr<client_exchange> &silent, duration time)
 {
@@ -60,14 +84,19 @@
     });
     limitOverlap(takeover, silent, maxTakeoverOverlap);
     takeover->state = co_await takeover->exchange->begin(message);
+    bool streams = false;
+    if (hasHead(takeover->state) && !takeover->dropped) {
+        noteAnswer(context, *takeover->engine, takeover->exchange->head(), sentAt);
+        streams = isStream(context, takeover->exchange->head());
+        if (streams && takeover->isHedge) {
+            streams = co_await readFirstEvent(takeover);
+        }
+    }
     takeover->overlap.cancel();
     if (takeover->dropped) {
         co_return;
     }
-    if (hasHead(takeover->state)) {
-        noteAnswer(context, *takeover->engine, takeover->exchange->head(), sentAt);
-        takeover->begun = isStream(context, takeover->exchange->head());
-    }
+    takeover->begun = streams;
     if (takeover->begun) {
         takeover->committed = true;
         silent->cancel();
--- a/src/serving/stream_takeover.h
+++ b/src/serving/stream_takeover.h
@@ -4,6 +4,7 @@
 #include "transport/timeout.h"
 
 #include <memory>
+#include <string>
 
 namespace lacewinglock
 {
@@ -32,12 +33,15 @@
     bool dropped = false; ///< The silent engine has gone on, or the request has ended.
     asio::steady_timer changed; ///< Cancelled when `ended` is set.
     timeout overlap;
+    bool isHedge = false; ///< Sent before the first engine is silent for long. The first engine to send an event serves the stream.
+    std::string received; ///< Bytes of the stream of a hedge, up to the first event.
 };
 
 /// Two engines must not work on one request for longer.
 inline constexpr auto maxTakeoverOverlap = std::chrono::milliseconds(300);
 
-/// Sends the request to the engine of the takeover and waits for the head of its response.
+/// Sends the request to the engine of the takeover and waits for the head of its response, for a hedge also for the first event: its first engine is not
+/// silent for long yet, so a head alone does not outdo it.
 task<void> runTakeover(edge_context &context, std::shared_ptr<stream_takeover> takeover, http_request message, std::shared_ptr<client_exchange> silent);
 
 /// Waits until the takeover has ended.
