Hedge no requests because of a pause of this process

Cause: after a pause the checks of all waiting requests are due, although their answers have arrived unread. Change: a check that is more than 50 ms late is put off by 50 ms.

--- a/src/serving/hedge_watch.cpp
+++ b/src/serving/hedge_watch.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr auto checkInterval = std::chrono::milliseconds(50); // While no endpoint has room. Slots of plain calls free up within 30 to 60 ms.
+constexpr auto maxTimerDelay = std::chrono::milliseconds(50); // A check that is later than this shows that the process did not run.
 
 std::string_view winnerOf(hedge_end result)
 {
@@ -92,8 +93,13 @@
 
 void hedge_watch::checkAfter(duration time)
 {
-    m_timer.start(time, [this] {
-        check();
+    m_timer.start(time, [this, due = bootNow() + time] {
+        // Answers that arrived while the process did not run are read first. Otherwise a pause would send hedges for all requests.
+        if (bootNow() - due > maxTimerDelay) {
+            checkAfter(checkInterval);
+        } else {
+            check();
+        }
     });
 }
 
--- a/tests/hedge_forward_test.cpp
+++ b/tests/hedge_forward_test.cpp
@@ -1,5 +1,7 @@
 #include "edge_fixture.h"
 
+#include <thread>
+
 namespace lacewinglock
 {
 
@@ -46,7 +48,7 @@
     }
 
     /// Starts `count` endpoints; request number i is answered by `script` i, whichever endpoint it reaches.
-    void startEndpoints(const serving_route &route, std::vector<scripted_server::script> scripts, int count = 2)
+    void startEndpoints(const serving_route &route, const std::vector<scripted_server::script> &scripts, int count = 2)
     {
         const auto &service = route.services[0].service;
         for (int i = 0; i < count; ++i) {
@@ -66,7 +68,7 @@
         }
     }
 
-    static scripted_server::script answer(int status, std::string body, std::chrono::milliseconds delay = 0ms, std::string fields = "")
+    static scripted_server::script answer(int status, const std::string &body, std::chrono::milliseconds delay = 0ms, const std::string &fields = "")
     {
         return [=](const http_request &request, int) {
             return scripted_answer{.bytes = wholeAnswer(request, status, body, fields), .delay = delay};
@@ -280,6 +282,28 @@
     EXPECT_EQ(counted("over_budget"), 2U);
 }
 
+// Guards against hedges of all requests after a pause of this process, although their answers have arrived.
+TEST_F(hedge_forward, a_pause_of_this_process_causes_no_hedge)
+{
+    startEndpoints(callRoute(), {answer(200, "first", 60ms), answer(200, "second")});
+    caller_result result;
+    bool done = false;
+    startCall(get("/read/1"), result, done);
+    runUntil(
+        [&] {
+            return askedAt.size() == 1;
+        },
+        1s);
+    std::this_thread::sleep_for(150ms);
+    runUntil(
+        [&] {
+            return done;
+        },
+        1s);
+    EXPECT_EQ(result.body, "first");
+    EXPECT_EQ(askedAt.size(), 1U);
+}
+
 // Guards against a call that waits for two silent endpoints although its route allows a third one.
 TEST_F(hedge_forward, a_third_endpoint_gets_the_call_of_two_silent_ones)
 {
