Soak: a restored store gets rows only of endpoints that run

writeLostRowsAgain() wrote the row of an endpoint again that was removed between the restore and the rewrite, or that had crashed, so that requests went to a process that did not exist.

--- a/soak/faultsoak.cpp
+++ b/soak/faultsoak.cpp
@@ -277,7 +277,10 @@
         m_oracle.recordDisruption("", nowMs());
         co_await sleepMs(std::min<std::int64_t>(remainingMs, 100));
     }
-    m_store.writeLostRowsAgain();
+    m_store.writeLostRowsAgain([this](const std::string &id) {
+        const auto *standIn = standInWithId(id);
+        return standIn != nullptr && standIn->running();
+    });
     m_oracle.recordStoreFault(nowMs());
     m_oracle.recordDisruption("", nowMs());
     m_restoring = false;
--- a/soak/stand_ins.cpp
+++ b/soak/stand_ins.cpp
@@ -203,7 +203,7 @@
     ++m_era;
 }
 
-void store_stand_in::writeLostRowsAgain()
+void store_stand_in::writeLostRowsAgain(const std::function<bool(const std::string &id)> &runs)
 {
     const auto &copy = m_copies.back().state.rows;
     const auto versionIn = [](const auto &rows, const auto &key) {
@@ -220,7 +220,7 @@
         }
         if (const auto lost = m_lost.state.rows.find(key); lost == m_lost.state.rows.end()) {
             remove(key.first, key.second);
-        } else {
+        } else if (key.first == "op" || runs(key.second)) {
             ++m_state.latestVersion;
             m_state.rows[key] = {lost->second.value, m_state.latestVersion};
             recordChange(key.first, key.second, false);
@@ -384,6 +384,11 @@
     return m_id;
 }
 
+bool endpoint_stand_in::running() const
+{
+    return *m_alive;
+}
+
 void endpoint_stand_in::crash()
 {
     *m_alive = false;
--- a/soak/stand_ins.h
+++ b/soak/stand_ins.h
@@ -64,8 +64,9 @@
     void keepCopy();
     /// Goes back to the newest copy that is at least `ageMs` old, or the oldest one. What was written since is gone, and another era begins.
     void restore(std::int64_t ageMs);
-    /// Writes the rows of the operator and the endpoints again that the last restore lost, except those that were written since.
-    void writeLostRowsAgain();
+    /// Writes the rows of the operator and of the endpoints that still run again that the last restore lost, except those that were written since.
+    /// An endpoint that has ended since can't write its row.
+    void writeLostRowsAgain(const std::function<bool(const std::string &id)> &runs);
 
 private:
     struct stored_row
@@ -133,6 +134,8 @@
 
     tcp::endpoint endpoint() const;
     const std::string &id() const;
+    /// Whether it has not crashed.
+    bool running() const;
     /// Stops the server and resets its connections.
     void crash();
     /// While set, every second request on average runs without a complete response.
