Eject endpoints that fail more often than the others of their service

An endpoint that resets connections at once looked like the fastest one: placement of repeatable calls counted no failures, so it got each call first until the retry budget was used up. Endpoints whose failures are beyond chance, compared with the better half of the others, now get no requests for 0.5 to 4 s; single trial requests then decide. At most half of the endpoints of a service are ejected. Losses are shared with the other daemons; error answers are judged from own observations, against those of the others. Changes are logged with their input and replayed. eject_endpoints turns it off.

--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -2,6 +2,7 @@
 
 #include "coordination/lease_keeper.h"
 #include "serving/edge_settings.h"
+#include "serving/ejection_watch.h"
 #include "serving/endpoint_registry.h"
 #include "serving/feed_history.h"
 #include "serving/platform_port.h"
@@ -152,6 +153,8 @@
 
     bool stopping = false;
     instant stoppingSince; ///< Set when `stopping` is.
+
+    shared_outcomes sharedOutcomes;
 };
 
 }
--- a/src/serving/edge_daemon.cpp
+++ b/src/serving/edge_daemon.cpp
@@ -300,6 +300,7 @@
         co_await sleepFor(housekeepingInterval);
         m_context.pool.expire();
         m_context.endpoints.expireMissing(bootNow(), m_context.settings.drainBound - missingEntryMargin);
+        shareOutcomes(m_context.endpoints, m_context.sums, m_context.sharedOutcomes, bootNow());
         m_context.log.flush();
     }
 }
--- a/src/serving/endpoint_registry.cpp
+++ b/src/serving/endpoint_registry.cpp
@@ -17,6 +17,27 @@
 constexpr auto copiedEntryTime = std::chrono::seconds(6); // The store drops an entry after three heartbeats of silence, 3.6 s at the usual interval.
 constexpr double failureWeight = 0.1; // Weight of one attempt: about ten attempts distinguish a failing endpoint from a single failure.
 
+void noteOutcome(ejection_state &ejection, attempt_result result, instant now)
+{
+    switch (result) {
+    case attempt_result::Succeeded:
+        return ejection.noteAnswer(now);
+    case attempt_result::Failed:
+        return ejection.noteError(now);
+    case attempt_result::ConnectionLost:
+    case attempt_result::NoAnswer:
+        return ejection.noteLoss(now);
+    case attempt_result::Unreachable:
+        // An endpoint that serves has the backoff for this; a trial has failed.
+        if (ejection.phase(now) == ejection_phase::Trial) {
+            ejection.noteLoss(now);
+        }
+        return;
+    case attempt_result::Rejected:
+        return ejection.noteRefusal(now);
+    }
+}
+
 std::uint64_t hashOf(const endpoint_entry &entry)
 {
     return XXH3_64bits_withSeed(entry.id.data(), entry.id.size(), static_cast<std::uint64_t>(entry.startedMs));
@@ -184,6 +205,7 @@
 
 void endpoint_registry::noteResult(endpoint_state &endpoint, attempt_result result, instant now)
 {
+    noteOutcome(endpoint.ejection, result, now);
     if (result == attempt_result::Unreachable) {
         const auto backoff = std::min<duration>(initialBackoff * (1 << std::min(endpoint.consecutiveUnreachable, 4)), maxBackoff);
         endpoint.downUntil = now + backoff;
--- a/src/serving/endpoint_registry.h
+++ b/src/serving/endpoint_registry.h
@@ -2,6 +2,7 @@
 
 #include "protocol/configuration.h"
 #include "protocol/exchange_messages.h"
+#include "serving/endpoint_ejection.h"
 #include "transport/core_time.h"
 
 #include <cstdint>
@@ -64,6 +65,8 @@
     instant noticeChangedAt; ///< Last change of `limit` or `saysLeaving`.
     bool missing = false; ///< Its entry expired while the store was failing.
     instant missingSince;
+    ejection_state ejection;
+    instant ejectionDecidedAt; ///< When ejections at its service were last decided, if it is the first of them.
 
     /// Whether new requests may be sent: not draining, not in backoff and not reserved for a role change.
     bool usable(instant now) const;
@@ -99,7 +102,7 @@
     endpoint_ptr findByHash(std::uint64_t hash) const;
     std::vector<endpoint_ptr> all() const;
 
-    /// Updates the failure rate and the connection backoff after an attempt.
+    /// Updates the failure rate, the counts for ejection and the connection backoff after an attempt.
     void noteResult(endpoint_state &endpoint, attempt_result result, instant now);
 
     /// Replaces the load that the other daemons have at an endpoint. That of an endpoint not listed yet is used once it is listed.
--- a/src/serving/endpoint_turn.cpp
+++ b/src/serving/endpoint_turn.cpp
@@ -74,6 +74,7 @@
         endpoint.turnTakenAt = now;
         endpoint.turnUsedAt = now;
     }
+    endpoint.ejection.noteSent(now);
     return true;
 }
 
@@ -97,6 +98,9 @@
     if (endpoint->limit) {
         endpoint->turnUsedAt = turn;
     }
+    if (endpoint->ejection.noteSent(bootNow())) {
+        context.counters.count(metric_counter::EndpointTrials);
+    }
     co_return true;
 }
 
--- a/src/serving/placement_log.cpp
+++ b/src/serving/placement_log.cpp
@@ -1,5 +1,7 @@
 #include "serving/placement_log.h"
 
+#include "serving/ejection_log.h"
+
 #include <absl/strings/str_cat.h>
 #include <cmath>
 #include <nlohmann/json.hpp>
@@ -212,6 +214,10 @@
     if (!record.ok()) {
         return record.status();
     }
+    if (const auto ejection = replayEjection(text)) {
+        ++counts.decisions;
+        return *ejection;
+    }
     if (std::holds_alternative<std::monostate>(*record)) {
         ++counts.otherLines;
         return absl::OkStatus();
--- a/src/serving/placement_log.h
+++ b/src/serving/placement_log.h
@@ -32,8 +32,9 @@
     int otherLines = 0;
 };
 
-/// Repeats the decision of one log line and compares the result with the logged one. Returns FailedPrecondition, which names the request, the field
-/// and both values, if they differ, or InvalidArgument if the line can't be parsed. Lines without a decision are only counted.
+/// Repeats the decision of one log line (a placement, or a change of an endpoint's ejection) and compares the result with the logged one. Returns
+/// FailedPrecondition, which names the request, the field and both values, if they differ, or InvalidArgument if the line can't be parsed. Lines without a
+/// decision are only counted.
 absl::Status replayPlacement(std::string_view line, const engine_model &model, replay_counts &counts);
 
 }
--- a/src/serving/service_forward.cpp
+++ b/src/serving/service_forward.cpp
@@ -1,5 +1,6 @@
 #include "serving/caller_exchange.h"
 
+#include "serving/ejection_watch.h"
 #include "serving/endpoint_turn.h"
 #include "serving/placement_log.h"
 #include "transport/boot_clock.h"
@@ -48,14 +49,15 @@
         .jitter = toTenth(context.jitter()),
     };
     const turn_times turns(context, now);
+    const ejection_view ejections(context, endpoints, failedEndpoints, request.route->repeatable && request.route->maxAttempts > 1, now);
     for (const auto &endpoint : endpoints) {
         input.endpoints.push_back({
             .id = endpoint->entry.id,
             .local = endpoint->entry.failureDomain == context.settings.failureDomain,
-            .excluded = !endpoint->usable(now) || failedEndpoints.contains(endpoint->entry.id),
+            .excluded = !endpoint->usable(now) || failedEndpoints.contains(endpoint->entry.id) || ejections.excludes(*endpoint),
             .running = endpoint->own.running + endpoint->peers.running,
             .slots = std::max(1, endpoint->entry.slots),
-            .failureRate = request.route->repeatable ? 0 : toHundredth(endpoint->failureRate),
+            .failureRate = ejections.failureRate(*endpoint, request.route->repeatable),
             .overdueMs = endpoint->overdueMs(now),
             .heldMs = turns.heldMs(*endpoint),
         });
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -1,6 +1,7 @@
 #include "serving/caller_exchange.h"
 
 #include "serving/body_kind.h"
+#include "serving/ejection_watch.h"
 #include "serving/endpoint_turn.h"
 #include "serving/event_stream.h"
 #include "serving/peer_exchange.h"
@@ -131,18 +132,20 @@
         input.linkMbps = service->second.engine->linkMbps;
     }
     const turn_times turns(m_context, now);
+    const ejection_view ejections(m_context, engines, m_failed, m_route.resumable && m_route.maxAttempts > 1, now);
     for (const auto &engine : engines) {
         input.engines.push_back({
             .id = engine->entry.id,
             .role = engine->entry.role.value_or(endpoint_role::Mixed),
             .local = engine->entry.failureDomain == m_context.settings.failureDomain,
-            .excluded = !engine->usable(now) || m_failed.contains(engine->entry.id) || (!m_onlyEngine.empty() && m_onlyEngine != engine->entry.id),
+            .excluded = !engine->usable(now) || m_failed.contains(engine->entry.id) || (!m_onlyEngine.empty() && m_onlyEngine != engine->entry.id)
+                || (m_onlyEngine.empty() && ejections.excludes(*engine)),
             .running = engine->own.running + engine->peers.running,
             .slots = known ? service->second.engine->slots : std::max(1, engine->entry.slots),
             .queuedTokens = std::round(engine->own.promptTokens + engine->peers.promptTokens),
             .cachedTokens = m_prompt ? std::round(m_context.prefixBlocks.cachedTokens(m_prompt->prefixBlocks, engine->hash)) : 0,
             .slowdown = toHundredth(engine->slowdown),
-            .failureRate = toHundredth(engine->failureRate),
+            .failureRate = ejections.failureRate(*engine, false),
             .overdueMs = engine->overdueMs(now),
             .heldMs = turns.heldMs(*engine),
         });
@@ -721,6 +724,7 @@
 void stream_session::noteFirstEvent(const endpoint_ptr &engine, load_reservation &reservation)
 {
     reservation.prefillDone();
+    engine->ejection.noteAnswering(bootNow());
     const double ms = toMs(bootNow() - m_request.arrivedAt);
     if (m_outcome.firstByteMs < 0) {
         m_outcome.firstByteMs = ms;
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -33,6 +33,9 @@
     StoreErrors,
     PeerFailures,
     PollFailures,
+    EndpointsEjected,
+    EndpointsRestored,
+    EndpointTrials,
     Count
 };
 
