--- a/src/serving/edge_settings.cpp
+++ b/src/serving/edge_settings.cpp
@@ -106,6 +106,7 @@
     field{"engine_first_token_ms", false, number_field{engineSetting<&engine_model::firstTokenOverheadMs>, 0, 1e5}},
     field{"hedge_ratio", false, number_field{setting<&settings::hedgeRatio>, 0, 1}},
     field{"hedge_even_services", false, flag_field{setting<&settings::hedgeEvenServices>}},
+    field{"eject_endpoints", false, flag_field{setting<&settings::ejectsEndpoints>}},
 };
 
 absl::Status fieldError(std::string_view name, std::string_view expected)
--- a/src/serving/edge_settings.h
+++ b/src/serving/edge_settings.h
@@ -42,6 +42,7 @@
     bool ordersEndpoints = true; ///< Takes part in the duty of ordering endpoints.
     double hedgeRatio = 0; ///< Highest share of extra requests for hedging, per service; 0: no hedging.
     bool hedgeEvenServices = false; ///< Hedges also for services whose endpoints report no uneven pace.
+    bool ejectsEndpoints = true; ///< Sends no requests to endpoints that fail more often than the others of their service, for a while.
 };
 
 /// Parses the JSON settings described in docs/OPERATIONS.md. Returns InvalidArgument, with the name of the field, when one is missing, unknown or invalid.
--- a/src/state/metrics.cpp
+++ b/src/state/metrics.cpp
@@ -48,6 +48,9 @@
     {"lacewinglock_hedges_won_total", ""},
     {"lacewinglock_hedges_lost_total", ""},
     {"lacewinglock_hedges_over_budget_total", ""},
+    {"lacewinglock_endpoints_ejected_total", ""},
+    {"lacewinglock_endpoints_restored_total", ""},
+    {"lacewinglock_endpoint_trials_total", ""},
 }};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(metric_gauge::Count)> gaugeNames{
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -37,6 +37,9 @@
     HedgesWon,
     HedgesLost,
     HedgesOverBudget,
+    EndpointsEjected,
+    EndpointsRestored,
+    EndpointTrials,
     Count
 };
 
