Limit organisations to their quotas over all daemons

Cause: the configuration may give an organisation a rate and a burst, in requests or tokens, and nothing kept to them.

Change: each daemon decides with its share of the room that all daemons have left in 8 s, from the published flows of admissions. A request beyond the quota is answered 429 with the time to return; one that did not run gets its cost back. Organisations without a quota have no state.

--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "serving/endpoint_notice.h"
 #include "serving/peer_exchange.h"
+#include "serving/quota_check.h"
 #include "state/rendezvous.h"
 #include "transport/boot_clock.h"
 #include "transport/spawn.h"
@@ -175,6 +176,7 @@
     if (organisation.priority >= 0) {
         request.priority = organisation.priority;
     }
+    request.quota = organisation.quota ? &*organisation.quota : nullptr;
     return std::nullopt;
 }
 
@@ -419,7 +421,7 @@
     if (const auto refusal = routeRequest(context, request)) {
         outcome = {.status = static_cast<int>(refusal->status), .reason = refusal->code};
         co_await reply.send(makeErrorResponse(context, refusal->status, refusal->code, refusal->message, refusal->retryAfterMs));
-    } else {
+    } else if (request.quota == nullptr || co_await acquireQuota(context, request, outcome)) {
         context.retryBudget.noteRequest(request.service, request.arrivedAt);
         context.counters.change(metric_gauge::RequestsInFlight, 1);
         if (request.route->stream) {
@@ -428,6 +430,7 @@
             outcome = co_await forwardService(context, request);
         }
         context.counters.change(metric_gauge::RequestsInFlight, -1);
+        returnQuota(context, request, outcome);
     }
     logOutcome(context, request, outcome);
 }
--- a/src/serving/caller_exchange.h
+++ b/src/serving/caller_exchange.h
@@ -29,6 +29,8 @@
     bool trialSent = false; ///< It was sent as a trial: to one endpoint only, which it may crash.
     bool isTrial = false; ///< Suspected to crash endpoints, and let through to find out whether it still does.
     int priority = 5;
+    const quota_limits *quota = nullptr; ///< Of the organisation, part of `configuration`; null: no limit.
+    double quotaCost = 0; ///< Taken from the quota.
     instant arrivedAt;
     instant deadline; ///< The earlier of the deadline that the caller sent and the end of the route's timeout.
 };
--- a/src/serving/edge_context.cpp
+++ b/src/serving/edge_context.cpp
@@ -27,6 +27,7 @@
     , usage(std::chrono::duration_cast<std::chrono::milliseconds>(settings.usageWindow).count())
     , exchange(settings.id, settings.failureDomain, incarnation)
     , exchangeTimer(io)
+    , quotas(settings.quotaWindow, random(), bootNow())
 {
     applyMemorySetting(*this);
 }
@@ -77,6 +78,20 @@
     return configurationRequestedAt && now - *configurationRequestedAt < settings.revokeBound - keyMargin;
 }
 
+quota_fleet edge_context::quotaFleet() const
+{
+    std::size_t heard = 1;
+    // Both are in the order of their ids. Only members count: another sender may have left.
+    auto peer = peers.begin();
+    for (const auto &[id, member] : members) {
+        while (peer != peers.end() && peer->first < id) {
+            ++peer;
+        }
+        heard += peer != peers.end() && peer->first == id ? 1 : 0;
+    }
+    return {.daemons = daemons(), .heard = heard, .ageMs = exchange.ageMs(bootNow())};
+}
+
 void applyMemorySetting(edge_context &context)
 {
     context.pool.bodies()->setLimit(static_cast<std::size_t>(context.settings.memoryMb * heldBodiesShare) << 20U);
--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -6,6 +6,7 @@
 #include "serving/feed_history.h"
 #include "serving/platform_port.h"
 #include "serving/prefix_index.h"
+#include "serving/quota_ledger.h"
 #include "serving/retry_budget.h"
 #include "serving/serving_config.h"
 #include "serving/shared_sums.h"
@@ -100,6 +101,9 @@
     /// True while API keys may be accepted: the configuration is so recent that no revocation older than the revoke bound can be missing.
     bool keysFresh(instant now) const;
 
+    /// What the daemon knows of the others, for quotas.
+    quota_fleet quotaFleet() const;
+
     asio::io_context &loop;
     edge_settings settings;
     line_log &log;
@@ -152,6 +156,8 @@
 
     bool stopping = false;
     instant stoppingSince; ///< Set when `stopping` is.
+
+    quota_ledger quotas;
 };
 
 }
--- a/src/serving/edge_settings.cpp
+++ b/src/serving/edge_settings.cpp
@@ -15,6 +15,9 @@
 
 using nlohmann::json;
 
+constexpr duration minQuotaWindow = std::chrono::seconds(8); // Of the rule for quotas.
+constexpr duration maxQuotaWindow = std::chrono::minutes(1); // The bins of the memory get longer with it; those of more than 2 s would be too coarse.
+
 template <typename T>
 using member = T &(*)(edge_settings &);
 
@@ -104,6 +107,7 @@
     field{"engine_step_ms_per_request", false, number_field{engineSetting<&engine_model::stepMsPerRequest>, 0, 1e3}},
     field{"engine_chunk_tokens", false, number_field{engineSetting<&engine_model::chunkTokens>, 1, 1e6}},
     field{"engine_first_token_ms", false, number_field{engineSetting<&engine_model::firstTokenOverheadMs>, 0, 1e5}},
+    field{"quota_window_ms", false, time_field{setting<&settings::quotaWindow>}},
 };
 
 absl::Status fieldError(std::string_view name, std::string_view expected)
@@ -184,6 +188,9 @@
             return status;
         }
     }
+    if (out.quotaWindow < minQuotaWindow || out.quotaWindow > maxQuotaWindow) {
+        return fieldError("quota_window_ms", absl::StrCat("a number from ", toMs(minQuotaWindow), " to ", toMs(maxQuotaWindow)));
+    }
     for (const auto &[name, value] : document.items()) {
         if (std::ranges::find(fields, name, &field::name) == fields.end()) {
             return absl::InvalidArgumentError(absl::StrCat("settings field \"", name, "\" is unknown"));
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -1,6 +1,7 @@
 #include "serving/peer_exchange.h"
 
 #include "serving/endpoint_notice.h"
+#include "serving/quota_check.h"
 #include "transport/boot_clock.h"
 
 #include <absl/strings/str_cat.h>
@@ -150,6 +151,7 @@
 
 daemon_summary makeSummary(edge_context &context)
 {
+    refreshQuotas(context);
     daemon_summary out{.serving = context.serving(), .holdsLease = context.holdsLease, .wallMs = wallMs()};
     // Daemons that start after a restore can't learn it from the store. Those that have heard of it tell it too.
     if (context.reportedBefore != 0 && context.reportedBefore > oldestReportableWindow(context)) {
--- a/src/serving/platform_port.h
+++ b/src/serving/platform_port.h
@@ -66,6 +66,8 @@
     header_names fields;
     /// Returns nullopt when the request is not a generation request.
     std::function<std::optional<prompt_info>(const http::request_header<> &)> parsePrompt;
+    /// Tokens of prompt and output together, as the caller tells them. Returns nullopt when they are missing or malformed.
+    std::function<std::optional<double>(const http::request_header<> &)> parseTokenCount;
     /// Reads what an endpoint says of itself. A malformed value counts as not said.
     std::function<endpoint_notice(const http::response_header<> &)> parseNotice;
     /// Builds the body of an error response.
--- a/src/serving/serving_config.h
+++ b/src/serving/serving_config.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "serving/quota.h"
 #include "transport/core_time.h"
 
 #include <cstdint>
@@ -72,6 +73,7 @@
 {
     std::string name;
     int priority = -1; ///< Overrides the route's priority unless it is negative.
+    std::optional<quota_limits> quota = std::nullopt; ///< Nothing: no limit.
 };
 
 /// One version of the configuration as the data path uses it. Not modified after it is built.
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -33,6 +33,7 @@
     StoreErrors,
     PeerFailures,
     PollFailures,
+    QuotaRefusals,
     Count
 };
 
--- a/tests/edge_daemon_test.cpp
+++ b/tests/edge_daemon_test.cpp
@@ -74,6 +74,8 @@
     const std::string valid = R"({"id":"d","failure_domain":"a","caller_address":"1:1","peer_address":"1:2","store_address":"1:3","orders_address":"1:4")";
     ASSERT_TRUE(parseEdgeSettings(valid + R"(,"revoke_bound_ms":4e3})").ok());
     EXPECT_EQ(toMs(parseEdgeSettings(valid + R"(,"revoke_bound_ms":4e3})")->revokeBound), 4000);
+    EXPECT_TRUE(parseEdgeSettings(valid + R"(,"quota_window_ms":8000})").ok());
+    EXPECT_FALSE(parseEdgeSettings(valid + R"(,"quota_window_ms":0})").ok());
     const auto expectError = [&](const std::string &more, const std::string &name) {
         const auto parsed = parseEdgeSettings(valid + more);
         ASSERT_FALSE(parsed.ok());
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -217,6 +217,29 @@
     EXPECT_EQ(toMs(parsed->idleTimeout), 15000);
 }
 
+// Guards against a quota that is read with the wrong unit or default, and against an error that doesn't say whose quota is odd.
+TEST(configuration_row, decodes_quotas_of_organisations)
+{
+    const auto quotaOf = [](const json &fields) {
+        auto document = validConfiguration();
+        document["tenants"][0].update(fields);
+        const auto parsed = parsers.configuration(document.dump());
+        EXPECT_TRUE(parsed.ok()) << parsed.status();
+        return parsed->organisations[0].quota;
+    };
+    EXPECT_FALSE(quotaOf(json::object()));
+    EXPECT_FALSE(quotaOf({{"rate-per-s", 0}, {"burst", 10}}));
+    EXPECT_FALSE(quotaOf({{"rate-per-s", nullptr}}));
+    EXPECT_EQ(quotaOf({{"unit", "tokens"}, {"uncached-tokens", 200}, {"rate-per-s", 448713}, {"burst", 300000}}),
+              (quota_limits{.ratePerSecond = 448713, .burst = 300000, .unit = quota_unit::Tokens, .uncountedCost = 200}));
+    EXPECT_EQ(quotaOf({{"rate-per-s", 2.5}}), (quota_limits{.ratePerSecond = 2.5, .burst = 2.5}));
+    EXPECT_EQ(quotaOf({{"unit", "calls"}, {"rate-per-s", 5}, {"burst", 7}}), (quota_limits{.ratePerSecond = 5, .burst = 7}));
+    auto odd = validConfiguration();
+    odd["tenants"][0]["rate-per-s"] = -1;
+    const auto parsed = parsers.configuration(odd.dump());
+    EXPECT_NE(parsed.status().message().find("tenant \"o\""), absl::string_view::npos) << parsed.status();
+}
+
 // Guards against a configuration that is accepted in part, and against errors that don't name the wrong field.
 TEST(configuration_row, error_names_the_wrong_field)
 {
@@ -257,6 +280,10 @@
         {"/limits/header-timeout-ms", {1e300}},
         {"/limits/idle-timeout-ms", {1e300, -1}},
         {"/tenants/0/priority", {1e300, -1e300, 4'294'967'296U}},
+        {"/tenants/0/rate-per-s", {1e300, -1, "many", json::array(), true}},
+        {"/tenants/0/burst", {1e300, -1, "many"}},
+        {"/tenants/0/uncached-tokens", {1e300, -1, "many"}},
+        {"/tenants/0/unit", {1, false, json::object()}},
     };
     for (const auto &[path, values] : odd) {
         const json::json_pointer field(path);
@@ -659,6 +686,20 @@
     EXPECT_EQ(prompt->prefixBlocks.size(), 1U);
 }
 
+// Guards against a quota that is charged for absurd or half-told counts of tokens.
+TEST(prompt_headers, tokens_count_only_when_both_numbers_are_well_formed)
+{
+    const auto wire = platform::makeWire();
+    http_request request;
+    EXPECT_FALSE(wire.parseTokenCount(request));
+    request.set("X-Token-Counts", "17000,300");
+    EXPECT_EQ(wire.parseTokenCount(request), 17300);
+    for (const char *odd : {"17000", "17000,", "17000,-1", "18446744073709551615,1", "a,b", "1,2,3"}) {
+        request.set("X-Token-Counts", odd);
+        EXPECT_FALSE(wire.parseTokenCount(request)) << odd;
+    }
+}
+
 // Guards against a daemon that drops out of the fleet because a restored store lacks its row.
 TEST_F(platform_store_test, a_member_writes_its_row_again_to_a_restored_store)
 {
