--- a/src/programs/lacewinglock_quota_model.cpp
+++ b/src/programs/lacewinglock_quota_model.cpp
@@ -38,6 +38,8 @@
         {"a third of sums lost, jump", {.demand = 1, .jump = quota_phase{30, 40}, .rampS = 1, .lostSums = 0.33, .measured = {30, 40}}},
         {"callers at two, 0.9", {.demand = 0.9, .callersAt = 2}},
         {"callers at two, 2", {.demand = 2, .callersAt = 2}},
+        {"1.3 times, with returns", {.demand = 1.3, .returns = true}},
+        {"twice, with returns", {.demand = 2, .returns = true}},
         {"restart of all, 2", {.demand = 2, .restartAtS = 30, .measured = {30, 38}}},
         {"all start, 2", {.demand = 2, .measured = {0, 8}}},
         {"all start, 0.5", {.demand = 0.5, .measured = {0, 8}}},
@@ -47,7 +49,8 @@
     if (FLAGS_daemons > 0) {
         fleets = {FLAGS_daemons};
     }
-    std::cout << std::fixed << std::setprecision(3) << "daemons  scenario                     worst 8 s / allowed  used of quota  served of demand  waited\n";
+    std::cout << std::fixed << std::setprecision(3)
+              << "daemons  scenario                     worst 8 s / allowed  used of quota  served of demand  waited  served on return\n";
     for (const auto daemons : fleets) {
         for (auto [name, scenario] : scenarios) {
             if (std::string_view(name).find(FLAGS_only) == std::string_view::npos) {
@@ -62,7 +65,8 @@
             scenario.way = way;
             const auto outcome = lacewinglock::runQuota(scenario);
             std::cout << std::setw(7) << daemons << "  " << std::left << std::setw(28) << name << std::right << std::setw(21) << outcome.worst << std::setw(15)
-                      << outcome.used << std::setw(18) << outcome.served << std::setw(8) << outcome.waited << std::endl;
+                      << outcome.used << std::setw(18) << outcome.served << std::setw(8) << outcome.waited << std::setw(18) << outcome.servedOnReturn
+                      << std::endl;
         }
     }
     return 0;
--- a/src/standin/virtual_quota.cpp
+++ b/src/standin/virtual_quota.cpp
@@ -67,6 +67,7 @@
     std::size_t daemon = 0;
     double cost = 1;
     instant arrivedAt;
+    bool returned = false;
 
     bool operator>(const pending_request &other) const
     {
@@ -128,6 +129,8 @@
     double m_admittedUnits = 0;
     double m_admittedCount = 0;
     double m_waitedCount = 0;
+    double m_returnedCount = 0;
+    double m_servedOnReturn = 0;
 };
 
 quota_run::quota_run(const quota_scenario &scenario)
@@ -256,7 +259,9 @@
     auto &daemon = m_daemons[request.daemon];
     const bool first = request.at == request.arrivedAt;
     const bool measured = m_scenario.measured.contains(toMs(request.arrivedAt - m_begin) / 1000);
-    if (first) {
+    if (first && request.returned) {
+        m_returnedCount += 1;
+    } else if (first) {
         scheduleArrival();
         const double highest = m_scenario.jump ? m_scenario.jumpFactor : 1;
         if (uniform() * highest > demandFactor() || !runs(daemon)) {
@@ -276,15 +281,20 @@
         : daemon.ledger.admit(organisation, limits, request.cost, view(request.daemon), daemon.sums, m_now);
     if (decision.admitted) {
         m_admitted.emplace_back(now(), request.cost);
+        m_servedOnReturn += request.returned ? 1 : 0;
         if (measured) {
             m_admittedUnits += request.cost;
             ++m_admittedCount;
             m_waitedCount += first ? 0 : 1;
         }
     } else if (decision.mayWait && m_now - request.arrivedAt < maxWait) {
-        m_requests.push({m_now + retryInterval, request.daemon, request.cost, request.arrivedAt});
+        m_requests.push({m_now + retryInterval, request.daemon, request.cost, request.arrivedAt, request.returned});
     } else {
         daemon.ledger.noteRefusal(organisation, request.cost, decision.retryAfterMs, m_now);
+        if (m_scenario.returns && !request.returned) {
+            const instant back = m_now + fromMs(decision.retryAfterMs);
+            m_requests.push({back, m_random() % m_daemons.size(), request.cost, back, true});
+        }
     }
 }
 
@@ -348,7 +358,8 @@
     return {.worst = worstWindow(),
             .used = m_admittedUnits / (m_scenario.limits.ratePerSecond * measuredS),
             .served = m_offeredUnits > 0 ? m_admittedUnits / m_offeredUnits : 1,
-            .waited = m_admittedCount > 0 ? m_waitedCount / m_admittedCount : 0};
+            .waited = m_admittedCount > 0 ? m_waitedCount / m_admittedCount : 0,
+            .servedOnReturn = m_returnedCount > 0 ? m_servedOnReturn / m_returnedCount : 0};
 }
 
 }
--- a/src/standin/virtual_quota.h
+++ b/src/standin/virtual_quota.h
@@ -48,6 +48,7 @@
     double lostSums = 0; ///< Part of the summaries with sums that are lost.
     std::size_t callersAt = 0; ///< Only this many daemons get requests; 0: all.
     std::optional<double> restartAtS; ///< All daemons start again and have forgotten everything.
+    bool returns = false; ///< Refused requests come back once, at the time that they were told, anywhere in the fleet.
     quota_way way = quota_way::Ledger;
     quota_phase measured{20, 60}; ///< What is counted as served and refused.
 };
@@ -58,6 +59,7 @@
     double used = 0; ///< Admitted units, as a fraction of the rate.
     double served = 0; ///< Admitted units, as a fraction of the demand.
     double waited = 0; ///< Admitted requests that waited, as a fraction of all admitted.
+    double servedOnReturn = 0; ///< Requests that were served when they came back, as a fraction of those that did.
 };
 
 /// Runs the quota ledgers of virtual daemons that exchange sums with delays and losses.
