Quotas: let the bucket grow slowly while sums are late

Cause: the age of the sums is that of the daemon heard longest ago. With sums that are always late, 9 daemons could use 0.01 of a quota (trial of the model with the bound set to 0).

--- a/src/serving/quota.cpp
+++ b/src/serving/quota.cpp
@@ -34,7 +34,10 @@
 constexpr double hearMs = 400;
 constexpr double publishMs = 250;
 constexpr std::size_t publishBins = 10; // Of 50 ms: twice the time between two summaries with sums.
-constexpr double lateMs = 700; // With older sums nothing grows.
+// With older sums the bucket grows by a part of the rate at most. The age is that of the daemon that was heard longest ago, which may have ended: without
+// any growth, sums that were always late left 0.01 of a quota usable at 9 daemons.
+constexpr double lateMs = 700;
+constexpr double latePart = 0.25;
 constexpr double lostMs = 1250; // Sums of daemons that do not report are removed after 1 s, which others learn a few polls later.
 constexpr auto lostTime = std::chrono::milliseconds(1250); // The same for a daemon that did not run itself.
 constexpr auto recentBin = std::chrono::milliseconds(50);
@@ -198,7 +201,8 @@
     const bool unknown = m_fleet.daemons > 1 && (m_fleet.heard == 1 || m_fleet.ageMs > lostMs || passed > lostTime);
     const double othersUse = m_fleet.daemons == 1 ? 0 : unknown ? m_limits.ratePerSecond : heard.used;
     const double growth = (rate - othersUse) * time;
-    m_level = std::min(m_level + (m_fleet.ageMs > lateMs ? std::min(growth, 0.0) : growth), depthOf(m_limits, m_fleet.daemons) * heardPart);
+    const double lateGrowth = std::max(1 / daemons, latePart) * rate * time;
+    m_level = std::min(m_level + (m_fleet.ageMs > lateMs ? std::min(growth, lateGrowth) : growth), depthOf(m_limits, m_fleet.daemons) * heardPart);
     // All that counts has left the window after 8 s, whatever the others told.
     m_level = std::clamp(m_level, -windowLimit, unknown ? 0.0 : depthOf(m_limits, m_fleet.daemons));
     m_window.current() += othersUse * time;
