--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -9,6 +9,7 @@
 #include "serving/latency_quantiles.h"
 #include "serving/platform_port.h"
 #include "serving/prefix_index.h"
+#include "serving/quota_ledger.h"
 #include "serving/retry_budget.h"
 #include "serving/serving_config.h"
 #include "serving/shared_sums.h"
@@ -103,6 +104,9 @@
     /// True while API keys may be accepted: the configuration is so recent that no revocation older than the revoke bound can be missing.
     bool keysFresh(instant now) const;
 
+    /// What the daemon knows of the others, for quotas.
+    quota_fleet quotaFleet() const;
+
     asio::io_context &loop;
     edge_settings settings;
     line_log &log;
@@ -160,6 +164,7 @@
     instant stoppingSince; ///< Set when `stopping` is.
 
     shared_outcomes sharedOutcomes;
+    quota_ledger quotas;
 };
 
 }
--- a/src/state/metrics.cpp
+++ b/src/state/metrics.cpp
@@ -51,6 +51,7 @@
     {"lacewinglock_endpoints_ejected_total", ""},
     {"lacewinglock_endpoints_restored_total", ""},
     {"lacewinglock_endpoint_trials_total", ""},
+    {"lacewinglock_quota_refusals_total", ""},
 }};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(metric_gauge::Count)> gaugeNames{
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -40,6 +40,7 @@
     EndpointsEjected,
     EndpointsRestored,
     EndpointTrials,
+    QuotaRefusals,
     Count
 };
 
