Place requests for services of uneven pace by the pace of each endpoint

Cause: endpoints differ in speed, and other work slows them down for some hundred milliseconds. Placement used one model for all engines of a deployment, whose first-token overhead and speed do not fit every one, and all daemons chose the same engine from the same late figures.

Change: endpoints may report their load and pace in answers (X-Server-Load). While the pace of a service is uneven, placement uses a pace per endpoint (measured mean and reported figure), a correction of the engine model per service, and the cheapest of a few candidates drawn at random. All of it is in the log line and replayed. Services of even pace are placed and logged as before.

--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -1,6 +1,7 @@
 #include "serving/caller_exchange.h"
 
 #include "serving/endpoint_notice.h"
+#include "serving/pace_samples.h"
 #include "serving/peer_exchange.h"
 #include "state/rendezvous.h"
 #include "transport/boot_clock.h"
@@ -322,6 +323,9 @@
 {
     const auto notice = context.platform.wire.parseNotice(head);
     const bool changed = applyNotice(context.endpoints, endpoint, notice, sentAt, bootNow());
+    if (notice.load) {
+        noteLoadFigures(context, endpoint, *notice.load);
+    }
     if (changed) {
         expediteSummary(context);
     }
--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -130,6 +130,7 @@
     prefix_index prefixBlocks; ///< Estimates which engines have which prefix blocks cached.
     retry_budget retryBudget;
     shared_sums sums;
+    std::vector<std::uint64_t> publishedPaces; ///< Keys of the sums that sharePaces() has set.
     suspect_requests suspects;
     usage_windows usage;
     std::int64_t reportedBefore = 0; ///< Windows before this one may have been reported although a restored store lacks their frozen rows.
--- a/src/serving/edge_daemon.cpp
+++ b/src/serving/edge_daemon.cpp
@@ -6,6 +6,7 @@
 #include "serving/fleet_duty.h"
 #include "serving/history_record.h"
 #include "serving/lease_runner.h"
+#include "serving/pace_samples.h"
 #include "serving/peer_exchange.h"
 #include "serving/table_follower.h"
 #include "serving/usage_duty.h"
@@ -299,6 +300,7 @@
         m_lastHousekeeping = bootNow();
         co_await sleepFor(housekeepingInterval);
         m_context.pool.expire();
+        sharePaces(m_context);
         m_context.endpoints.expireMissing(bootNow(), m_context.settings.drainBound - missingEntryMargin);
         m_context.log.flush();
     }
--- a/src/serving/endpoint_notice.h
+++ b/src/serving/endpoint_notice.h
@@ -16,6 +16,7 @@
     bool leaving = false; ///< It will end and wants no new requests.
     std::optional<double> limit; ///< Requests per second that it takes from all daemons together, for as long as its answers say so.
     std::optional<duration> pause; ///< Sent with a refusal: for how long it wants no requests from this daemon.
+    std::optional<load_figures> load; ///< Its load and pace at the moment.
 
     bool operator==(const endpoint_notice &) const = default;
 };
--- a/src/serving/endpoint_registry.cpp
+++ b/src/serving/endpoint_registry.cpp
@@ -15,6 +15,7 @@
 constexpr auto maxBackoff = std::chrono::seconds(2); // Bounds how long a recovered endpoint stays unused.
 constexpr auto leavingMemory = std::chrono::minutes(10); // A leaving process ends within its drain time, which is a matter of seconds.
 constexpr auto copiedEntryTime = std::chrono::seconds(6); // The store drops an entry after three heartbeats of silence, 3.6 s at the usual interval.
+constexpr std::size_t maxServicePaces = 256; // Of more services, those without endpoints are dropped.
 constexpr double failureWeight = 0.1; // Weight of one attempt: about ten attempts distinguish a failing endpoint from a single failure.
 
 std::uint64_t hashOf(const endpoint_entry &entry)
@@ -220,6 +221,31 @@
     m_peerLoads.clear();
 }
 
+bool endpoint_registry::notePace(endpoint_state &endpoint, double figure, instant now)
+{
+    endpoint.pace.noteFigure(figure, now);
+    return servicePace(endpoint.entry.service).noteFigure(figure, now);
+}
+
+bool endpoint_registry::hasUnevenPace(std::string_view service, instant now) const
+{
+    const auto found = m_servicePaces.find(service);
+    return found != m_servicePaces.end() && found->second.isUneven(now);
+}
+
+service_pace &endpoint_registry::servicePace(std::string_view service)
+{
+    if (const auto found = m_servicePaces.find(service); found != m_servicePaces.end()) {
+        return found->second;
+    }
+    if (m_servicePaces.size() >= maxServicePaces) {
+        std::erase_if(m_servicePaces, [this](const auto &entry) {
+            return ofService(entry.first).empty();
+        });
+    }
+    return m_servicePaces.try_emplace(std::string(service)).first->second;
+}
+
 load_reservation::load_reservation(endpoint_ptr endpoint, double promptTokens)
     : m_endpoint(std::move(endpoint))
     , m_promptTokens(promptTokens)
--- a/src/serving/endpoint_registry.h
+++ b/src/serving/endpoint_registry.h
@@ -2,6 +2,7 @@
 
 #include "protocol/configuration.h"
 #include "protocol/exchange_messages.h"
+#include "serving/endpoint_pace.h"
 #include "transport/core_time.h"
 
 #include <cstdint>
@@ -64,6 +65,7 @@
     instant noticeChangedAt; ///< Last change of `limit` or `saysLeaving`.
     bool missing = false; ///< Its entry expired while the store was failing.
     instant missingSince;
+    endpoint_pace pace;
 
     /// Whether new requests may be sent: not draining, not in backoff and not reserved for a role change.
     bool usable(instant now) const;
@@ -107,6 +109,13 @@
     /// Removes the loads of the other daemons.
     void clearPeerLoads();
 
+    /// Records the pace that an endpoint has reported. Returns whether the pace of its service has become uneven.
+    bool notePace(endpoint_state &endpoint, double figure, instant now);
+    /// Whether some endpoint of the service has lately reported a pace other than the usual one. Restarts of endpoints don't end this.
+    bool hasUnevenPace(std::string_view service, instant now) const;
+    /// What is known about the pace of a service; created when it does not exist.
+    service_pace &servicePace(std::string_view service);
+
 private:
     struct copied_entry
     {
@@ -123,6 +132,7 @@
     std::unordered_map<std::uint64_t, instant> m_removed; ///< Hashes of the processes that were removed, and when.
     std::map<std::string, copied_entry, std::less<>> m_copied; ///< Entries of removed processes that an older copy of the store lists, by id.
     std::unordered_map<std::uint64_t, endpoint_load> m_peerLoads; ///< Sums over the other daemons, also for endpoints that are not listed.
+    std::map<std::string, service_pace, std::less<>> m_servicePaces; ///< By service, whether or not an endpoint is listed.
 };
 
 /// Counts a request in the load of an endpoint from its dispatch until it ends.
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -1,5 +1,7 @@
 #include "serving/placement.h"
 
+#include "serving/spread_choice.h"
+
 #include <algorithm>
 #include <cmath>
 #include <optional>
@@ -20,6 +22,13 @@
 constexpr double maxRetryAfterMs = 3000;
 constexpr double jitterFraction = 0.5; // Retries of callers refused together are spread over this fraction of the retry time.
 constexpr double crossDomainRoundTripMs = 3; // Network round trip to another failure domain.
+// Expected queue at a prefill engine that the daemon does not see yet, as a fraction of the mean queue that it sees: the loads of others are about
+// 165 ms old, and a long prompt takes 400 ms. It keeps short prompts from prefill engines that only look idle.
+constexpr double hiddenQueueFraction = 0.4;
+// Candidates drawn at random where the pace is uneven; the fewer, the less daemons herd, but the worse is the best of them. Of 3 to 6, these gave the lowest
+// 95th percentiles (docs/measurements.md). A prefill engine works on one prompt at a time, so herding costs more there than where slots are free.
+constexpr std::size_t prefillDraws = 3;
+constexpr std::size_t slotDraws = 5;
 constexpr double maxFailureRate = 0.9; // Keeps a failing endpoint eligible, so that it is tried again when all fail.
 
 double msPerQueuedToken(const engine_model &model, const engine_candidate &engine)
@@ -27,7 +36,7 @@
     const bool mixed = engine.role != endpoint_role::Prefill;
     const double chunk = model.chunkTokens * (mixed ? model.mixedChunkFraction : 1);
     const double step = model.stepMs + model.stepMsPerRequest * engine.running;
-    return ((mixed ? model.mixedPrefillSlowdown : 1) / model.prefillTokensPerMs + step / chunk) * engine.slowdown;
+    return ((mixed ? model.mixedPrefillSlowdown : 1) / model.prefillTokensPerMs + step / chunk) * engine.slowdown * engine.pace;
 }
 
 double queueMs(const engine_model &model, const engine_candidate &engine)
@@ -85,7 +94,7 @@
     const auto &engine = input.engines[static_cast<std::size_t>(index)];
     const double queue = queueMs(model, engine);
     const auto workFor = [&](double cached) {
-        return prefillMs(model, engine.role, std::max(0.0, input.promptTokens - cached), cached, engine.running) * engine.slowdown;
+        return prefillMs(model, engine.role, std::max(0.0, input.promptTokens - cached), cached, engine.running) * engine.slowdown * engine.pace;
     };
     prefill_plan best{
         .engine = index, .queueMs = queue, .doneMs = queue + workFor(engine.cachedTokens) + model.firstTokenOverheadMs, .workMs = workFor(engine.cachedTokens)};
@@ -118,12 +127,59 @@
 {
     const double held = std::max(0.0, engine.heldMs - prefillDoneMs);
     const double otherPrefillMs
-        = engine.queuedTokens > 0 ? model.chunkTokens * model.mixedChunkFraction * model.mixedPrefillSlowdown / model.prefillTokensPerMs : 0;
-    const double step = (model.stepMs + model.stepMsPerRequest * engine.running) * engine.slowdown;
+        = engine.queuedTokens > 0 ? model.chunkTokens * model.mixedChunkFraction * model.mixedPrefillSlowdown / model.prefillTokensPerMs * engine.pace : 0;
+    const double step = (model.stepMs + model.stepMsPerRequest * engine.running) * engine.slowdown * engine.pace;
     return held + transferMs(input, model, input.promptTokens, prefillIsLocal == engine.local)
         + withFailures(engine.overdueMs + step + otherPrefillMs, engine.failureRate) + (engine.local ? 0 : crossDomainRoundTripMs);
 }
 
+engine_model corrected(engine_model model, const std::optional<uneven_pace> &uneven)
+{
+    if (uneven) {
+        model.firstTokenOverheadMs += uneven->overheadMs;
+        model.prefillTokensPerMs /= uneven->work;
+        model.stepMs *= uneven->work;
+        model.stepMsPerRequest *= uneven->work;
+        model.attentionMsPerMillionPairs *= uneven->work;
+    }
+    return model;
+}
+
+// Whether a path whose first event is `firstEventMs` away runs.
+placement_verdict classify(const generation_input &input, double firstEventMs, double queueTimeMs)
+{
+    if (input.elapsedMs + firstEventMs <= input.targetMs) {
+        return placement_verdict::Run;
+    }
+    return queueTimeMs <= maxLateQueueMs && firstEventMs <= deadlineFraction * input.remainingMs ? placement_verdict::RunLate : placement_verdict::Refuse;
+}
+
+double meanPrefillQueueMs(const generation_input &input, const engine_model &model)
+{
+    double sum = 0;
+    int count = 0;
+    for (const auto &engine : input.engines) {
+        if (engine.role == endpoint_role::Prefill && !engine.excluded) {
+            sum += engine.queuedTokens * msPerQueuedToken(model, engine);
+            ++count;
+        }
+    }
+    return count > 0 ? sum / count : 0;
+}
+
+// Options are chosen at random only among those of one verdict and one kind of path. Disaggregated paths of short prompts would otherwise be taken too
+// often: long prompts that a daemon does not see yet cost more time at a prefill engine than short ones elsewhere.
+int groupOf(placement_verdict verdict, bool disaggregated = false)
+{
+    return 2 * static_cast<int>(verdict) + (disaggregated ? 1 : 0);
+}
+
+// The random number of one of the two choices of a placement; nullopt for a service of even pace, whose cheapest path is chosen.
+std::optional<std::uint32_t> choiceOf(const std::optional<uneven_pace> &uneven, std::uint32_t part)
+{
+    return uneven ? std::optional(uneven->choice + part) : std::nullopt;
+}
+
 /// Limits a retry time to the allowed range and adds jitter.
 double withJitter(double ms, double jitter)
 {
@@ -143,12 +199,11 @@
 
 // Step 1: find the cheapest prefill engine. Step 2: for each other engine, compare a prefill there with the disaggregated path from that prefill
 // engine. Step 3: run the request on the cheapest path, or refuse it if it would start too late.
-generation_result placeGeneration(const generation_input &input, const engine_model &model)
+generation_result placeGeneration(const generation_input &input, const engine_model &settingsModel)
 {
+    const auto model = corrected(settingsModel, input.uneven);
     const auto sources = kvSources(input);
-    std::optional<prefill_plan> disaggregated;
-    generation_result best;
-    double bestCost = 0;
+    spread_choice<prefill_plan> prefills;
     double shortestQueueMs = maxRetryAfterMs;
     bool anyAvailable = false;
     bool anyPrefillEngine = false;
@@ -161,22 +216,26 @@
         }
         shortestQueueMs = std::min(shortestQueueMs, queueMs(model, engine));
         if (engine.role == endpoint_role::Prefill && input.mayDisaggregate) {
-            if (const auto plan = planPrefill(input, model, sources, static_cast<int>(i)); !disaggregated || plan.costMs < disaggregated->costMs) {
-                disaggregated = plan;
-            }
+            const auto plan = planPrefill(input, model, sources, static_cast<int>(i));
+            prefills.add(plan.costMs, groupOf(classify(input, plan.doneMs, plan.queueMs)), plan);
         }
     }
+    const auto disaggregated = prefills.take(choiceOf(input.uneven, 0), prefillDraws);
+    const double hiddenMs = input.uneven && disaggregated ? hiddenQueueFraction * meanPrefillQueueMs(input, model) : 0;
+    spread_choice<generation_result> paths;
     const auto consider = [&](double cost, const prefill_plan &plan, int prefillIndex, int decodeIndex, double first) {
-        if (best.decodeIndex < 0 || cost < bestCost) {
-            bestCost = cost;
-            best = {.prefillIndex = prefillIndex,
-                    .decodeIndex = decodeIndex,
-                    .kvSourceIndex = plan.kvSourceIndex,
-                    .firstEventMs = first,
-                    .prefillDoneMs = plan.doneMs,
-                    .queueMs = std::max(plan.queueMs, input.engines[static_cast<std::size_t>(decodeIndex)].heldMs - plan.doneMs),
-                    .prefillMs = plan.workMs};
-        }
+        const double queue = std::max(plan.queueMs, input.engines[static_cast<std::size_t>(decodeIndex)].heldMs - plan.doneMs);
+        const auto verdict = classify(input, first, queue);
+        paths.add(cost,
+                  groupOf(verdict, prefillIndex >= 0),
+                  {.verdict = verdict,
+                   .prefillIndex = prefillIndex,
+                   .decodeIndex = decodeIndex,
+                   .kvSourceIndex = plan.kvSourceIndex,
+                   .firstEventMs = first,
+                   .prefillDoneMs = plan.doneMs,
+                   .queueMs = queue,
+                   .prefillMs = plan.workMs});
     };
     for (std::size_t i = 0; i < input.engines.size(); ++i) {
         const auto &engine = input.engines[i];
@@ -193,51 +252,55 @@
             const auto &prefillEngine = input.engines[static_cast<std::size_t>(disaggregated->engine)];
             const double startMs = decodeStartMs(input, model, engine, prefillEngine.local, disaggregated->doneMs);
             const double first = disaggregated->doneMs + startMs;
-            consider(disaggregated->costMs + startMs + (engine.local ? 0 : crossDomainPenaltyMs), *disaggregated, disaggregated->engine, index, first);
+            consider(
+                disaggregated->costMs + hiddenMs + startMs + (engine.local ? 0 : crossDomainPenaltyMs), *disaggregated, disaggregated->engine, index, first);
         }
     }
+    auto best = paths.take(choiceOf(input.uneven, 1), slotDraws).value_or(generation_result());
     if (best.decodeIndex < 0) {
         best.reason = anyAvailable ? "all engines are full" : "no engine is up";
         best.retryAfterMs = withJitter(anyAvailable ? minRetryAfterMs : maxRetryAfterMs / 3, input.jitter);
         return best;
     }
-    const double first = input.elapsedMs + best.firstEventMs;
-    if (first <= input.targetMs) {
-        best.verdict = placement_verdict::Run;
+    switch (best.verdict) {
+    case placement_verdict::Run:
         best.reason = "on time";
-    } else if (best.queueMs <= maxLateQueueMs && best.firstEventMs <= deadlineFraction * input.remainingMs) {
-        best.verdict = placement_verdict::RunLate;
+        break;
+    case placement_verdict::RunLate:
         best.reason = "late";
-    } else {
-        best.verdict = placement_verdict::Refuse;
+        break;
+    case placement_verdict::Refuse:
         best.reason = "too late";
         best.retryAfterMs = withJitter(best.queueMs, input.jitter);
+        break;
     }
     return best;
 }
 
-int placeDecode(const generation_input &input, const engine_model &model, bool prefillIsLocal)
+int placeDecode(const generation_input &input, const engine_model &settingsModel, bool prefillIsLocal)
 {
-    int best = -1;
-    double bestMs = 0;
+    const auto model = corrected(settingsModel, input.uneven);
+    spread_choice<int> engines;
     for (std::size_t i = 0; i < input.engines.size(); ++i) {
         const auto &engine = input.engines[i];
         if (!hasFreeSlot(engine) || engine.role == endpoint_role::Prefill || engine.heldMs >= input.remainingMs) {
             continue;
         }
         const double ms = decodeStartMs(input, model, engine, prefillIsLocal, 0) + (engine.local ? 0 : crossDomainPenaltyMs);
-        if (best < 0 || ms < bestMs) {
-            best = static_cast<int>(i);
-            bestMs = ms;
-        }
+        engines.add(ms, 0, static_cast<int>(i));
     }
-    return best;
+    return engines.take(choiceOf(input.uneven, 0), slotDraws).value_or(-1);
 }
 
 service_result placeService(const service_input &input)
 {
+    struct option
+    {
+        int endpoint = -1;
+        double predictedMs = 0;
+    };
+    spread_choice<option> options;
     service_result best;
-    double bestCost = 0;
     double shortestWaitMs = maxRetryAfterMs;
     bool anyAvailable = false;
     for (std::size_t i = 0; i < input.endpoints.size(); ++i) {
@@ -246,20 +309,24 @@
             continue;
         }
         anyAvailable = true;
+        const double workMs = input.workMs * endpoint.pace;
         const double queuedAhead = std::max(0, endpoint.running - endpoint.slots + 1);
-        const double queueTimeMs = std::max({queuedAhead / endpoint.slots * input.workMs, endpoint.overdueMs, endpoint.heldMs});
-        const double predicted = queueTimeMs + input.workMs + (endpoint.local ? 0 : crossDomainRoundTripMs);
+        const double queueTimeMs = std::max({queuedAhead / endpoint.slots * workMs, endpoint.overdueMs, endpoint.heldMs});
+        const double predicted = queueTimeMs + workMs + (endpoint.local ? 0 : crossDomainRoundTripMs);
         shortestWaitMs = std::min(shortestWaitMs, queueTimeMs);
         if (endpoint.heldMs > maxLateQueueMs && predicted > input.onTimeMs) {
             continue;
         }
         // The second term prefers, among free endpoints, the one with the smaller fraction of slots in use.
-        const double cost = withFailures(predicted, endpoint.failureRate) + input.workMs / 4 * endpoint.running / endpoint.slots;
-        if (best.endpoint < 0 || cost < bestCost) {
-            bestCost = cost;
-            best.endpoint = static_cast<int>(i);
-            best.predictedMs = predicted;
-        }
+        const double cost = withFailures(predicted, endpoint.failureRate) + workMs / 4 * endpoint.running / endpoint.slots;
+        const auto verdict = predicted > input.remainingMs ? placement_verdict::Refuse
+            : predicted > input.onTimeMs                   ? placement_verdict::RunLate
+                                                           : placement_verdict::Run;
+        options.add(cost, groupOf(verdict), {.endpoint = static_cast<int>(i), .predictedMs = predicted});
+    }
+    if (const auto chosen = options.take(choiceOf(input.uneven, 0), slotDraws)) {
+        best.endpoint = chosen->endpoint;
+        best.predictedMs = chosen->predictedMs;
     }
     if (!anyAvailable) {
         best.reason = "no endpoint is up";
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -3,6 +3,7 @@
 #include "protocol/configuration.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,13 +40,25 @@
     double failureRate = 0; ///< Fraction of the recent attempts that failed.
     double overdueMs = 0; ///< How long its oldest outstanding response is overdue.
     double heldMs = 0; ///< Time until this daemon may send it a request, because of its limit or a pause that it asked for. Counts as its queue.
+    double pace = 1; ///< Ratio of the time that work takes there to the time by the model; 1 unless the pace of the service is uneven.
 
     bool operator==(const engine_candidate &) const = default;
 };
 
+/// Part of the input for a service whose endpoints work at an uneven pace.
+struct uneven_pace
+{
+    std::uint32_t choice = 0; ///< Random number that decides among endpoints of nearly equal cost.
+    double overheadMs = 0; ///< Added to the model's first-token overhead. Not used for plain services, like the next one.
+    double work = 1; ///< Factor of the model's times for prefill and steps.
+
+    bool operator==(const uneven_pace &) const = default;
+};
+
 /// Input of placeGeneration() for one request.
 ///
-/// All numbers are multiples of 0.1 (slowdown and failure rate: of 0.01), so that the log line holds exactly the values that the decision used.
+/// All numbers are multiples of 0.1 (slowdown, failure rate, pace and work factor: of 0.01), so that the log line holds exactly the values that the decision
+/// used.
 struct generation_input
 {
     std::string requestId;
@@ -60,6 +73,7 @@
     double peerAgeMs = 0; ///< Age of the oldest summary of a peer whose load is counted. Only logged, not used.
     double jitter = 0; ///< Uniform in [0, 1): spreads the retry times.
     std::vector<engine_candidate> engines;
+    std::optional<uneven_pace> uneven; ///< Set while the pace of the service is uneven.
 
     bool operator==(const generation_input &) const = default;
 };
@@ -95,6 +109,9 @@
 /// blocks that are cached there, fetched from another engine, or computed again. So work goes to any engine that is free, without a role change.
 /// A request that would start long after its target time on every path is refused at once, with a retry time taken from the queue of the
 /// cheapest path.
+///
+/// While the pace of the service is uneven, the choice among nearly equal paths is random, because all daemons see the same figures late and would
+/// otherwise choose the same engine.
 generation_result placeGeneration(const generation_input &input, const engine_model &model);
 
 /// Chooses the decode engine for a prompt whose prefill has just ended, by the current state; -1 when all are full or excluded.
@@ -112,6 +129,7 @@
     double failureRate = 0;
     double overdueMs = 0;
     double heldMs = 0;
+    double pace = 1;
 
     bool operator==(const service_candidate &) const = default;
 };
@@ -121,12 +139,13 @@
 {
     std::string requestId;
     std::uint64_t configVersion = 0;
-    double workMs = 50; ///< Measured mean response time of the route.
+    double workMs = 50; ///< Measured mean response time of the route; at pace 1 while the pace is uneven.
     double remainingMs = 0;
     double onTimeMs = 0; ///< Time until the answer is late. No endpoint is waited for beyond it.
     double peerAgeMs = 0;
     double jitter = 0;
     std::vector<service_candidate> endpoints;
+    std::optional<uneven_pace> uneven;
 
     bool operator==(const service_input &) const = default;
 };
--- a/src/serving/placement_log.cpp
+++ b/src/serving/placement_log.cpp
@@ -14,14 +14,19 @@
 
 constexpr const char *generationEvent = "place_generation";
 constexpr const char *serviceEvent = "place_service";
-// Positions of the last fields of a candidate. The held time is left out when it is 0.
+// Positions of the last fields of a candidate. The pace is left out when it is 1, and then the held time when it is 0.
 constexpr std::size_t engineOverdue = 10;
 constexpr std::size_t engineHeld = 11;
+constexpr std::size_t enginePace = 12;
 constexpr std::size_t endpointOverdue = 6;
 constexpr std::size_t endpointHeld = 7;
+constexpr std::size_t endpointPace = 8;
 
-std::string encodeHeld(double heldMs)
+std::string encodeLast(double heldMs, double pace)
 {
+    if (pace != 1) {
+        return absl::StrCat(",", std::llround(heldMs), ",", std::llround(pace * 100));
+    }
     return heldMs > 0 ? absl::StrCat(",", std::llround(heldMs)) : std::string();
 }
 
@@ -30,24 +35,30 @@
     return entry.size() > position ? entry.at(position).get<double>() : 0;
 }
 
+double parsePace(const json &entry, std::size_t position)
+{
+    return entry.size() > position ? entry.at(position).get<double>() / 100 : 1;
+}
+
 std::string encode(const engine_candidate &engine)
 {
-    return absl::StrCat("[\"",
-                        engine.id,
-                        "\",",
-                        static_cast<int>(engine.role),
-                        engine.local ? ",1," : ",0,",
-                        engine.excluded ? "1," : "0,",
-                        engine.running,
-                        ",",
-                        engine.slots,
-                        ",",
-                        std::llround(engine.queuedTokens),
-                        ",",
-                        std::llround(engine.cachedTokens),
-                        ",",
-                        std::llround(engine.slowdown * 100),
-                        absl::StrCat(",", std::llround(engine.failureRate * 100), ",", std::llround(engine.overdueMs), encodeHeld(engine.heldMs), "]"));
+    return absl::StrCat(
+        "[\"",
+        engine.id,
+        "\",",
+        static_cast<int>(engine.role),
+        engine.local ? ",1," : ",0,",
+        engine.excluded ? "1," : "0,",
+        engine.running,
+        ",",
+        engine.slots,
+        ",",
+        std::llround(engine.queuedTokens),
+        ",",
+        std::llround(engine.cachedTokens),
+        ",",
+        std::llround(engine.slowdown * 100),
+        absl::StrCat(",", std::llround(engine.failureRate * 100), ",", std::llround(engine.overdueMs), encodeLast(engine.heldMs, engine.pace), "]"));
 }
 
 std::string encode(const service_candidate &endpoint)
@@ -63,7 +74,7 @@
                         std::llround(endpoint.failureRate * 100),
                         ",",
                         std::llround(endpoint.overdueMs),
-                        encodeHeld(endpoint.heldMs),
+                        encodeLast(endpoint.heldMs, endpoint.pace),
                         "]");
 }
 
@@ -92,6 +103,7 @@
         .failureRate = entry.at(9).get<double>() / 100,
         .overdueMs = entry.at(engineOverdue),
         .heldMs = parseHeld(entry, engineHeld),
+        .pace = parsePace(entry, enginePace),
     };
 }
 
@@ -106,9 +118,18 @@
         .failureRate = entry.at(5).get<double>() / 100,
         .overdueMs = entry.at(endpointOverdue),
         .heldMs = parseHeld(entry, endpointHeld),
+        .pace = parsePace(entry, endpointPace),
     };
 }
 
+std::optional<uneven_pace> parseUneven(const json &line)
+{
+    if (!line.contains("choice")) {
+        return std::nullopt;
+    }
+    return uneven_pace{.choice = line.at("choice"), .overheadMs = line.value("overhead_ms", 0.0), .work = line.value("work_percent", 100.0) / 100};
+}
+
 generation_input parseGeneration(const json &line)
 {
     generation_input input{
@@ -123,6 +144,7 @@
         .linkMbps = line.at("link_mbps"),
         .peerAgeMs = line.at("peer_age_ms"),
         .jitter = line.at("roll"),
+        .uneven = parseUneven(line),
     };
     for (const auto &entry : line.at("engines")) {
         input.engines.push_back(parseEngine(entry));
@@ -140,6 +162,7 @@
         .onTimeMs = line.value("on_time_ms", 0.0),
         .peerAgeMs = line.at("peer_age_ms"),
         .jitter = line.at("roll"),
+        .uneven = parseUneven(line),
     };
     for (const auto &entry : line.at("endpoints")) {
         input.endpoints.push_back(parseEndpoint(entry));
@@ -178,6 +201,11 @@
     line.add("link_mbps", input.linkMbps).add("peer_age_ms", input.peerAgeMs).add("roll", input.jitter).addRaw("engines", encodeList(input.engines));
     line.add("read_at", result.prefillIndex).add("output_at", result.decodeIndex).add("fetch_from", result.kvSourceIndex).add("first_ms", result.firstEventMs);
     line.add("queue_ms", result.queueMs).add("read_ms", result.prefillMs).add("reason", result.reason);
+    if (input.uneven) {
+        line.add("choice", std::uint64_t(input.uneven->choice))
+            .add("overhead_ms", input.uneven->overheadMs)
+            .add("work_percent", std::int64_t(std::llround(input.uneven->work * 100)));
+    }
 }
 
 void logPlacement(log_line &line, const service_input &input, const service_result &result)
@@ -185,6 +213,9 @@
     line.add("id", input.requestId).add("config", input.configVersion).add("work_ms", input.workMs).add("left_ms", input.remainingMs);
     line.add("on_time_ms", input.onTimeMs).add("peer_age_ms", input.peerAgeMs).add("roll", input.jitter).addRaw("endpoints", encodeList(input.endpoints));
     line.add("chosen", result.endpoint).add("predicted_ms", result.predictedMs).add("reason", result.reason);
+    if (input.uneven) {
+        line.add("choice", std::uint64_t(input.uneven->choice));
+    }
 }
 
 absl::StatusOr<placement_record> parsePlacement(std::string_view text)
--- a/src/serving/service_forward.cpp
+++ b/src/serving/service_forward.cpp
@@ -1,6 +1,7 @@
 #include "serving/caller_exchange.h"
 
 #include "serving/endpoint_turn.h"
+#include "serving/pace_samples.h"
 #include "serving/placement_log.h"
 #include "transport/boot_clock.h"
 #include "transport/timeout.h"
@@ -47,6 +48,10 @@
         .peerAgeMs = toTenth(context.exchange.ageMs(bootNow())),
         .jitter = toTenth(context.jitter()),
     };
+    input.uneven = makeUnevenPace(context, request.service, now);
+    if (input.uneven) {
+        input.workMs = toTenth(context.endpoints.servicePace(request.service).callMs(request.route->name).value_or(input.workMs));
+    }
     const turn_times turns(context, now);
     for (const auto &endpoint : endpoints) {
         input.endpoints.push_back({
@@ -58,6 +63,7 @@
             .failureRate = request.route->repeatable ? 0 : toHundredth(endpoint->failureRate),
             .overdueMs = endpoint->overdueMs(now),
             .heldMs = turns.heldMs(*endpoint),
+            .pace = input.uneven ? toHundredth(endpoint->pace.estimate(now, 1)) : 1,
         });
     }
     return input;
@@ -91,6 +97,7 @@
     if (!address.ok()) {
         co_return out;
     }
+    auto callTimer = startCallTimer(*endpoint, bootNow());
     const load_reservation reservation(endpoint, 0);
     if (!co_await awaitTurn(context, request, endpoint)) {
         out.state = exchange_state::NotSent;
@@ -98,6 +105,7 @@
         co_return out;
     }
     const instant now = bootNow();
+    callTimer.sentAt = now;
     const answer_deadline answerDeadline(endpoint, now + std::chrono::milliseconds(std::lround(3 * predictedMs)));
     out.exchange = std::make_shared<client_exchange>(context.pool, *address, forwardOptions(context, request, request.deadline));
     request.reply->onDisconnect([exchange = out.exchange] {
@@ -118,6 +126,9 @@
             out.state = exchange_state::Complete;
         }
     }
+    if (out.state == exchange_state::Complete && out.exchange->head().result_int() < 300) {
+        noteCallTime(context, *endpoint, request.route->name, callTimer, bootNow());
+    }
     request.reply->onDisconnect(nullptr);
     co_return out;
 }
--- a/src/serving/shared_sums.h
+++ b/src/serving/shared_sums.h
@@ -17,7 +17,9 @@
     QuotaUse, ///< Use of a quota by requests that were admitted, in units of the quota.
     AdmissionDemand, ///< Demand by service, priority and organisation, in tokens (calls for plain services) per second.
     EndpointAttempts, ///< Recent attempts at an endpoint, decayed.
-    EndpointFailures ///< Recent failed attempts at an endpoint, decayed.
+    EndpointFailures, ///< Recent failed attempts at an endpoint, decayed.
+    PrefillSamples, ///< Measured prefills of long prompts at an engine, by weight.
+    PrefillRatios ///< Their ratios of measured to predicted time, by weight.
 };
 
 /// Key of a sum: a hash of the purpose and a name, such as an organisation's.
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -3,6 +3,7 @@
 #include "serving/body_kind.h"
 #include "serving/endpoint_turn.h"
 #include "serving/event_stream.h"
+#include "serving/pace_samples.h"
 #include "serving/peer_exchange.h"
 #include "serving/placement_log.h"
 #include "serving/stream_takeover.h"
@@ -97,6 +98,7 @@
     std::optional<std::uint64_t> m_lastEventId; ///< Id of the last event sent to the caller.
     double m_retryAfterMs = 250;
     bool m_awaitsHead = false; ///< The attempt under way is not counted in m_outcome yet.
+    prompt_timer m_promptTimer; ///< Of the attempt under way, if its engine also does the prefill; without an engine otherwise.
     timeout m_silence;
     std::shared_ptr<stream_takeover> m_takeover; ///< Null if none is under way.
 };
@@ -130,6 +132,7 @@
         input.kvTokenBytes = service->second.engine->kvTokenBytes;
         input.linkMbps = service->second.engine->linkMbps;
     }
+    input.uneven = makeUnevenPace(m_context, m_request.service, now);
     const turn_times turns(m_context, now);
     for (const auto &engine : engines) {
         input.engines.push_back({
@@ -141,10 +144,11 @@
             .slots = known ? service->second.engine->slots : std::max(1, engine->entry.slots),
             .queuedTokens = std::round(engine->own.promptTokens + engine->peers.promptTokens),
             .cachedTokens = m_prompt ? std::round(m_context.prefixBlocks.cachedTokens(m_prompt->prefixBlocks, engine->hash)) : 0,
-            .slowdown = toHundredth(engine->slowdown),
+            .slowdown = input.uneven ? 1 : toHundredth(engine->slowdown), // The pace contains it.
             .failureRate = toHundredth(engine->failureRate),
             .overdueMs = engine->overdueMs(now),
             .heldMs = turns.heldMs(*engine),
+            .pace = input.uneven ? toHundredth(engine->pace.estimate(now, input.uneven->work)) : 1,
         });
     }
     return input;
@@ -232,6 +236,7 @@
                    placement.kvSourceIndex < 0 ? 0 : input.engines[static_cast<std::size_t>(placement.kvSourceIndex)].cachedTokens);
     const double uncachedTokens = std::max(0.0, input.promptTokens - cachedTokens);
     notePrefixBlocks(promptEngine);
+    m_promptTimer = {};
 
     std::string handle;
     if (prefillEngine) {
@@ -268,6 +273,9 @@
         m_failed.insert(engine->entry.id);
         co_return step::Retry;
     }
+    if (!prefillEngine && !kvSource && !m_lastEventId) {
+        m_promptTimer = startPromptTimer(engine, uncachedTokens, cachedTokens, bootNow());
+    }
     load_reservation reservation(engine, prefillEngine ? 0 : uncachedTokens);
     expediteSummary(m_context, prefillEngine ? 0 : uncachedTokens);
     if (!co_await awaitTurn(m_context, m_request, engine)) {
@@ -280,6 +288,7 @@
         co_return step::Retry;
     }
     const instant now = bootNow();
+    m_promptTimer.sentAt = now;
     auto message = makeForwardedRequest(m_context, m_request, engine->entry, now);
     if (prefillEngine) {
         m_context.platform.wire.engine.setKvSource(message, prefillEngine->entry, handle);
@@ -462,6 +471,7 @@
         co_return std::string();
     }
     const bool wasQueued = prefillEngine->own.promptTokens + prefillEngine->peers.promptTokens > 0;
+    auto timer = startPromptTimer(prefillEngine, tokens, m_prompt ? std::max(0.0, m_prompt->promptTokens - tokens) : 0, bootNow());
     load_reservation reservation(prefillEngine, tokens);
     expediteSummary(m_context, tokens);
     if (!co_await awaitTurn(m_context, m_request, prefillEngine)) {
@@ -470,6 +480,7 @@
     }
     m_prefillRetryAcquired = false;
     const instant now = bootNow();
+    timer.sentAt = now;
     auto message = makeForwardedRequest(m_context, m_request, prefillEngine->entry, now);
     m_context.platform.wire.engine.markPrefill(message);
     if (kvSource) {
@@ -529,6 +540,9 @@
         co_return std::string();
     }
     updateSlowdown(prefillEngine, wasQueued, tokens, elapsedMs);
+    if (!kvSource) {
+        notePromptTime(m_context, timer, bootNow());
+    }
     co_return *handle;
 }
 
@@ -620,6 +634,7 @@
 stream_session::forwardEvents(std::shared_ptr<client_exchange> exchange, exchange_state state, const endpoint_ptr &engine, load_reservation &reservation)
 {
     event_splitter events;
+    event_times times;
     std::string received;
     bool first = true;
     bool continues = !m_lastEventId; // A resumed stream goes on with an event after the last one.
@@ -645,6 +660,8 @@
             if (event->id) {
                 m_lastEventId = event->id;
             }
+            times.last = bootNow();
+            times.first = times.events++ == 0 ? times.last : times.first;
         }
         exchange->holdBytes(events.partialBytes());
         if (events.partialBytes() > maxEventBytes) {
@@ -687,6 +704,7 @@
     const bool endIsProved = !first || (!exchange->endsWithConnection() && bodyKind(exchange->head()) == body_kind::Events);
     if (state == exchange_state::Complete && events.partialBytes() == 0 && m_streaming && endIsProved) {
         m_context.endpoints.noteResult(*engine, attempt_result::Succeeded, now);
+        noteEventTimes(m_context, *engine, times);
         recordSuccess(m_context, m_request);
         m_outcome.reason = "answered";
         co_await m_request.reply->endStream();
@@ -728,6 +746,9 @@
         m_context.usage.countRequest(m_request.organisation, m_context.correctedTimeMs());
     }
     notePrefixBlocks(engine);
+    if (m_promptTimer.engine == engine) {
+        notePromptTime(m_context, m_promptTimer, bootNow());
+    }
 }
 
 void stream_session::updateSlowdown(const endpoint_ptr &engine, bool wasQueued, double tokens, double elapsedMs) const
--- a/tests/placement_log_test.cpp
+++ b/tests/placement_log_test.cpp
@@ -45,6 +45,12 @@
             .heldMs = upTo(5) == 0 ? static_cast<double>(upTo(900)) : 0,
         });
     }
+    if (upTo(1) == 0) {
+        input.uneven = uneven_pace{.choice = static_cast<std::uint32_t>(random()), .overheadMs = toTenth((upTo(600) - 200) / 7.0), .work = toHundredth(0.9)};
+        for (auto &engine : input.engines) {
+            engine.pace = toHundredth(upTo(3) == 0 ? 1 : 0.25 + upTo(300) / 100.0);
+        }
+    }
     return input;
 }
 
@@ -88,20 +94,41 @@
     EXPECT_TRUE(replayPlacement("no decision", model, counts).ok());
 }
 
+// Guards against log lines that change for services of even pace: other programs read them.
+TEST(placement_log, lines_of_services_of_even_pace_have_no_fields_of_pace)
+{
+    generation_input input{.requestId = "r", .engines = {{.id = "e", .local = true}}};
+    const auto even = logged(input);
+    EXPECT_NE(even.find(R"("engines":[["e",)" + std::to_string(static_cast<int>(endpoint_role::Mixed)) + ",1,0,0,1,0,0,100,0,0]]"), std::string::npos) << even;
+    EXPECT_EQ(even.find("choice"), std::string::npos);
+    input.engines[0].pace = 2.5;
+    input.uneven = uneven_pace{.choice = 7, .work = 0.9};
+    const auto uneven = logged(input);
+    EXPECT_NE(uneven.find(",100,0,0,0,250]]"), std::string::npos) << uneven;
+    EXPECT_NE(uneven.find("\"choice\":7,\"overhead_ms\":0,\"work_percent\":90"), std::string::npos) << uneven;
+}
+
 // Guards against placements of plain services that can't be replayed from the log.
 TEST(placement_log, replays_a_service_placement)
 {
     service_input input{.requestId = "r", .configVersion = 3, .workMs = 61.2, .remainingMs = 790.4, .onTimeMs = 290.4, .peerAgeMs = 3.1, .jitter = 0.4};
     input.endpoints
         = {{.id = "a", .local = true, .running = 7, .slots = 6, .failureRate = 0.12, .overdueMs = 20}, {.id = "b", .running = 2, .slots = 6, .heldMs = 33}};
-    log_line line(1, "place_service");
-    logPlacement(line, input, placeService(input));
-    const auto text = line.take();
-    const auto record = parsePlacement(text);
-    ASSERT_TRUE(record.ok()) << record.status();
-    EXPECT_EQ(std::get<service_input>(*record), input);
     replay_counts counts;
-    EXPECT_TRUE(replayPlacement(text, model, counts).ok());
+    for (const bool uneven : {false, true}) {
+        if (uneven) {
+            input.uneven = uneven_pace{.choice = 0xfedcba98};
+            input.endpoints[0].pace = 0.62;
+        }
+        log_line line(1, "place_service");
+        logPlacement(line, input, placeService(input));
+        const auto text = line.take();
+        const auto record = parsePlacement(text);
+        ASSERT_TRUE(record.ok()) << record.status();
+        EXPECT_EQ(std::get<service_input>(*record), input);
+        EXPECT_TRUE(replayPlacement(text, model, counts).ok());
+    }
+    EXPECT_EQ(counts.decisions, 2);
 }
 
 }
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -223,4 +223,60 @@
     EXPECT_GE(refused.retryAfterMs, std::min(input.engines[1].heldMs - placed.prefillDoneMs, 3000.0)); // No retry time is longer than 3 s.
 }
 
+// Guards against predictions that ignore the pace of an engine, and against queues at slow engines.
+TEST(place_generation, prefers_engines_of_better_pace)
+{
+    auto input = twoEngines();
+    input.engines.push_back({.id = "fast", .role = endpoint_role::Prefill, .local = true, .slots = 64, .pace = 0.625});
+    const auto fast = placeGeneration(input, model);
+    EXPECT_EQ(fast.prefillIndex, 2);
+    input.engines[2].pace = 1.6;
+    const auto usual = placeGeneration(input, model);
+    EXPECT_EQ(usual.prefillIndex, 0);
+    EXPECT_NEAR(fast.prefillMs, 0.625 * usual.prefillMs, 1);
+    input.engines[0].queuedTokens = 25000;
+    EXPECT_EQ(placeGeneration(input, model).prefillIndex, 2);
+    input.uneven = uneven_pace{.overheadMs = 32, .work = 0.9};
+    input.engines[2].excluded = true;
+    input.engines[0].queuedTokens = 0;
+    EXPECT_NEAR(placeGeneration(input, model).prefillMs, 0.9 * usual.prefillMs, 1);
+}
+
+// Guards against herding: daemons that see the same figures must not all choose the same endpoint, and none may choose one where a request is late
+// while others are in time.
+TEST(place_service, many_daemons_with_the_same_figures_spread_their_calls)
+{
+    service_input input{.workMs = 50, .remainingMs = 1000, .onTimeMs = 200};
+    for (int i = 0; i < 12; ++i) {
+        input.endpoints.push_back({.id = std::to_string(i), .local = true, .running = i, .slots = 16, .pace = i < 10 ? 1.0 : 4.1});
+    }
+    std::vector<int> chosen(12);
+    for (std::uint32_t daemon = 0; daemon < 84; ++daemon) {
+        input.uneven = uneven_pace{.choice = daemon * 2654435761U};
+        const auto result = placeService(input);
+        ASSERT_EQ(result.verdict, placement_verdict::Run);
+        ++chosen[static_cast<std::size_t>(result.endpoint)];
+    }
+    EXPECT_EQ(chosen[10] + chosen[11], 0);
+    EXPECT_GT(chosen[0], 84 / 12);
+    EXPECT_LT(*std::ranges::max_element(chosen), 84 * 2 / 3);
+    input.uneven.reset();
+    EXPECT_EQ(placeService(input).endpoint, 0);
+}
+
+// Guards against daemons that all move their streams to the same engine after the prefill.
+TEST(place_decode, many_daemons_with_the_same_figures_spread_their_streams)
+{
+    auto input = twoEngines();
+    for (int i = 0; i < 11; ++i) {
+        input.engines.push_back({.id = std::to_string(i), .role = endpoint_role::Decode, .local = true, .slots = 64});
+    }
+    std::set<int> chosen;
+    for (std::uint32_t daemon = 0; daemon < 84; ++daemon) {
+        input.uneven = uneven_pace{.choice = daemon * 2654435761U};
+        chosen.insert(placeDecode(input, model, true));
+    }
+    EXPECT_GT(chosen.size(), 8U);
+}
+
 }
