--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -1,6 +1,7 @@
 #include "serving/caller_exchange.h"
 
 #include "serving/endpoint_notice.h"
+#include "serving/pace_samples.h"
 #include "serving/peer_exchange.h"
 #include "serving/quota_check.h"
 #include "state/rendezvous.h"
@@ -324,6 +325,9 @@
 {
     const auto notice = context.platform.wire.parseNotice(head);
     const bool changed = applyNotice(context.endpoints, endpoint, notice, sentAt, bootNow());
+    if (notice.load) {
+        noteLoadFigures(context, endpoint, *notice.load);
+    }
     if (changed) {
         expediteSummary(context);
     }
--- a/src/serving/endpoint_registry.cpp
+++ b/src/serving/endpoint_registry.cpp
@@ -15,7 +15,7 @@
 constexpr auto maxBackoff = std::chrono::seconds(2); // Bounds how long a recovered endpoint stays unused.
 constexpr auto leavingMemory = std::chrono::minutes(10); // A leaving process ends within its drain time, which is a matter of seconds.
 constexpr auto copiedEntryTime = std::chrono::seconds(6); // The store drops an entry after three heartbeats of silence, 3.6 s at the usual interval.
-constexpr auto unevenPaceMemory = std::chrono::seconds(60); // Endpoints that share their machines report again within seconds.
+constexpr std::size_t maxServicePaces = 256; // Of more services, those without endpoints are dropped.
 constexpr double failureWeight = 0.1; // Weight of one attempt: about ten attempts distinguish a failing endpoint from a single failure.
 
 void noteOutcome(ejection_state &ejection, attempt_result result, instant now)
@@ -221,17 +221,6 @@
     endpoint.failureRate += failureWeight * (failed - endpoint.failureRate);
 }
 
-void endpoint_registry::noteUnevenPace(std::string_view service, instant now)
-{
-    m_unevenPaceAt.insert_or_assign(std::string(service), now);
-}
-
-bool endpoint_registry::hasUnevenPace(std::string_view service, instant now) const
-{
-    const auto found = m_unevenPaceAt.find(service);
-    return found != m_unevenPaceAt.end() && now - found->second < unevenPaceMemory;
-}
-
 void endpoint_registry::setPeerLoad(const load_entry &entry)
 {
     if (entry.load == endpoint_load{}) {
@@ -254,6 +243,31 @@
     m_peerLoads.clear();
 }
 
+bool endpoint_registry::notePace(endpoint_state &endpoint, double figure, instant now)
+{
+    endpoint.pace.noteFigure(figure, now);
+    return servicePace(endpoint.entry.service).noteFigure(figure, now);
+}
+
+bool endpoint_registry::hasUnevenPace(std::string_view service, instant now) const
+{
+    const auto found = m_servicePaces.find(service);
+    return found != m_servicePaces.end() && found->second.isUneven(now);
+}
+
+service_pace &endpoint_registry::servicePace(std::string_view service)
+{
+    if (const auto found = m_servicePaces.find(service); found != m_servicePaces.end()) {
+        return found->second;
+    }
+    if (m_servicePaces.size() >= maxServicePaces) {
+        std::erase_if(m_servicePaces, [this](const auto &entry) {
+            return ofService(entry.first).empty();
+        });
+    }
+    return m_servicePaces.try_emplace(std::string(service)).first->second;
+}
+
 load_reservation::load_reservation(endpoint_ptr endpoint, double promptTokens)
     : m_endpoint(std::move(endpoint))
     , m_promptTokens(promptTokens)
--- a/src/serving/endpoint_registry.h
+++ b/src/serving/endpoint_registry.h
@@ -3,6 +3,7 @@
 #include "protocol/configuration.h"
 #include "protocol/exchange_messages.h"
 #include "serving/endpoint_ejection.h"
+#include "serving/endpoint_pace.h"
 #include "transport/core_time.h"
 
 #include <cstdint>
@@ -67,6 +68,7 @@
     instant missingSince;
     ejection_state ejection;
     instant ejectionDecidedAt; ///< When ejections at its service were last decided, if it is the first of them.
+    endpoint_pace pace;
 
     /// Whether new requests may be sent: not draining, not in backoff and not reserved for a role change.
     bool usable(instant now) const;
@@ -105,16 +107,19 @@
     /// Updates the failure rate, the counts for ejection and the connection backoff after an attempt.
     void noteResult(endpoint_state &endpoint, attempt_result result, instant now);
 
-    /// Records that an endpoint of the service has reported an uneven pace.
-    void noteUnevenPace(std::string_view service, instant now);
-    /// Whether an endpoint of the service has reported an uneven pace in the last 60 s.
-    bool hasUnevenPace(std::string_view service, instant now) const;
 
     /// Replaces the load that the other daemons have at an endpoint. That of an endpoint not listed yet is used once it is listed.
     void setPeerLoad(const load_entry &entry);
     /// Removes the loads of the other daemons.
     void clearPeerLoads();
 
+    /// Records the pace that an endpoint has reported. Returns whether the pace of its service has become uneven.
+    bool notePace(endpoint_state &endpoint, double figure, instant now);
+    /// Whether some endpoint of the service has lately reported a pace other than the usual one. Restarts of endpoints don't end this.
+    bool hasUnevenPace(std::string_view service, instant now) const;
+    /// What is known about the pace of a service; created when it does not exist.
+    service_pace &servicePace(std::string_view service);
+
 private:
     struct copied_entry
     {
@@ -131,7 +136,7 @@
     std::unordered_map<std::uint64_t, instant> m_removed; ///< Hashes of the processes that were removed, and when.
     std::map<std::string, copied_entry, std::less<>> m_copied; ///< Entries of removed processes that an older copy of the store lists, by id.
     std::unordered_map<std::uint64_t, endpoint_load> m_peerLoads; ///< Sums over the other daemons, also for endpoints that are not listed.
-    std::map<std::string, instant, std::less<>> m_unevenPaceAt; ///< Last report of an uneven pace, by service.
+    std::map<std::string, service_pace, std::less<>> m_servicePaces; ///< By service, whether or not an endpoint is listed.
 };
 
 /// Counts a request in the load of an endpoint from its dispatch until it ends.
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -41,6 +41,8 @@
     EndpointsRestored,
     EndpointTrials,
     QuotaRefusals,
+    PaceFigures,
+    UnevenPlacements,
     Count
 };
 
