--- a/src/serving/endpoint_registry.h
+++ b/src/serving/endpoint_registry.h
@@ -107,7 +107,6 @@
     /// Updates the failure rate, the counts for ejection and the connection backoff after an attempt.
     void noteResult(endpoint_state &endpoint, attempt_result result, instant now);
 
-
     /// Replaces the load that the other daemons have at an endpoint. That of an endpoint not listed yet is used once it is listed.
     void setPeerLoad(const load_entry &entry);
     /// Removes the loads of the other daemons.
