--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 # checks are those of clang-tidy 14: bugprone-unchecked-optional-access, new in 15, is off because it does not see that ok() and has_value() were
 # tested before a co_await.
 COROUTINE_FILES = 'src/serving/*.cpp' 'platform/*.cpp' 'src/transport/boot_clock.cpp' 'src/transport/timeout.cpp' 'src/transport/spawn.cpp' 'src/transport/http_*.cpp' \
-	'tests/*_forward_test.cpp' 'tests/platform_test.cpp' 'tests/edge_*.cpp' 'tests/endpoint_notice_test.cpp' 'tests/fleet_duty_test.cpp' 'tests/usage_relay_test.cpp' 'tests/http_client_test.cpp' 'tests/endless_bytes_test.cpp' 'tests/lease_runner_test.cpp' 'tests/http_server_test.cpp' 'tests/spawn_test.cpp'
+	'tests/*_forward_test.cpp' 'tests/platform_test.cpp' 'tests/edge_*.cpp' 'tests/endpoint_notice_test.cpp' 'tests/endpoint_pace_test.cpp' 'tests/fleet_duty_test.cpp' 'tests/usage_relay_test.cpp' 'tests/http_client_test.cpp' 'tests/endless_bytes_test.cpp' 'tests/lease_runner_test.cpp' 'tests/http_server_test.cpp' 'tests/spawn_test.cpp'
 NO_COROUTINE_FILES = $(patsubst '%,':(exclude)%,$(COROUTINE_FILES))
 
 # Runs clang-tidy on the sources in src/, platform/ and tests/ in parallel.
--- a/tests/endpoint_pace_test.cpp
+++ b/tests/endpoint_pace_test.cpp
@@ -192,6 +192,25 @@
     EXPECT_TRUE(context->endpoints.hasUnevenPace("plain", now));
 }
 
+// Guards against streams whose times and figures are not used: engines would keep the pace 1.
+TEST_F(uneven_pace_test, learns_from_the_first_event_of_streams)
+{
+    scripted_server engine(loop, [](const http_request &request, int) {
+        auto head = streamHead(request);
+        head.insert(head.size() - 2, "X-Server-Load: 1,0,8,100\r\n");
+        return scripted_answer{.bytes = head + chunk(event(1)) + "0\r\n\r\n", .delay = std::chrono::milliseconds(250)};
+    });
+    auto route = makeRoute("/gen/", "engines");
+    route.stream = true;
+    route.generation = true;
+    configure({route});
+    addEndpoint("e1", "engines", engine.address(), endpoint_role::Decode);
+    EXPECT_EQ(call(post("/gen/1", "prompt", "X-Model-Name: m\r\nX-Token-Counts: 600,20\r\n")).status, 200);
+    EXPECT_GT(context->endpoints.find("e1")->pace.mean(1), 1.2);
+    EXPECT_FALSE(context->endpoints.hasUnevenPace("engines", bootNow()));
+    EXPECT_NE(context->counters.text().find("lacewinglock_pace_figures_total 1\n"), std::string::npos);
+}
+
 // Guards against prefill times that are not published, or that stay published when the engine is gone.
 TEST_F(uneven_pace_test, publishes_prefill_times_and_reads_those_of_others)
 {
