Call a failing store less often for usage and for the record of its history

Cause: while the store fails, each daemon committed its final usage itself as soon as its relay could not, and a daemon that starts read the record of the history every 150 ms. Change: usage is left to the next try of the relay while own calls fail too; the record is read with the backoff of the other calls.

--- a/src/serving/history_record.cpp
+++ b/src/serving/history_record.cpp
@@ -1,5 +1,6 @@
 #include "serving/history_record.h"
 
+#include "serving/store_backoff.h"
 #include "transport/boot_clock.h"
 
 #include <algorithm>
@@ -13,7 +14,6 @@
 {
 
 const std::string recordKey = "history";
-constexpr auto retryPause = std::chrono::milliseconds(150); // After a failed call, as for the other rows.
 constexpr auto checkInterval = std::chrono::milliseconds(250);
 constexpr std::chrono::milliseconds maxAge = std::chrono::hours(1); // Of a restore; older ones make no difference.
 
@@ -154,12 +154,18 @@
 task<void> maintainHistoryRecord(edge_context &context)
 {
     std::optional<std::uint64_t> recorded;
+    store_backoff backoff;
     while (!context.stopping) {
-        const bool due = recorded != context.platform.store.history();
-        if (due) {
-            recorded = co_await recordHistory(context);
+        if (recorded == context.platform.store.history()) {
+            co_await sleepFor(checkInterval);
+            continue;
+        }
+        recorded = co_await recordHistory(context);
+        if (recorded) {
+            backoff.noteSuccess();
+        } else {
+            co_await sleepFor(backoff.noteFailure(store_recovery::Probed, context.jitter(), bootNow()));
         }
-        co_await sleepFor(due && !recorded ? retryPause : checkInterval);
     }
 }
 
--- a/src/serving/usage_duty.cpp
+++ b/src/serving/usage_duty.cpp
@@ -249,7 +249,7 @@
             if (co_await storeWindow(context, std::move(change))) {
                 backoff.noteSuccess();
             } else {
-                backoff.noteFailure(store_recovery::Relayed, context.jitter(), bootNow());
+                backoff.noteFailure(store_recovery::Probed, context.jitter(), bootNow());
             }
         }
         if (storeAll) {
--- a/src/serving/usage_relay.cpp
+++ b/src/serving/usage_relay.cpp
@@ -16,6 +16,8 @@
 constexpr const char *usagePath = "/usage";
 constexpr auto batchDelay = std::chrono::milliseconds(400); // The windows of all daemons end at the same time, and their rows arrive within this time.
 constexpr auto relayTimeout = std::chrono::milliseconds(2500); // The delay of the batch, and the time limit of the commit.
+// A daemon with a relay calls a failing store itself at least this often. Until such a call succeeds, a commit of its own would fail like the relay's.
+constexpr auto ownCallInterval = std::chrono::milliseconds(2400);
 constexpr std::string_view usageRowPrefix = "usage/";
 
 /// Waits for the batch that this row joins, and returns its outcome.
@@ -73,6 +75,9 @@
             co_return outcome;
         }
         context.counters.count(metric_counter::PeerFailures);
+        if (context.storeFailedAt != instant{} && bootNow() - context.storeFailedAt < ownCallInterval) {
+            co_return outcome;
+        }
     }
     transaction commit{.writes = {std::move(write)}};
     const auto outcome = co_await context.platform.store.commit(std::move(commit));
