Serve requests in order of priority and fair share while a service refuses

Cause: at twice the capacity of a service, placement refuses whoever comes while the queues are full, whatever its priority and organisation, and fills the queues so far that almost nothing is answered on time.

Change: with the setting fair_admission (default false), a pure decision before placement runs a request, keeps it here for at most a third of its target, or refuses it with a time to return. While nobody is refused, nothing is restricted. Otherwise the part of an endpoint's queue that a request may join depends on its priority and on the max-min fair share of its organisation, from demand over all daemons (shared sums). Without news of the others a daemon keeps to its part of the slots.

No run of a fleet has been made.

--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -1,5 +1,6 @@
 #include "serving/caller_exchange.h"
 
+#include "serving/caller_admission.h"
 #include "serving/endpoint_notice.h"
 #include "serving/peer_exchange.h"
 #include "state/rendezvous.h"
@@ -419,6 +420,10 @@
     if (const auto refusal = routeRequest(context, request)) {
         outcome = {.status = static_cast<int>(refusal->status), .reason = refusal->code};
         co_await reply.send(makeErrorResponse(context, refusal->status, refusal->code, refusal->message, refusal->retryAfterMs));
+    } else if (const auto refused = co_await admitCaller(context, request)) {
+        constexpr auto status = http::status::service_unavailable;
+        outcome = {.status = static_cast<int>(status), .reason = "admission"};
+        co_await reply.send(makeErrorResponse(context, status, "admission", refused->reason, refused->retryAfterMs));
     } else {
         context.retryBudget.noteRequest(request.service, request.arrivedAt);
         context.counters.change(metric_gauge::RequestsInFlight, 1);
@@ -428,6 +433,7 @@
             outcome = co_await forwardService(context, request);
         }
         context.counters.change(metric_gauge::RequestsInFlight, -1);
+        noteAdmittedEnd(context, request, outcome.status);
     }
     logOutcome(context, request, outcome);
 }
--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/lease_keeper.h"
+#include "serving/admission_state.h"
 #include "serving/edge_settings.h"
 #include "serving/endpoint_registry.h"
 #include "serving/feed_history.h"
@@ -152,6 +153,7 @@
 
     bool stopping = false;
     instant stoppingSince; ///< Set when `stopping` is.
+    admission_state admission;
 };
 
 }
--- a/src/serving/edge_settings.cpp
+++ b/src/serving/edge_settings.cpp
@@ -104,6 +104,7 @@
     field{"engine_step_ms_per_request", false, number_field{engineSetting<&engine_model::stepMsPerRequest>, 0, 1e3}},
     field{"engine_chunk_tokens", false, number_field{engineSetting<&engine_model::chunkTokens>, 1, 1e6}},
     field{"engine_first_token_ms", false, number_field{engineSetting<&engine_model::firstTokenOverheadMs>, 0, 1e5}},
+    field{"fair_admission", false, flag_field{setting<&settings::fairAdmission>}},
 };
 
 absl::Status fieldError(std::string_view name, std::string_view expected)
--- a/src/serving/edge_settings.h
+++ b/src/serving/edge_settings.h
@@ -40,6 +40,7 @@
     double memoryMb = 260; ///< Of the machine; the process ends if it uses more.
     bool reportsUsage = true; ///< Takes part in the duty of reporting usage.
     bool ordersEndpoints = true; ///< Takes part in the duty of ordering endpoints.
+    bool fairAdmission = false; ///< Orders requests by priority and fair share while a service can't serve all.
 };
 
 /// Parses the JSON settings described in docs/OPERATIONS.md. Returns InvalidArgument, with the name of the field, when one is missing, unknown or invalid.
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -175,6 +175,11 @@
     out.suspects = context.suspects.reports(maxSuspectsPerSummary, bootNow());
     out.reserved = context.reserved;
     out.notices = selectReports(context.endpoints, maxNoticesPerSummary, context.nextNotice, bootNow());
+    if (context.settings.fairAdmission) {
+        context.admission.meter.publish(context.sums, bootNow());
+    } else {
+        context.admission.meter.withdraw(context.sums); // The setting may have changed.
+    }
     out.sums = context.sums.takeDue(bootNow());
     return out;
 }
--- a/src/serving/placement_log.cpp
+++ b/src/serving/placement_log.cpp
@@ -1,5 +1,7 @@
 #include "serving/placement_log.h"
 
+#include "serving/admission_log.h"
+
 #include <absl/strings/str_cat.h>
 #include <cmath>
 #include <nlohmann/json.hpp>
@@ -213,8 +215,9 @@
         return record.status();
     }
     if (std::holds_alternative<std::monostate>(*record)) {
-        ++counts.otherLines;
-        return absl::OkStatus();
+        const auto admission = replayAdmission(text);
+        ++(admission.value_or(false) ? counts.decisions : counts.otherLines);
+        return admission.status();
     }
     ++counts.decisions;
     const auto line = json::parse(text);
--- a/src/serving/service_forward.cpp
+++ b/src/serving/service_forward.cpp
@@ -1,5 +1,6 @@
 #include "serving/caller_exchange.h"
 
+#include "serving/caller_admission.h"
 #include "serving/endpoint_turn.h"
 #include "serving/placement_log.h"
 #include "transport/boot_clock.h"
@@ -20,6 +21,7 @@
 constexpr std::size_t maxAnswerBytes = 64U << 20U; // A larger answer would occupy a quarter of a small machine's memory.
 constexpr int maxUnreachableEndpoints = 4; // Endpoints that one request tries although they can't be reached.
 constexpr double attemptTimeoutFactor = 1.25; // A repeatable call is sent elsewhere after this multiple of the route's latency target.
+constexpr double maxLateQueueMs = 40; // As for streams, a late call joins a queue of one short call at most where admission is in order.
 constexpr auto elsewhereRetryInterval = std::chrono::milliseconds(100); // Until it is tried again to send it elsewhere.
 
 /// One dispatch of the request to an endpoint and its result.
@@ -270,4 +272,28 @@
     co_return outcome;
 }
 
+admission_outlook predictService(edge_context &context, const caller_request &request)
+{
+    const auto input = makePlacementInput(context, request, context.endpoints.ofService(request.service), {});
+    const auto placement = placeService(input);
+    admission_outlook out;
+    for (const auto &endpoint : input.endpoints) {
+        if (!endpoint.excluded) {
+            out.available = true;
+            out.slots += endpoint.slots;
+            out.freePercent += std::max(0, endpoint.slots - endpoint.running);
+        }
+    }
+    out.freePercent *= out.slots > 0 ? 100 / out.slots : 0;
+    out.workMs = input.workMs;
+    if (placement.endpoint < 0) {
+        out.queueMs = placement.retryAfterMs;
+        return out;
+    }
+    out.queueMs = std::max(0.0, placement.predictedMs - input.workMs);
+    out.onTime = placement.verdict != placement_verdict::Refuse && placement.predictedMs <= input.onTimeMs;
+    out.runsLate = placement.verdict != placement_verdict::Refuse && out.queueMs <= maxLateQueueMs;
+    return out;
+}
+
 }
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -1,6 +1,7 @@
 #include "serving/caller_exchange.h"
 
 #include "serving/body_kind.h"
+#include "serving/caller_admission.h"
 #include "serving/endpoint_turn.h"
 #include "serving/event_stream.h"
 #include "serving/peer_exchange.h"
@@ -40,6 +41,8 @@
 public:
     stream_session(edge_context &context, caller_request &request);
     task<caller_outcome> run();
+    /// What placement predicts for the request now.
+    admission_outlook predict() const;
 
 private:
     enum class step {
@@ -809,6 +812,33 @@
 
 }
 
+admission_outlook stream_session::predict() const
+{
+    const auto input = makePlacementInput(m_context.endpoints.ofService(m_request.service));
+    const auto placement = placeGeneration(input, m_context.settings.engines);
+    admission_outlook out;
+    for (const auto &engine : input.engines) {
+        if (!engine.excluded) {
+            out.available = true;
+            out.slots += engine.slots;
+            out.freePercent += std::max(0, engine.slots - engine.running);
+        }
+    }
+    out.freePercent *= out.slots > 0 ? 100 / out.slots : 0;
+    if (placement.decodeIndex >= 0) {
+        out.queueMs = std::max(0.0, placement.queueMs);
+        out.workMs = std::max(0.0, placement.firstEventMs - out.queueMs);
+        out.onTime = placement.verdict == placement_verdict::Run;
+        out.runsLate = placement.verdict == placement_verdict::RunLate;
+    }
+    return out;
+}
+
+admission_outlook predictStream(edge_context &context, caller_request &request)
+{
+    return stream_session(context, request).predict();
+}
+
 task<caller_outcome> forwardStream(edge_context &context, caller_request &request)
 {
     stream_session session(context, request);
--- a/src/state/metrics.cpp
+++ b/src/state/metrics.cpp
@@ -44,6 +44,8 @@
     {"lacewinglock_store_errors_total", ""},
     {"lacewinglock_peer_failures_total", ""},
     {"lacewinglock_poll_failures_total", ""},
+    {"lacewinglock_admission_waits_total", ""},
+    {"lacewinglock_admission_refusals_total", ""},
 }};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(metric_gauge::Count)> gaugeNames{
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -33,6 +33,8 @@
     StoreErrors,
     PeerFailures,
     PollFailures,
+    AdmissionWaits,
+    AdmissionRefusals,
     Count
 };
 
