Take the warmth of the tables held, not of those that are not read yet, for their age

Cause: after a change back to an aggregator that is not warm, a daemon keeps the tables of the one before, but ageMs() counted them as incomplete.

Change: only answers that update the tables held say whether they are warm.

--- a/src/serving/state_exchange.cpp
+++ b/src/serving/state_exchange.cpp
@@ -333,8 +333,10 @@
         }
         m_sourceClockDifferenceMs = tables.wallMs - wallMs;
         m_sourceAgeMs = tables.ageMs;
-        m_sourceWarm = tables.warm;
-        m_newsAt = m_reader.updatedAt() == now ? now : m_newsAt;
+        if (m_reader.updatedAt() == now) {
+            m_newsAt = now;
+            m_sourceWarm = tables.warm;
+        }
         passOn(updates);
         m_events.insert(m_events.end(), tables.prefixUses.begin(), tables.prefixUses.end());
         return {};
--- a/src/serving/state_exchange.h
+++ b/src/serving/state_exchange.h
@@ -204,7 +204,7 @@
     table_reader m_reader;
     std::int64_t m_sourceClockDifferenceMs = 0;
     std::int64_t m_sourceAgeMs = 0;
-    bool m_sourceWarm = false;
+    bool m_sourceWarm = false; ///< When the tables held were read last.
     std::optional<table_position> m_ownPosition; ///< Set while this daemon reads its own tables.
     std::vector<exchange_event> m_events;
 
