--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -1,5 +1,6 @@
 #include "serving/caller_exchange.h"
 
+#include "serving/caller_admission.h"
 #include "serving/endpoint_notice.h"
 #include "serving/pace_samples.h"
 #include "serving/peer_exchange.h"
@@ -417,6 +418,29 @@
     return options;
 }
 
+namespace
+{
+
+task<caller_outcome> admitAndForward(edge_context &context, caller_request &request)
+{
+    if (const auto refused = co_await admitCaller(context, request)) {
+        constexpr auto status = http::status::service_unavailable;
+        co_await request.reply->send(makeErrorResponse(context, status, "admission", refused->reason, refused->retryAfterMs));
+        co_return caller_outcome{.status = static_cast<int>(status), .reason = "admission"};
+    }
+    context.retryBudget.noteRequest(request.service, request.arrivedAt);
+    if (context.settings.hedgeRatio > 0) {
+        context.hedges.noteRequest(request.service, context.settings.hedgeRatio, request.arrivedAt);
+    }
+    context.counters.change(metric_gauge::RequestsInFlight, 1);
+    auto outcome = request.route->stream ? co_await forwardStream(context, request) : co_await forwardService(context, request);
+    context.counters.change(metric_gauge::RequestsInFlight, -1);
+    noteAdmittedEnd(context, request, outcome.status);
+    co_return outcome;
+}
+
+}
+
 task<void> serveCaller(edge_context &context, received_request &received, server_reply &reply)
 {
     caller_request request{.received = &received, .reply = &reply, .arrivedAt = received.receivedAt};
@@ -426,17 +450,7 @@
         outcome = {.status = static_cast<int>(refusal->status), .reason = refusal->code};
         co_await reply.send(makeErrorResponse(context, refusal->status, refusal->code, refusal->message, refusal->retryAfterMs));
     } else if (request.quota == nullptr || co_await acquireQuota(context, request, outcome)) {
-        context.retryBudget.noteRequest(request.service, request.arrivedAt);
-        if (context.settings.hedgeRatio > 0) {
-            context.hedges.noteRequest(request.service, context.settings.hedgeRatio, request.arrivedAt);
-        }
-        context.counters.change(metric_gauge::RequestsInFlight, 1);
-        if (request.route->stream) {
-            outcome = co_await forwardStream(context, request);
-        } else {
-            outcome = co_await forwardService(context, request);
-        }
-        context.counters.change(metric_gauge::RequestsInFlight, -1);
+        outcome = co_await admitAndForward(context, request);
         returnQuota(context, request, outcome);
     }
     logOutcome(context, request, outcome);
--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/lease_keeper.h"
+#include "serving/admission_state.h"
 #include "serving/edge_settings.h"
 #include "serving/ejection_watch.h"
 #include "serving/endpoint_registry.h"
@@ -166,6 +167,7 @@
 
     shared_outcomes sharedOutcomes;
     quota_ledger quotas;
+    admission_state admission;
 };
 
 }
--- a/src/serving/edge_settings.cpp
+++ b/src/serving/edge_settings.cpp
@@ -111,6 +111,7 @@
     field{"hedge_even_services", false, flag_field{setting<&settings::hedgeEvenServices>}},
     field{"eject_endpoints", false, flag_field{setting<&settings::ejectsEndpoints>}},
     field{"quota_window_ms", false, time_field{setting<&settings::quotaWindow>}},
+    field{"fair_admission", false, flag_field{setting<&settings::fairAdmission>}},
 };
 
 absl::Status fieldError(std::string_view name, std::string_view expected)
--- a/src/serving/edge_settings.h
+++ b/src/serving/edge_settings.h
@@ -44,6 +44,7 @@
     bool hedgeEvenServices = false; ///< Hedges also for services whose endpoints report no uneven pace.
     bool ejectsEndpoints = true; ///< Sends no requests to endpoints that fail more often than the others of their service, for a while.
     duration quotaWindow = std::chrono::seconds(8); ///< How long the use of a quota is remembered.
+    bool fairAdmission = false; ///< Orders requests by priority and fair share while a service can't serve all.
 };
 
 /// Parses the JSON settings described in docs/OPERATIONS.md. Returns InvalidArgument, with the name of the field, when one is missing, unknown or invalid.
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -43,6 +43,8 @@
     QuotaRefusals,
     PaceFigures,
     UnevenPlacements,
+    AdmissionWaits,
+    AdmissionRefusals,
     Count
 };
 
