--- a/soak/faultsoak.cpp
+++ b/soak/faultsoak.cpp
@@ -23,8 +23,9 @@
 DEFINE_string(edge, "build/lacewinglock-edge", "path of the daemon program under test");
 DEFINE_string(faults,
               "all",
-              "faults to inject: all; stops (SIGTERM to one daemon after the other, to a third of them at once at the most); or restores (the store comes "
-              "back from an older copy, amid kills, stops and changes of the configuration)");
+              "faults to inject: all; stops (SIGTERM to one daemon after the other, to a third of them at once at the most); restores (the store comes "
+              "back from an older copy, amid kills, stops and changes of the configuration); or resets (one plain endpoint after the other resets its "
+              "connections, the last one to the end)");
 DEFINE_string(logs, "", "directory for settings and logs; by default a new one in the system's temporary directory");
 
 namespace faultsoak
@@ -93,6 +94,7 @@
     void writeConfiguration();
     void injectFault();
     void stopNextDaemon();
+    void resetNextEndpoint();
     task<void> disturbProxy(proxy &networkProxy, proxy_mode mode, std::int64_t durationMs, std::string daemon, std::string endpoint);
     task<void> disturbStore(store_mode mode, std::int64_t durationMs);
     void injectFaultBesideRestores();
@@ -591,6 +593,16 @@
     asio::co_spawn(m_loop, stopDaemon(index, SIGTERM, restartDelayMs), asio::detached);
 }
 
+// To a daemon without ejection, the endpoint is the fastest one, and each repeatable call goes there first until the retry budget is used up.
+void soak_run::resetNextEndpoint()
+{
+    if (m_faultCount > 0) {
+        m_endpoints[static_cast<std::size_t>((m_faultCount - 1) % plainServiceCount)].standIn->setResets(false);
+    }
+    m_endpoints[static_cast<std::size_t>(m_faultCount % plainServiceCount)].standIn->setResets(true);
+    ++m_faultCount;
+}
+
 task<void> soak_run::superviseDaemons()
 {
     while (!m_finished) {
@@ -729,6 +741,7 @@
     }
     const bool stopsOnly = FLAGS_faults == "stops";
     const bool restores = FLAGS_faults == "restores";
+    const bool resets = FLAGS_faults == "resets";
     if (stopsOnly) {
         m_oracle.forbidCutResponses();
     }
@@ -738,7 +751,7 @@
         m_oracle.recordFaultsBegan(nowMs());
         if (restores) {
             asio::co_spawn(m_loop, keepCopies(), asio::detached);
-        } else {
+        } else if (!resets) {
             asio::co_spawn(m_loop, poisonParts(), asio::detached);
             asio::co_spawn(m_loop, makeDemands(), asio::detached);
         }
@@ -747,6 +760,9 @@
         if (stopsOnly) {
             co_await sleepMs(randomBetween(m_random, 100, 500));
             stopNextDaemon();
+        } else if (resets) {
+            resetNextEndpoint();
+            co_await sleepMs(randomBetween(m_random, 2000, 6000));
         } else {
             co_await sleepMs(randomBetween(m_random, 200, 1500));
             restores ? injectFaultBesideRestores() : injectFault();
@@ -792,8 +808,8 @@
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::signal(SIGPIPE, SIG_IGN);
-    if (FLAGS_faults != "all" && FLAGS_faults != "stops" && FLAGS_faults != "restores") {
-        std::cerr << "--faults must be \"all\", \"stops\" or \"restores\", not \"" << FLAGS_faults << "\"\n";
+    if (FLAGS_faults != "all" && FLAGS_faults != "stops" && FLAGS_faults != "restores" && FLAGS_faults != "resets") {
+        std::cerr << "--faults must be \"all\", \"stops\", \"restores\" or \"resets\", not \"" << FLAGS_faults << "\"\n";
         return 2;
     }
     const bool ownDirectory = FLAGS_logs.empty();
--- a/soak/stand_ins.cpp
+++ b/soak/stand_ins.cpp
@@ -421,6 +421,11 @@
     m_garbles = garbles;
 }
 
+void endpoint_stand_in::setResets(bool resets)
+{
+    m_resets = resets;
+}
+
 // What the endpoint says of itself in the answer to a request.
 std::string endpoint_stand_in::demandHeaders(const std::string &id)
 {
@@ -452,6 +457,11 @@
     const std::string id(view(message["X-Request-Id"]));
     m_oracle.recordArrival(id, nowMs());
     m_demands.recordArrival(m_id, id, nowMs());
+    if (m_resets) {
+        boost::system::error_code ignored;
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        co_return false;
+    }
     if (view(message["X-Expect-Instance"]) != m_id) {
         co_return co_await refuse(id, socket, 421);
     }
--- a/soak/stand_ins.h
+++ b/soak/stand_ins.h
@@ -148,6 +148,8 @@
     void setPause(std::int64_t pauseMs);
     /// While set, it repeats its last refusal in front of every second answer, and ends every fourth in its head.
     void setGarbles(bool garbles);
+    /// While set, it resets the connection of each request without running it.
+    void setResets(bool resets);
 
 private:
     task<bool> respond(const request &message, tcp::socket &socket);
@@ -160,6 +162,7 @@
     bool m_leaving = false;
     std::int64_t m_pauseMs = 0;
     bool m_garbles = false;
+    bool m_resets = false;
     std::string m_lastRefusal;
     std::string m_id;
     bool m_streaming;
--- a/src/serving/ejection_log.cpp
+++ b/src/serving/ejection_log.cpp
@@ -69,8 +69,9 @@
 
 bool isLogged(const json &line, const ejection_input &input, const ejection_change &change)
 {
-    return input.endpoints[static_cast<std::size_t>(change.endpoint)].id == line.at("endpoint") && change.ejects == (line.at("event") == ejectedEvent)
-        && change.forMs == line.at("for_ms") && change.reason == line.at("reason").get<std::string>();
+    return input.endpoints[static_cast<std::size_t>(change.endpoint)].id == line.at("endpoint").get<std::string>()
+        && change.ejects == (line.at("event") == ejectedEvent) && change.forMs == line.at("for_ms").get<double>()
+        && change.reason == line.at("reason").get<std::string>();
 }
 
 }
--- a/tests/ejection_forward_test.cpp
+++ b/tests/ejection_forward_test.cpp
@@ -14,6 +14,18 @@
 class ejection_forward : public edge_fixture
 {
 protected:
+    static serving_route streamRoute()
+    {
+        auto route = makeRoute("/gen/", "engines");
+        route.stream = true;
+        route.generation = true;
+        route.resumable = true;
+        route.repeatable = true;
+        route.timeout = std::chrono::seconds(4);
+        route.target = std::chrono::seconds(2);
+        return route;
+    }
+
     void start(const serving_route &route, const std::string &service, std::optional<endpoint_role> role, const scripted_server::script &healthy)
     {
         for (int i = 0; i < 3; ++i) {
@@ -47,6 +59,17 @@
         return count;
     }
 
+    /// Like served(), while placement forgets the failures of the first endpoint: it stays the first choice, as one with a cached prefix.
+    int servedAsFirstChoice(const std::string &bytes, int rounds)
+    {
+        int count = 0;
+        for (int i = 0; i < rounds; ++i) {
+            context->endpoints.find("e0")->failureRate = 0;
+            count += served(bytes, 1);
+        }
+        return count;
+    }
+
     /// Whether the first endpoint gets calls like the others again.
     bool runsAgain(const std::string &bytes)
     {
@@ -84,24 +107,30 @@
 // Guards against the same for streams.
 TEST_F(ejection_forward, streams_leave_an_engine_that_resets_at_once)
 {
-    auto route = makeRoute("/gen/", "engines");
-    route.stream = true;
-    route.generation = true;
-    route.resumable = true;
-    route.repeatable = true;
-    route.timeout = std::chrono::seconds(4);
-    route.target = std::chrono::seconds(2);
-    start(route, "engines", endpoint_role::Decode, [](const http_request &request, int) {
+    start(streamRoute(), "engines", endpoint_role::Decode, [](const http_request &request, int) {
         return scripted_answer{.bytes = streamHead(request) + chunk(event(1)) + "0\r\n\r\n", .delay = std::chrono::milliseconds(20)};
     });
     const auto generation = post("/gen/1", "prompt", "X-Model-Name: m\r\nX-Token-Counts: 300,20\r\nX-Prefix-Hash: a1:200,b2:100\r\n");
-    // Without its failure rate, the engine stays the first choice of placement, as one whose failures are hidden by a cached prefix.
-    int count = 0;
-    for (int i = 0; i < 40; ++i) {
-        context->endpoints.find("e0")->failureRate = 0;
-        count += served(generation, 1);
-    }
-    EXPECT_GE(count, 304); // 95%.
+    EXPECT_GE(servedAsFirstChoice(generation, 40), 304); // 95%.
+    EXPECT_LE(servers[0]->requests.size(), 30U);
+    broken = false;
+    EXPECT_TRUE(runsAgain(generation));
+}
+
+// Guards against the same for prefills on separate engines.
+TEST_F(ejection_forward, prefills_leave_an_engine_that_resets_at_once)
+{
+    scripted_server decodeEngine(loop, [](const http_request &request, int) {
+        return scripted_answer{.bytes = streamHead(request) + chunk(event(1)) + "0\r\n\r\n"};
+    });
+    width = 3; // The decode engine has four slots, and after a prefill one more must be free.
+    addEndpoint("f", "engines", decodeEngine.address(), endpoint_role::Decode);
+    start(streamRoute(), "engines", endpoint_role::Prefill, [](const http_request &request, int) {
+        return scripted_answer{.bytes = wholeAnswer(request, 200, R"({"kv-handle":"h1","tokens":900,"version":1})"), .delay = std::chrono::milliseconds(20)};
+    });
+    const auto generation = post("/gen/1", "prompt", "X-Model-Name: m\r\nX-Token-Counts: 900,20\r\n");
+    EXPECT_GE(servedAsFirstChoice(generation, 60), 171); // 95%.
+    EXPECT_GE(servers[0]->requests.size(), 1U);
     EXPECT_LE(servers[0]->requests.size(), 30U);
     broken = false;
     EXPECT_TRUE(runsAgain(generation));
--- a/tests/endpoint_ejection_test.cpp
+++ b/tests/endpoint_ejection_test.cpp
@@ -77,7 +77,7 @@
         now = at;
     }
 
-    void dispatch(std::set<std::string> failed, int &served)
+    void dispatch(const std::set<std::string> &failed, int &served)
     {
         const auto endpoints = registry.ofService("desk");
         if (m_ejects) {
@@ -100,7 +100,7 @@
         if (placement.endpoint < 0 || (!failed.empty() && !m_budget.tryAcquire("desk", 5, now))) {
             return;
         }
-        const auto endpoint = endpoints[static_cast<std::size_t>(placement.endpoint)];
+        const auto &endpoint = endpoints[static_cast<std::size_t>(placement.endpoint)];
         const auto &how = m_behaviours[static_cast<std::size_t>(placement.endpoint)];
         endpoint->ejection.noteSent(now);
         const bool error = std::bernoulli_distribution(how.errorRate)(m_random);
@@ -141,7 +141,7 @@
     std::vector<ejection_change> decide()
     {
         const auto endpoints = registry.ofService("desk");
-        const auto changes = decideEjections(makeEjectionInput("desk", endpoints, sums, now));
+        auto changes = decideEjections(makeEjectionInput("desk", endpoints, sums, now));
         applyEjections(endpoints, changes, now);
         return changes;
     }
