Test hedging with a reported pace in place of a removed method

Cause: the test used a method of the registry that the pace of endpoints replaced. Change: an endpoint reports a pace of 101 in 100. Result: hedge_forward_test builds.

--- a/tests/hedge_forward_test.cpp
+++ b/tests/hedge_forward_test.cpp
@@ -276,7 +276,7 @@
     expectRuns(1, [&] {
         context->settings.hedgeEvenServices = false;
     });
-    context->endpoints.noteUnevenPace("desk", bootNow());
+    context->endpoints.notePace(*context->endpoints.ofService("desk").front(), 1.01, bootNow());
     expectRuns(2, [&] {
         context->settings.hedgeEvenServices = false;
     });
