Let fair shares recover after an outage

Cause: shares change by a quarter at most in 250 ms, so a share that fell to 0 while nothing was served stayed 0. Requests that placement refused in an outage also pushed the times at which callers return.

Change: a share can rise to a quarter of the largest demand at once. What placement refuses counts as not served only. A refusal says "overload" if the queues are too long for everybody.

--- a/src/serving/admission_meter.cpp
+++ b/src/serving/admission_meter.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t maxPublished = 24; // The part of admission in the sums of a summary.
 constexpr double stepFactor = 1.25; // Largest change of a share within the age of a sum, so that late sums cause no oscillation.
 constexpr double stepMs = 250;
+constexpr double smallestFraction = 0.25; // Of the largest demand. A share can rise to it at once, also after an outage in which nothing was served.
 constexpr double creditSeconds = 1; // Credit that an organisation can save, in seconds of its share.
 constexpr double debtSeconds = 4; // Debt that an organisation can run into while what others leave is lent to it.
 constexpr double maxReturnMs = 5000;
@@ -134,7 +135,8 @@
         // A share above the largest demand has no effect; the steps begin there.
         const double before = std::min(level.share, most);
         const double factor = std::pow(stepFactor, std::max(0.0, toMs(now - level.shareAt)) / stepMs);
-        share = level.shareAt == instant{} ? std::min(share, most) : std::clamp(std::min(share, most), before / factor, before * factor);
+        share = level.shareAt == instant{} ? std::min(share, most)
+                                           : std::clamp(std::min(share, most), before / factor, std::max(before * factor, smallestFraction * most));
     }
     level.share = share >= most ? unlimitedShare : share;
     level.shareAt = now;
@@ -161,7 +163,7 @@
     out.organisationDemand = own + sums.others(organisationKey(request.service, priority, request.organisation));
     out.fairShare = level.share;
     const double rate = level.share < out.organisationDemand ? level.share * own / out.organisationDemand : own;
-    organisation.runRate = rate;
+    organisation.runRate = std::max(rate, smallestFraction * own);
     const double elapsed = std::max(0.0, toMs(now - organisation.creditAt)) / 1000;
     organisation.credit = std::clamp(organisation.credit + rate * elapsed, -std::max(debtSeconds * rate, request.size), std::max(1.0, creditSeconds * rate));
     organisation.creditAt = now;
@@ -197,9 +199,14 @@
     }
 }
 
-void admission_meter::noteRefusal(const metered_request &request, instant now)
+void admission_meter::noteUnserved(const metered_request &request, instant now)
 {
     stateOf(request.service, now).refused.add(request.size, now);
+}
+
+void admission_meter::noteRefusal(const metered_request &request, instant now)
+{
+    noteUnserved(request, now);
     if (auto *organisation = find(request)) {
         const double spacingMs = organisation->runRate > 0 ? std::min(maxReturnMs, request.size / organisation->runRate * 1000) : maxReturnMs;
         organisation->returnAt = std::min(std::max(organisation->returnAt, now) + fromMs(spacingMs), now + fromMs(maxReturnMs));
--- a/src/serving/admission_meter.h
+++ b/src/serving/admission_meter.h
@@ -43,6 +43,8 @@
     void noteArrival(const metered_request &request, instant now);
     /// Counts a request that is refused, and takes its place among the refused requests of its organisation.
     void noteRefusal(const metered_request &request, instant now);
+    /// Counts a request that was admitted but could not be placed.
+    void noteUnserved(const metered_request &request, instant now);
     /// Uses credit of the request's organisation.
     void noteRun(const metered_request &request, instant now);
 
--- a/src/serving/caller_admission.cpp
+++ b/src/serving/caller_admission.cpp
@@ -132,7 +132,7 @@
 void noteAdmittedEnd(edge_context &context, const caller_request &request, int status)
 {
     if (context.settings.fairAdmission && status == static_cast<int>(http::status::service_unavailable)) {
-        context.admission.meter.noteRefusal(meteredRequest(request), bootNow());
+        context.admission.meter.noteUnserved(meteredRequest(request), bootNow());
     }
 }
 
--- a/src/serving/request_admission.cpp
+++ b/src/serving/request_admission.cpp
@@ -82,7 +82,7 @@
     if (ownPartUsed) {
         return refuse(input, "own part is used", outlook.workMs);
     }
-    return refuse(input, part < 1 ? "others go first" : "overload", outlook.queueMs);
+    return refuse(input, outlook.onTime || outlook.runsLate ? "others go first" : "overload", outlook.queueMs);
 }
 
 double fairShare(std::span<const double> demands, double capacity)
--- a/tests/request_admission_test.cpp
+++ b/tests/request_admission_test.cpp
@@ -305,6 +305,29 @@
     EXPECT_EQ(decideAdmission(input).verdict, admission_verdict::Run); // Placement knows why.
 }
 
+// Guards against shares that stay at nothing after an outage in which all requests were refused.
+TEST(request_admission, shares_recover_after_an_outage)
+{
+    admission_meter meter;
+    const shared_sums sums;
+    const metered_request large{.service = "s", .organisation = "a", .size = 10};
+    auto shareAfter = [&, ms = 0](int end, bool served) mutable {
+        double share = 0;
+        for (; ms < end; ms += 10) {
+            const instant now = instant() + 1h + std::chrono::milliseconds(ms);
+            meter.noteArrival(large, now);
+            share = meter.loadFor(large, sums, now).fairShare;
+            if (!served || ms % 20 == 0) {
+                meter.noteUnserved(large, now);
+            }
+        }
+        return share;
+    };
+    EXPECT_GE(shareAfter(4000, true), 400);
+    EXPECT_LE(shareAfter(10000, false), 130);
+    EXPECT_GE(shareAfter(13000, true), 400);
+}
+
 // Guards against decisions that can't be replayed from the log.
 TEST(request_admission, is_replayed_from_its_log_line)
 {
