Await the forwarding of a request in separate statements

Cause: g++ 12 destroys the operands of a conditional expression with co_await twice; daemons crashed (signal 11, freed memory) on the first requests after the merge of admission and quotas. Change: two statements. Result: edge_daemon_test, edge_admission and ejection_forward abort before, pass now.

--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -426,14 +426,21 @@
     if (const auto refused = co_await admitCaller(context, request)) {
         constexpr auto status = http::status::service_unavailable;
         co_await request.reply->send(makeErrorResponse(context, status, "admission", refused->reason, refused->retryAfterMs));
-        co_return caller_outcome{.status = static_cast<int>(status), .reason = "admission"};
+        caller_outcome outcome{.status = static_cast<int>(status), .reason = "admission"};
+        co_return outcome;
     }
     context.retryBudget.noteRequest(request.service, request.arrivedAt);
     if (context.settings.hedgeRatio > 0) {
         context.hedges.noteRequest(request.service, context.settings.hedgeRatio, request.arrivedAt);
     }
     context.counters.change(metric_gauge::RequestsInFlight, 1);
-    auto outcome = request.route->stream ? co_await forwardStream(context, request) : co_await forwardService(context, request);
+    caller_outcome outcome;
+    // Not a conditional expression: g++ 12 destroys the operands of one with co_await twice.
+    if (request.route->stream) {
+        outcome = co_await forwardStream(context, request);
+    } else {
+        outcome = co_await forwardService(context, request);
+    }
     context.counters.change(metric_gauge::RequestsInFlight, -1);
     noteAdmittedEnd(context, request, outcome.status);
     co_return outcome;
