--- a/soak/stand_ins.cpp
+++ b/soak/stand_ins.cpp
@@ -203,7 +203,7 @@
     ++m_era;
 }
 
-void store_stand_in::writeLostRowsAgain()
+void store_stand_in::writeLostRowsAgain(const std::function<bool(const std::string &id)> &runs)
 {
     const auto &copy = m_copies.back().state.rows;
     const auto versionIn = [](const auto &rows, const auto &key) {
@@ -220,7 +220,7 @@
         }
         if (const auto lost = m_lost.state.rows.find(key); lost == m_lost.state.rows.end()) {
             remove(key.first, key.second);
-        } else {
+        } else if (key.first == "op" || runs(key.second)) {
             ++m_state.latestVersion;
             m_state.rows[key] = {lost->second.value, m_state.latestVersion};
             recordChange(key.first, key.second, false);
@@ -384,6 +384,11 @@
     return m_id;
 }
 
+bool endpoint_stand_in::running() const
+{
+    return *m_alive;
+}
+
 void endpoint_stand_in::crash()
 {
     *m_alive = false;
@@ -416,6 +421,11 @@
     m_garbles = garbles;
 }
 
+void endpoint_stand_in::setResets(bool resets)
+{
+    m_resets = resets;
+}
+
 // What the endpoint says of itself in the answer to a request.
 std::string endpoint_stand_in::demandHeaders(const std::string &id)
 {
@@ -447,6 +457,11 @@
     const std::string id(view(message["X-Request-Id"]));
     m_oracle.recordArrival(id, nowMs());
     m_demands.recordArrival(m_id, id, nowMs());
+    if (m_resets) {
+        boost::system::error_code ignored;
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        co_return false;
+    }
     if (view(message["X-Expect-Instance"]) != m_id) {
         co_return co_await refuse(id, socket, 421);
     }
--- a/soak/stand_ins.h
+++ b/soak/stand_ins.h
@@ -64,8 +64,9 @@
     void keepCopy();
     /// Goes back to the newest copy that is at least `ageMs` old, or the oldest one. What was written since is gone, and another era begins.
     void restore(std::int64_t ageMs);
-    /// Writes the rows of the operator and the endpoints again that the last restore lost, except those that were written since.
-    void writeLostRowsAgain();
+    /// Writes the rows of the operator and of the endpoints that still run again that the last restore lost, except those that were written since.
+    /// An endpoint that has ended since can't write its row.
+    void writeLostRowsAgain(const std::function<bool(const std::string &id)> &runs);
 
 private:
     struct stored_row
@@ -133,6 +134,8 @@
 
     tcp::endpoint endpoint() const;
     const std::string &id() const;
+    /// Whether it has not crashed.
+    bool running() const;
     /// Stops the server and resets its connections.
     void crash();
     /// While set, every second request on average runs without a complete response.
@@ -145,6 +148,8 @@
     void setPause(std::int64_t pauseMs);
     /// While set, it repeats its last refusal in front of every second answer, and ends every fourth in its head.
     void setGarbles(bool garbles);
+    /// While set, it resets the connection of each request without running it.
+    void setResets(bool resets);
 
 private:
     task<bool> respond(const request &message, tcp::socket &socket);
@@ -157,6 +162,7 @@
     bool m_leaving = false;
     std::int64_t m_pauseMs = 0;
     bool m_garbles = false;
+    bool m_resets = false;
     std::string m_lastRefusal;
     std::string m_id;
     bool m_streaming;
--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -1,7 +1,10 @@
 #include "serving/caller_exchange.h"
 
+#include "serving/caller_admission.h"
 #include "serving/endpoint_notice.h"
+#include "serving/pace_samples.h"
 #include "serving/peer_exchange.h"
+#include "serving/quota_check.h"
 #include "state/rendezvous.h"
 #include "transport/boot_clock.h"
 #include "transport/spawn.h"
@@ -175,6 +178,7 @@
     if (organisation.priority >= 0) {
         request.priority = organisation.priority;
     }
+    request.quota = organisation.quota ? &*organisation.quota : nullptr;
     return std::nullopt;
 }
 
@@ -322,6 +326,9 @@
 {
     const auto notice = context.platform.wire.parseNotice(head);
     const bool changed = applyNotice(context.endpoints, endpoint, notice, sentAt, bootNow());
+    if (notice.load) {
+        noteLoadFigures(context, endpoint, *notice.load);
+    }
     if (changed) {
         expediteSummary(context);
     }
@@ -411,6 +418,36 @@
     return options;
 }
 
+namespace
+{
+
+task<caller_outcome> admitAndForward(edge_context &context, caller_request &request)
+{
+    if (const auto refused = co_await admitCaller(context, request)) {
+        constexpr auto status = http::status::service_unavailable;
+        co_await request.reply->send(makeErrorResponse(context, status, "admission", refused->reason, refused->retryAfterMs));
+        caller_outcome outcome{.status = static_cast<int>(status), .reason = "admission"};
+        co_return outcome;
+    }
+    context.retryBudget.noteRequest(request.service, request.arrivedAt);
+    if (context.settings.hedgeRatio > 0) {
+        context.hedges.noteRequest(request.service, context.settings.hedgeRatio, request.arrivedAt);
+    }
+    context.counters.change(metric_gauge::RequestsInFlight, 1);
+    caller_outcome outcome;
+    // Not a conditional expression: g++ 12 destroys the operands of one with co_await twice.
+    if (request.route->stream) {
+        outcome = co_await forwardStream(context, request);
+    } else {
+        outcome = co_await forwardService(context, request);
+    }
+    context.counters.change(metric_gauge::RequestsInFlight, -1);
+    noteAdmittedEnd(context, request, outcome.status);
+    co_return outcome;
+}
+
+}
+
 task<void> serveCaller(edge_context &context, received_request &received, server_reply &reply)
 {
     caller_request request{.received = &received, .reply = &reply, .arrivedAt = received.receivedAt};
@@ -419,15 +456,9 @@
     if (const auto refusal = routeRequest(context, request)) {
         outcome = {.status = static_cast<int>(refusal->status), .reason = refusal->code};
         co_await reply.send(makeErrorResponse(context, refusal->status, refusal->code, refusal->message, refusal->retryAfterMs));
-    } else {
-        context.retryBudget.noteRequest(request.service, request.arrivedAt);
-        context.counters.change(metric_gauge::RequestsInFlight, 1);
-        if (request.route->stream) {
-            outcome = co_await forwardStream(context, request);
-        } else {
-            outcome = co_await forwardService(context, request);
-        }
-        context.counters.change(metric_gauge::RequestsInFlight, -1);
+    } else if (request.quota == nullptr || co_await acquireQuota(context, request, outcome)) {
+        outcome = co_await admitAndForward(context, request);
+        returnQuota(context, request, outcome);
     }
     logOutcome(context, request, outcome);
 }
--- a/src/serving/edge_context.h
+++ b/src/serving/edge_context.h
@@ -1,11 +1,16 @@
 #pragma once
 
 #include "coordination/lease_keeper.h"
+#include "serving/admission_state.h"
 #include "serving/edge_settings.h"
+#include "serving/ejection_watch.h"
 #include "serving/endpoint_registry.h"
 #include "serving/feed_history.h"
+#include "serving/hedge_budget.h"
+#include "serving/latency_quantiles.h"
 #include "serving/platform_port.h"
 #include "serving/prefix_index.h"
+#include "serving/quota_ledger.h"
 #include "serving/retry_budget.h"
 #include "serving/serving_config.h"
 #include "serving/shared_sums.h"
@@ -100,6 +105,9 @@
     /// True while API keys may be accepted: the configuration is so recent that no revocation older than the revoke bound can be missing.
     bool keysFresh(instant now) const;
 
+    /// What the daemon knows of the others, for quotas.
+    quota_fleet quotaFleet() const;
+
     asio::io_context &loop;
     edge_settings settings;
     line_log &log;
@@ -130,6 +138,7 @@
     prefix_index prefixBlocks; ///< Estimates which engines have which prefix blocks cached.
     retry_budget retryBudget;
     shared_sums sums;
+    std::vector<std::uint64_t> publishedPaces; ///< Keys of the sums that sharePaces() has set.
     suspect_requests suspects;
     usage_windows usage;
     std::int64_t reportedBefore = 0; ///< Windows before this one may have been reported although a restored store lacks their frozen rows.
@@ -150,8 +159,15 @@
     std::array<relayed_table, 2> feeds; ///< Indexed by platform_table.
     std::shared_ptr<pending_batch> usageBatch; ///< Usage rows of the own failure domain that the next commit will write; null if there are none.
 
+    latency_quantiles latencies; ///< Of first attempts, for hedging; empty while it is off.
+    hedge_budget hedges; ///< Empty while hedging is off.
+
     bool stopping = false;
     instant stoppingSince; ///< Set when `stopping` is.
+
+    shared_outcomes sharedOutcomes;
+    quota_ledger quotas;
+    admission_state admission;
 };
 
 }
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -1,6 +1,7 @@
 #include "serving/peer_exchange.h"
 
 #include "serving/endpoint_notice.h"
+#include "serving/quota_check.h"
 #include "transport/boot_clock.h"
 
 #include <absl/strings/str_cat.h>
@@ -156,6 +157,7 @@
 
 daemon_summary makeSummary(edge_context &context)
 {
+    refreshQuotas(context);
     daemon_summary out{.serving = context.serving(), .holdsLease = context.holdsLease, .wallMs = wallMs()};
     // Daemons that start after a restore can't learn it from the store. Those that have heard of it tell it too.
     if (context.reportedBefore != 0 && context.reportedBefore > oldestReportableWindow(context)) {
@@ -175,6 +177,11 @@
     out.suspects = context.suspects.reports(maxSuspectsPerSummary, bootNow());
     out.reserved = context.reserved;
     out.notices = selectReports(context.endpoints, maxNoticesPerSummary, context.nextNotice, bootNow());
+    if (context.settings.fairAdmission) {
+        context.admission.meter.publish(context.sums, bootNow());
+    } else {
+        context.admission.meter.withdraw(context.sums); // The setting may have changed.
+    }
     out.sums = context.sums.takeDue(bootNow());
     return out;
 }
--- a/src/state/metrics.cpp
+++ b/src/state/metrics.cpp
@@ -44,6 +44,18 @@
     {"lacewinglock_store_errors_total", ""},
     {"lacewinglock_peer_failures_total", ""},
     {"lacewinglock_poll_failures_total", ""},
+    {"lacewinglock_hedges_sent_total", ""},
+    {"lacewinglock_hedges_won_total", ""},
+    {"lacewinglock_hedges_lost_total", ""},
+    {"lacewinglock_hedges_over_budget_total", ""},
+    {"lacewinglock_endpoints_ejected_total", ""},
+    {"lacewinglock_endpoints_restored_total", ""},
+    {"lacewinglock_endpoint_trials_total", ""},
+    {"lacewinglock_quota_refusals_total", ""},
+    {"lacewinglock_pace_figures_total", ""},
+    {"lacewinglock_uneven_placements_total", ""},
+    {"lacewinglock_admission_waits_total", ""},
+    {"lacewinglock_admission_refusals_total", ""},
 }};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(metric_gauge::Count)> gaugeNames{
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -33,6 +33,18 @@
     StoreErrors,
     PeerFailures,
     PollFailures,
+    HedgesSent,
+    HedgesWon,
+    HedgesLost,
+    HedgesOverBudget,
+    EndpointsEjected,
+    EndpointsRestored,
+    EndpointTrials,
+    QuotaRefusals,
+    PaceFigures,
+    UnevenPlacements,
+    AdmissionWaits,
+    AdmissionRefusals,
     Count
 };
 
