--- a/src/serving/service_forward.cpp
+++ b/src/serving/service_forward.cpp
@@ -1,8 +1,8 @@
 #include "serving/caller_exchange.h"
 
 #include "serving/call_hedge.h"
-#include "serving/ejection_watch.h"
 #include "serving/caller_admission.h"
+#include "serving/ejection_watch.h"
 #include "serving/endpoint_turn.h"
 #include "serving/pace_samples.h"
 #include "serving/placement_log.h"
--- a/src/serving/stream_forward.cpp
+++ b/src/serving/stream_forward.cpp
@@ -1,8 +1,8 @@
 #include "serving/caller_exchange.h"
 
 #include "serving/body_kind.h"
-#include "serving/ejection_watch.h"
 #include "serving/caller_admission.h"
+#include "serving/ejection_watch.h"
 #include "serving/endpoint_turn.h"
 #include "serving/event_stream.h"
 #include "serving/hedge_watch.h"
