--- a/src/serving/quota.cpp
+++ b/src/serving/quota.cpp
@@ -15,7 +15,7 @@
 constexpr double usedAllowance = 0.7;
 constexpr double bucketExcess = 0.08; // Of the limit of a window, added to the burst.
 // Of the limit of a window, for what is admitted before others hear of it. With 0.08, 84 daemons refused up to 24 in 1,000 tokens at nine tenths of the quota,
-// with 0.10 up to 16. A sudden jump from the whole quota to 7.5 times reached 0.992 of the allowed amount at 9 daemons, one within a second 0.947 (ten seeds).
+// with 0.10 up to 16. A sudden jump from the whole quota to 7.5 times reached 0.992 of the allowed amount at 9 daemons, one within a second 0.951 (ten seeds).
 constexpr double windowExcess = 0.10;
 constexpr double startUse = 0.75; // Of the rate: the past use that a daemon assumes that has just started.
 // Demand rises to 7.5 times the usual one within a second, so to about three times on average until the others have heard of it.
