--- a/src/programs/lacewinglock_quota_model.cpp
+++ b/src/programs/lacewinglock_quota_model.cpp
@@ -29,7 +29,7 @@
         {"jump from 0.5", {.demand = 0.5, .jump = quota_phase{30, 40}, .rampS = 1, .measured = {30, 40}}},
         {"jump from 1", {.demand = 1, .jump = quota_phase{30, 40}, .rampS = 1, .measured = {30, 40}}},
         {"jump at once from 1", {.demand = 1, .jump = quota_phase{30, 40}, .measured = {30, 40}}},
-        {"limit to a quarter", {.demand = 0.9, .limitsAtS = 30, .measured = {41, 60}}},
+        {"limit to a quarter", {.demand = 0.9, .limitsAtS = 30, .measured = {33, 60}}},
         {"kill of a third, 0.9", {.demand = 0.9, .killAtS = 30, .measured = {30, 60}}},
         {"kill of a third, 2", {.demand = 2, .killAtS = 30, .measured = {40, 60}}},
         {"partition, 2", {.demand = 2, .partition = quota_phase{25, 45}, .measured = {25, 45}}},
--- a/src/serving/quota.cpp
+++ b/src/serving/quota.cpp
@@ -170,6 +170,20 @@
 
 void quota_account::setLimits(const quota_limits &limits)
 {
+    if (limits == m_limits) {
+        return;
+    }
+    // What was admitted under a higher limit must not use up the lower one, which is binding only for windows that begin later.
+    const bool sameUnit = limits.unit == m_limits.unit;
+    const double scale = sameUnit ? std::min(1.0, windowUnits(limits) / windowUnits(m_limits)) : 0;
+    std::ranges::for_each(m_window.amounts, [&](double &amount) {
+        amount *= scale;
+    });
+    if (!sameUnit) {
+        m_used.amounts.fill(0);
+        m_untold = {};
+        m_level = 0;
+    }
     m_limits = limits;
     m_level = std::min(m_level, depthOf(m_limits, m_fleet.daemons));
     const auto daemons = static_cast<double>(m_fleet.daemons);
