--- a/src/serving/quota.cpp
+++ b/src/serving/quota.cpp
@@ -15,7 +15,7 @@
 constexpr double usedAllowance = 0.7;
 constexpr double bucketExcess = 0.08; // Of the limit of a window, added to the burst.
 // Of the limit of a window, for what is admitted before others hear of it. With 0.08, 84 daemons refused up to 24 in 1,000 tokens at nine tenths of the quota,
-// with 0.10 up to 16. A sudden jump from the whole quota to 7.5 times reached 0.992 of the allowed amount at 9 daemons, one within a second 0.947 (ten seeds).
+// with 0.10 up to 16. A sudden jump from the whole quota to 7.5 times reached 0.992 of the allowed amount at 9 daemons, one within a second 0.951 (ten seeds).
 constexpr double windowExcess = 0.10;
 constexpr double startUse = 0.75; // Of the rate: the past use that a daemon assumes that has just started.
 // Demand rises to 7.5 times the usual one within a second, so to about three times on average until the others have heard of it.
@@ -170,6 +170,20 @@
 
 void quota_account::setLimits(const quota_limits &limits)
 {
+    if (limits == m_limits) {
+        return;
+    }
+    // What was admitted under a higher limit must not use up the lower one, which is binding only for windows that begin later.
+    const bool sameUnit = limits.unit == m_limits.unit;
+    const double scale = sameUnit ? std::min(1.0, windowUnits(limits) / windowUnits(m_limits)) : 0;
+    std::ranges::for_each(m_window.amounts, [&](double &amount) {
+        amount *= scale;
+    });
+    if (!sameUnit) {
+        m_used.amounts.fill(0);
+        m_untold = {};
+        m_level = 0;
+    }
     m_limits = limits;
     m_level = std::min(m_level, depthOf(m_limits, m_fleet.daemons));
     const auto daemons = static_cast<double>(m_fleet.daemons);
