--- a/src/serving/edge_daemon.cpp
+++ b/src/serving/edge_daemon.cpp
@@ -18,7 +18,6 @@
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <csignal>
-#include <cstdlib>
 #include <glog/logging.h>
 #include <unistd.h>
 
@@ -351,9 +350,7 @@
         LOG(ERROR) << "the daemon ends: " << error.what();
         return 1;
     }
-    log.flush();
-    // Freeing connections and tables one by one takes a slow machine longer than the time that is left until SIGKILL. The system frees them at once.
-    std::_Exit(0);
+    return 0;
 }
 
 }
