Charge the quota for requests whose callers leave

Cause: the attempt that a caller leaves is not counted, so the request looked as if no endpoint had run it and got its tokens back. An organisation whose callers leave early could exceed its quota without a bound. Change: a request that was sent to an endpoint before its caller left keeps its cost.

--- a/src/serving/quota_check.cpp
+++ b/src/serving/quota_check.cpp
@@ -30,6 +30,10 @@
 
 bool hasRun(const caller_outcome &outcome)
 {
+    // The attempt that a caller has left is not counted, but its endpoint may have begun to run it.
+    if (outcome.reason == "caller_gone" && !outcome.endpoint.empty()) {
+        return true;
+    }
     // An own refusal proves that no endpoint ran the request; the same status may also be the answer of an endpoint that did.
     return outcome.attempts > 0 && (!impliesNotExecuted(outcome.status) || outcome.reason == "answered");
 }
--- a/tests/quota_forward_test.cpp
+++ b/tests/quota_forward_test.cpp
@@ -84,6 +84,29 @@
     EXPECT_EQ(refused.status, 503);
 }
 
+// Guards against a quota that is exceeded by callers who leave: their requests have reached an endpoint and may run there.
+TEST_F(quota_forward, requests_whose_callers_leave_are_paid_for)
+{
+    scripted_server endpoint(loop, [](const http_request & /*request*/, int) {
+        return scripted_answer{.silent = true};
+    });
+    configureQuota({.ratePerSecond = 0.1, .burst = 16});
+    addEndpoint("e1", "desk", endpoint.address());
+    const auto never = [] {
+        return false;
+    };
+    for (int i = 0; i < 30; ++i) {
+        tcp::socket caller(loop);
+        caller.connect(callers);
+        asio::write(caller, asio::buffer(get("/read/1", "X-Api-Key: secret\r\n")));
+        runUntil(never, std::chrono::milliseconds(20));
+        caller.close();
+        runUntil(never, std::chrono::milliseconds(20));
+    }
+    EXPECT_GE(endpoint.requests.size(), 2U);
+    EXPECT_LE(endpoint.requests.size(), 20U);
+}
+
 // Guards against limits for organisations that have none.
 TEST_F(quota_forward, an_organisation_without_a_quota_has_no_state)
 {
