Do not count requests whose callers leave as refused by a service

Cause: a call whose caller leaves before the answer ends with status 503, which nobody gets. It counted as not served, and above 3% of the demand admission restricts the service as if it were overloaded. Change: such requests are left out. A comment lost a word that named the plan.

--- a/src/serving/caller_admission.cpp
+++ b/src/serving/caller_admission.cpp
@@ -129,9 +129,10 @@
     co_return admission_refusal{.reason = result.reason, .retryAfterMs = result.retryAfterMs};
 }
 
-void noteAdmittedEnd(edge_context &context, const caller_request &request, int status)
+void noteAdmittedEnd(edge_context &context, const caller_request &request, const caller_outcome &outcome)
 {
-    if (context.settings.fairAdmission && status == static_cast<int>(http::status::service_unavailable)) {
+    const bool refused = outcome.status == static_cast<int>(http::status::service_unavailable) && outcome.reason != "caller_gone";
+    if (context.settings.fairAdmission && refused) {
         context.admission.meter.noteUnserved(meteredRequest(request), bootNow());
     }
 }
--- a/src/serving/caller_admission.h
+++ b/src/serving/caller_admission.h
@@ -20,8 +20,8 @@
 /// request is placed at once.
 task<std::optional<admission_refusal>> admitCaller(edge_context &context, caller_request &request);
 
-/// Call when an admitted request has ended. One that could not be placed counts as refused.
-void noteAdmittedEnd(edge_context &context, const caller_request &request, int status);
+/// Call when an admitted request has ended. One that could not be placed counts as refused, unless its caller has left.
+void noteAdmittedEnd(edge_context &context, const caller_request &request, const caller_outcome &outcome);
 
 /// What placement predicts for a call of a plain service, without sending it.
 admission_outlook predictService(edge_context &context, const caller_request &request);
--- a/src/serving/caller_exchange.cpp
+++ b/src/serving/caller_exchange.cpp
@@ -442,7 +442,7 @@
         outcome = co_await forwardService(context, request);
     }
     context.counters.change(metric_gauge::RequestsInFlight, -1);
-    noteAdmittedEnd(context, request, outcome.status);
+    noteAdmittedEnd(context, request, outcome);
     co_return outcome;
 }
 
--- a/src/serving/endpoint_pace.cpp
+++ b/src/serving/endpoint_pace.cpp
@@ -18,7 +18,7 @@
 // Of a sample above the expected time: many of them waited behind requests of other daemons that this one did not know of yet.
 constexpr double slowSampleWeight = 0.6;
 constexpr double minPrefillTrust = 0.5; // Prefills that take longer than the overhead are compared with the model, others only with each other.
-constexpr auto unevenTime = std::chrono::seconds(60); // Plan: the pace counts as even when no endpoint has told otherwise for so long.
+constexpr auto unevenTime = std::chrono::seconds(60); // The pace counts as even when no endpoint has told otherwise for so long.
 constexpr double regressionDecay = 0.98; // Per sample: the last 50 count. A daemon sees a few prompts per second.
 constexpr double priorWeight = 3; // Samples that the model itself counts for, so that few or equal prompts don't change it much.
 constexpr double priorShortMs = 15; // Model work of a prompt of 380 tokens, and of one of 17,000 tokens.
--- a/tests/edge_admission_test.cpp
+++ b/tests/edge_admission_test.cpp
@@ -76,6 +76,35 @@
     EXPECT_NE(context->counters.text().find("lacewinglock_admission_refusals_total 1"), std::string::npos);
 }
 
+// Guards against a service that counts as overloaded because callers leave: their requests are not refused.
+TEST_F(edge_admission, a_caller_that_leaves_is_not_counted_as_refused)
+{
+    scripted_server endpoint(loop, [](const http_request & /*request*/, int) {
+        return scripted_answer{.silent = true};
+    });
+    context->settings.fairAdmission = true;
+    auto route = makeRoute("/read/", "desk");
+    route.repeatable = true;
+    configure({route});
+    context->endpoints.update({.id = "e1", .service = "desk", .address = endpoint.address(), .failureDomain = "domain-a", .slots = 4});
+    tcp::socket caller(loop);
+    caller.connect(callers);
+    asio::write(caller, asio::buffer(get("/read/1")));
+    const auto arrived = [&] {
+        return endpoint.requests.size() == 1;
+    };
+    ASSERT_TRUE(runUntil(arrived, 1s));
+    caller.close();
+    const auto ended = [&] {
+        return context->endpoints.find("e1")->own.running == 0;
+    };
+    ASSERT_TRUE(runUntil(ended, 1s));
+    const metered_request request{.service = "desk", .priority = route.priority};
+    const auto load = context->admission.meter.loadFor(request, context->sums, bootNow());
+    EXPECT_GT(load.demand, 0);
+    EXPECT_EQ(load.unserved, 0);
+}
+
 // Guards against requests in the queue whose caller has left or whose daemon stops.
 TEST_F(edge_admission, a_wait_ends_with_its_caller_and_with_the_daemon)
 {
